--- /dev/null
+++ b/common/wire/wire.go
@@ -0,0 +1,69 @@
+// Package wire encodes domain types for peers and for disk. Types carry json
+// tags, which the CBOR library reads too, and check themselves when decoded.
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Limits of a decoded value.
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+// Checker is a type that verifies itself after it was decoded.
+type Checker interface {
+	Check() error
+}
+
+var (
+	encMode = mustEnc()
+	decMode = mustDec()
+)
+
+func mustEnc() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDec() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the deterministic encoding of v.
+func Encode(v any) ([]byte, error) {
+	data, err := encMode.Marshal(v)
+	return data, errors.Wrap(err, "encode")
+}
+
+// MustEncode is Encode for types that always encode.
+func MustEncode(v any) []byte {
+	data, err := Encode(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// Decode reads data into v and runs its check.
+func Decode(data []byte, v Checker) error {
+	if err := decMode.Unmarshal(data, v); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	return errors.Wrap(v.Check(), "check")
+}
--- /dev/null
+++ b/result/code.go
@@ -0,0 +1,105 @@
+// Package result holds the numbered result codes that callers and operators
+// see, and the error type that carries them.
+package result
+
+// Code is a numbered result. Numbers are never reused.
+type Code int
+
+// The result codes. docs/RESULT-CODES.md explains each.
+const (
+	BadRequest          Code = 1001
+	UnknownService      Code = 1002
+	BodyTooLarge        Code = 1003
+	KeyRequired         Code = 1004
+	KeyReused           Code = 1005
+	UnknownCall         Code = 1006
+	Overloaded          Code = 2001
+	NotReady            Code = 2002
+	Draining            Code = 2003
+	NoUpstream          Code = 2004
+	CallerStreams       Code = 2005
+	Expired             Code = 2006
+	UpstreamFailed      Code = 3001
+	UpstreamUnknown     Code = 3002
+	Quarantined         Code = 3003
+	UpstreamRefused     Code = 3004
+	ClaimNoQuorum       Code = 4001
+	ClaimPending        Code = 4002
+	ClaimUnknown        Code = 4003
+	ClaimLost           Code = 4004
+	DocumentInvalid     Code = 5001
+	RevisionConflict    Code = 5002
+	ChangeReused        Code = 5003
+	NoQuorum            Code = 5004
+	DocumentNotFound    Code = 5005
+	AlreadyBootstrapped Code = 5006
+	SettingsInvalid     Code = 6001
+	JournalDamaged      Code = 7001
+	JournalSyncFailed   Code = 7002
+	JournalFull         Code = 7003
+	Internal            Code = 9001
+)
+
+// Info describes one code.
+type Info struct {
+	// Name is the code's camel case name.
+	Name string
+	// Status is the HTTP status that goes with the code.
+	Status int
+	// Retry says whether the same request may succeed later.
+	Retry bool
+}
+
+var infos = map[Code]Info{
+	BadRequest:          {"badRequest", 400, false},
+	UnknownService:      {"unknownService", 404, false},
+	BodyTooLarge:        {"bodyTooLarge", 413, false},
+	KeyRequired:         {"keyRequired", 400, false},
+	KeyReused:           {"keyReused", 422, false},
+	UnknownCall:         {"unknownCall", 404, false},
+	Overloaded:          {"overloaded", 429, true},
+	NotReady:            {"notReady", 503, true},
+	Draining:            {"draining", 503, true},
+	NoUpstream:          {"noUpstream", 503, true},
+	CallerStreams:       {"callerStreams", 429, true},
+	Expired:             {"expired", 504, true},
+	UpstreamFailed:      {"upstreamFailed", 502, true},
+	UpstreamUnknown:     {"upstreamUnknown", 502, false},
+	Quarantined:         {"quarantined", 422, false},
+	UpstreamRefused:     {"upstreamRefused", 503, true},
+	ClaimNoQuorum:       {"claimNoQuorum", 503, true},
+	ClaimPending:        {"claimPending", 409, true},
+	ClaimUnknown:        {"claimUnknown", 409, false},
+	ClaimLost:           {"claimLost", 409, true},
+	DocumentInvalid:     {"documentInvalid", 400, false},
+	RevisionConflict:    {"revisionConflict", 412, false},
+	ChangeReused:        {"changeReused", 422, false},
+	NoQuorum:            {"noQuorum", 503, true},
+	DocumentNotFound:    {"documentNotFound", 404, false},
+	AlreadyBootstrapped: {"alreadyBootstrapped", 409, false},
+	SettingsInvalid:     {"settingsInvalid", 400, false},
+	JournalDamaged:      {"journalDamaged", 500, false},
+	JournalSyncFailed:   {"journalSyncFailed", 500, false},
+	JournalFull:         {"journalFull", 507, false},
+	Internal:            {"internal", 500, false},
+}
+
+// Info returns the description of c; an unlisted code reads as Internal.
+func (c Code) Info() Info {
+	if info, ok := infos[c]; ok {
+		return info
+	}
+	return infos[Internal]
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// All returns every listed code with its description.
+func All() map[Code]Info {
+	all := make(map[Code]Info, len(infos))
+	for c, i := range infos {
+		all[c] = i
+	}
+	return all
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,228 @@
+// Package settings reads a node's INI settings strictly.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/inifile"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/service"
+)
+
+// Settings are those of one node.
+type Settings struct {
+	Node  Node
+	Entry Entry
+	Peer  Peer
+}
+
+// Node says who and where the node is.
+type Node struct {
+	Name   string
+	Region string
+	Zone   string
+	// Roles are the plug-ins that the node runs: entry, keeper.
+	Roles []string
+	// DataFolder holds the files of the roles that need a disk.
+	DataFolder string
+	// StopLimit bounds a graceful stop.
+	StopLimit time.Duration
+}
+
+// Entry holds the settings of the entry role.
+type Entry struct {
+	// Listen is where callers connect.
+	Listen netip.AddrPort
+	// MaxBodyBytes bounds a caller's body.
+	MaxBodyBytes int
+	// MaxHeaderBytes bounds a caller's headers.
+	MaxHeaderBytes int
+	// MaxConnections bounds open connections of callers.
+	MaxConnections int
+	// MaxStreamsPerCaller bounds the open requests of one caller.
+	MaxStreamsPerCaller int
+	// WriteTimeout bounds one write to a slow caller.
+	WriteTimeout time.Duration
+	// ProgressTimeout is how long an upstream may stay silent in mid-answer.
+	ProgressTimeout time.Duration
+}
+
+// Peer holds the settings of the traffic between nodes.
+type Peer struct {
+	// Listen is where peers, upstreams and operators connect.
+	Listen netip.AddrPort
+	// Seeds are the peers to join.
+	Seeds []netip.AddrPort
+	// Interval is the time between two rounds of gossip.
+	Interval time.Duration
+	// Lease is how long a peer counts as alive without news of it.
+	Lease time.Duration
+}
+
+// The roles that settings may name.
+const (
+	RoleEntry  = "entry"
+	RoleKeeper = "keeper"
+)
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	return Settings{
+		Node: Node{Region: "local", Roles: []string{RoleEntry}, StopLimit: 30 * time.Second},
+		Entry: Entry{
+			Listen:              loopback,
+			MaxBodyBytes:        1 << 20,
+			MaxHeaderBytes:      32 << 10,
+			MaxConnections:      4096,
+			MaxStreamsPerCaller: 1024,
+			WriteTimeout:        10 * time.Second,
+			ProgressTimeout:     2 * time.Second,
+		},
+		Peer: Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
+	}
+}
+
+// Load reads the file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, result.New(result.SettingsInvalid, result.RanNo, "%v", err)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return s, result.New(result.SettingsInvalid, result.RanNo, "%s: %v", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads settings; its error is service.Faults with all faults.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	file, err := inifile.Load(data)
+	if err != nil {
+		return s, service.Faults{err.Error()}
+	}
+	var faults service.Faults
+	for _, section := range file.Sections() {
+		r := &reader{inifile.NewReader(section)}
+		switch section.Name() {
+		case "DEFAULT":
+		case "node":
+			s.Node.read(r)
+		case "entry":
+			s.Entry.read(r)
+		case "peer":
+			s.Peer.read(r)
+		default:
+			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry or peer")
+			continue
+		}
+		faults = append(faults, r.Faults()...)
+	}
+	faults = append(faults, s.faults()...)
+	if len(faults) > 0 {
+		return s, faults
+	}
+	return s, nil
+}
+
+// HasRole reports whether the node runs the role.
+func (s *Settings) HasRole(role string) bool {
+	for _, r := range s.Node.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Settings) faults() []string {
+	var faults []string
+	if !service.ValidName(s.Node.Name) {
+		faults = append(faults, "[node] name: a name is needed: a letter followed by letters, digits or '-'")
+	}
+	if !service.ValidName(s.Node.Zone) {
+		faults = append(faults, "[node] zone: a name is needed: a letter followed by letters, digits or '-'")
+	}
+	for _, role := range s.Node.Roles {
+		if role != RoleEntry && role != RoleKeeper {
+			faults = append(faults, "[node] roles: found "+role+", want "+strings.Join([]string{RoleEntry, RoleKeeper}, " or "))
+		}
+	}
+	if s.HasRole(RoleKeeper) && s.Node.DataFolder == "" {
+		faults = append(faults, "[node] dataFolder: the role keeper needs one")
+	}
+	return faults
+}
+
+type reader struct{ *inifile.Reader }
+
+// positive reads a whole number above zero into to, if the key is present.
+func (r *reader) positive(key string, to *int) {
+	if !r.Has(key) {
+		return
+	}
+	if n := r.Int(key); n > 0 {
+		*to = n
+	} else {
+		r.Fault(key, "found %d, want more than 0", n)
+	}
+}
+
+// span reads a duration above zero into to, if the key is present.
+func (r *reader) span(key string, to *time.Duration) {
+	if !r.Has(key) {
+		return
+	}
+	if d := r.Duration(key); d > 0 {
+		*to = d
+	} else {
+		r.Fault(key, "found %v, want more than 0", d)
+	}
+}
+
+// text reads a string into to, if the key is present.
+func (r *reader) text(key string, to *string) {
+	if r.Has(key) {
+		*to = r.String(key)
+	}
+}
+
+// address reads an address into to, if the key is present.
+func (r *reader) address(key string, to *netip.AddrPort) {
+	if r.Has(key) {
+		*to = r.AddrPort(key)
+	}
+}
+
+func (n *Node) read(r *reader) {
+	r.text("name", &n.Name)
+	r.text("region", &n.Region)
+	r.text("zone", &n.Zone)
+	r.text("dataFolder", &n.DataFolder)
+	r.span("stopLimit", &n.StopLimit)
+	if r.Has("roles") {
+		n.Roles = r.List("roles")
+	}
+}
+
+func (e *Entry) read(r *reader) {
+	r.address("listen", &e.Listen)
+	r.positive("maxBodyBytes", &e.MaxBodyBytes)
+	r.positive("maxHeaderBytes", &e.MaxHeaderBytes)
+	r.positive("maxConnections", &e.MaxConnections)
+	r.positive("maxStreamsPerCaller", &e.MaxStreamsPerCaller)
+	r.span("writeTimeout", &e.WriteTimeout)
+	r.span("progressTimeout", &e.ProgressTimeout)
+}
+
+func (p *Peer) read(r *reader) {
+	r.address("listen", &p.Listen)
+	p.Seeds = r.AddrPorts("seeds")
+	r.span("interval", &p.Interval)
+	r.span("lease", &p.Lease)
+}
