--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,159 @@
+package admission
+
+import (
+	"container/heap"
+)
+
+// fairQueue shares one rank's turns among callers by weighted cost: the caller
+// with the lowest start tag goes next (start-time fair queueing). A newcomer
+// starts at the current virtual time and so gets no credit for idle time.
+type fairQueue struct {
+	callers map[string]*callerQueue
+	active  callerHeap
+	virtual float64
+	work    float64
+	weight  float64
+	length  int
+}
+
+type callerQueue struct {
+	name   string
+	weight float64
+	items  []Request
+	work   float64
+	// start is the tag of the head; finish is that of the last one served.
+	start, finish float64
+	index         int
+}
+
+func newFairQueue() *fairQueue {
+	return &fairQueue{callers: map[string]*callerQueue{}}
+}
+
+func (q *fairQueue) push(r Request) {
+	c, ok := q.callers[r.Caller]
+	if !ok {
+		c = &callerQueue{name: r.Caller, index: -1}
+		q.callers[r.Caller] = c
+	}
+	if len(c.items) == 0 {
+		c.weight = r.Weight
+		c.start = max(q.virtual, c.finish)
+		q.weight += c.weight
+		heap.Push(&q.active, c)
+	}
+	c.items = append(c.items, r)
+	c.work += r.Cost
+	q.work += r.Cost
+	q.length++
+}
+
+func (q *fairQueue) head() (Request, bool) {
+	if len(q.active) == 0 {
+		return Request{}, false
+	}
+	return q.active[0].items[0], true
+}
+
+func (q *fairQueue) pop() Request {
+	c := q.active[0]
+	r := c.items[0]
+	q.virtual = max(q.virtual, c.start)
+	c.finish = c.start + r.Cost/c.weight
+	q.drop(c, 0)
+	return r
+}
+
+// drop takes the item at position i out of the caller's queue.
+func (q *fairQueue) drop(c *callerQueue, i int) {
+	r := c.items[i]
+	c.items = append(c.items[:i], c.items[i+1:]...)
+	c.work -= r.Cost
+	q.work -= r.Cost
+	q.length--
+	if len(c.items) == 0 {
+		heap.Remove(&q.active, c.index)
+		q.weight -= c.weight
+		if c.finish <= q.virtual {
+			delete(q.callers, c.name)
+		}
+		return
+	}
+	if i == 0 {
+		c.start = max(c.start, c.finish)
+		heap.Fix(&q.active, c.index)
+	}
+}
+
+// remove takes the request with the ID out.
+func (q *fairQueue) remove(caller string, id uint64) bool {
+	c, ok := q.callers[caller]
+	if !ok {
+		return false
+	}
+	for i, r := range c.items {
+		if r.ID == id {
+			q.drop(c, i)
+			return true
+		}
+	}
+	return false
+}
+
+// callerWork is the work that the caller has waiting.
+func (q *fairQueue) callerWork(caller string) float64 {
+	if c, ok := q.callers[caller]; ok {
+		return c.work
+	}
+	return 0
+}
+
+// callerShare is the part of the rank's turns that the caller gets while the
+// callers that wait now go on waiting.
+func (q *fairQueue) callerShare(caller string, weight float64) float64 {
+	total := q.weight
+	if c, ok := q.callers[caller]; !ok || len(c.items) == 0 {
+		total += weight
+	}
+	return weight / total
+}
+
+// prune forgets callers that wait for nothing and have no debt left.
+func (q *fairQueue) prune() {
+	for name, c := range q.callers {
+		if len(c.items) == 0 && c.finish <= q.virtual {
+			delete(q.callers, name)
+		}
+	}
+}
+
+type callerHeap []*callerQueue
+
+var _ heap.Interface = (*callerHeap)(nil)
+
+func (h callerHeap) Len() int { return len(h) }
+func (h callerHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].name < h[j].name
+}
+
+func (h callerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *callerHeap) Push(x any) {
+	c := x.(*callerQueue)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+
+func (h *callerHeap) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	*h = old[:len(old)-1]
+	c.index = -1
+	return c
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,427 @@
+// Package dispatch joins the directory of upstreams, admission and routing
+// into the decisions of one entry: which request is accepted, when it starts
+// and where. It is pure: time is passed in, and what has to happen comes back
+// as actions.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/admission"
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/route"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// avoidTime is how long an upstream gets no new work after a failure.
+const avoidTime = time.Second
+
+// retryRatio is the number of retries that each request adds to the budget.
+const retryRatio = 0.2
+
+// Options shape a dispatcher.
+type Options struct {
+	// Zone is the entry's availability zone.
+	Zone  string
+	Costs route.Costs
+}
+
+// DefaultCosts are the prices that routing starts from.
+func DefaultCosts() route.Costs {
+	return route.Costs{
+		Hop:     500 * time.Microsecond,
+		Prefill: 50 * time.Microsecond,
+		Slot:    500 * time.Millisecond,
+	}
+}
+
+// Ticket is a request on its way.
+type Ticket struct {
+	ID      uint64
+	Service string
+	Rank    int
+	Caller  string
+	// Cost is the expected work in tokens.
+	Cost       float64
+	Repeatable bool
+	Query      route.Query
+}
+
+// Action is what the host has to do.
+type Action interface{ action() }
+
+// Grant sends the ticket to an upstream.
+type Grant struct {
+	Ticket   uint64
+	Upstream upstream.Announcement
+}
+
+// Refuse answers the ticket with an error.
+type Refuse struct {
+	Ticket uint64
+	Err    *result.Error
+}
+
+// Evacuate tells a ticket that its upstream is leaving.
+type Evacuate struct {
+	Ticket uint64
+	Notice time.Duration
+}
+
+func (Grant) action()    {}
+func (Refuse) action()   {}
+func (Evacuate) action() {}
+
+// Dispatcher holds the decisions' state. It isn't safe for concurrent use.
+type Dispatcher struct {
+	options   Options
+	directory *upstream.Directory
+	hints     *route.Hints
+	pools     map[string]*pool
+	tickets   map[uint64]*ticket
+	actions   []Action
+}
+
+// pool is one service with the upstreams that serve it.
+type pool struct {
+	document   service.Accepted
+	scheduler  *admission.Scheduler
+	budget     *retry.Budget
+	movers     []uint64
+	upstreams  []*upstream.Upstream
+	generation uint64
+	// speed is the measured work per slot and second, in tokens.
+	speed float64
+	share float64
+}
+
+type ticket struct {
+	Ticket
+	state    ticketState
+	attempts int
+	// upstream and incarnation are where the ticket runs.
+	upstream    string
+	incarnation uint64
+	started     clock.Instant
+}
+
+type ticketState int
+
+const (
+	waiting ticketState = iota
+	moving
+	running
+)
+
+// initialSpeed is assumed until requests have been measured, in tokens per
+// slot and second.
+const initialSpeed = 50
+
+// New returns a dispatcher without services and upstreams.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{
+		options:   o,
+		directory: upstream.New(),
+		hints:     route.NewHints(),
+		pools:     map[string]*pool{},
+		tickets:   map[uint64]*ticket{},
+	}
+}
+
+// SetDocument puts a document in force. An older revision is ignored.
+func (d *Dispatcher) SetDocument(now clock.Instant, a service.Accepted) []Action {
+	p, ok := d.pools[a.Document.Name]
+	switch {
+	case !ok:
+		p = &pool{
+			scheduler: admission.New(a.Document.Ranks),
+			budget:    retry.NewBudget(retryRatio),
+			speed:     initialSpeed,
+			share:     1,
+		}
+		d.pools[a.Document.Name] = p
+	case a.Revision <= p.document.Revision:
+		return nil
+	default:
+		p.scheduler.SetRanks(a.Document.Ranks)
+	}
+	p.document = a
+	p.generation = 0
+	d.pump(now, p)
+	return d.take()
+}
+
+// SetShare sets the part of a service's fleet that this entry counts on.
+func (d *Dispatcher) SetShare(name string, share float64) {
+	if p, ok := d.pools[name]; ok {
+		p.share = share
+	}
+}
+
+// Announce takes in what an upstream says about itself.
+func (d *Dispatcher) Announce(now clock.Instant, a upstream.Announcement) []Action {
+	held, known := d.directory.Get(a.ID)
+	restarted := known && a.Incarnation > held.Incarnation
+	if restarted {
+		d.hints.Forget(a.ID)
+	}
+	if d.directory.Apply(now, a) {
+		d.hints.Forget(a.ID)
+		d.evacuate(a)
+	}
+	d.pumpAll(now)
+	return d.take()
+}
+
+// evacuate tells all tickets that run at a leaving upstream.
+func (d *Dispatcher) evacuate(a upstream.Announcement) {
+	for _, t := range d.tickets {
+		if t.state == running && t.upstream == a.ID && t.incarnation == a.Incarnation {
+			d.actions = append(d.actions, Evacuate{Ticket: t.ID, Notice: a.Notice})
+		}
+	}
+}
+
+// Lost forgets an upstream whose lease ran out.
+func (d *Dispatcher) Lost(id string, incarnation uint64) {
+	d.directory.Remove(id, incarnation)
+	d.hints.Forget(id)
+}
+
+// Evicted takes in a cache event: the upstream dropped the prefixes.
+func (d *Dispatcher) Evicted(id string, prefixes []uint64) { d.hints.Evicted(id, prefixes) }
+
+// Submit offers a new request. The answer is among the actions: Refuse at
+// once, or Grant now or later.
+func (d *Dispatcher) Submit(now clock.Instant, t Ticket) []Action {
+	p, ok := d.pools[t.Service]
+	if !ok {
+		d.refuse(t.ID, result.New(result.UnknownService, result.RanNo, "service %q has no document here", t.Service))
+		return d.take()
+	}
+	p.budget.Deposit()
+	capacity := d.capacity(now, p)
+	if capacity.Rate <= 0 {
+		err := result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", t.Service)
+		d.refuse(t.ID, err.WithRetry(time.Second))
+		return d.take()
+	}
+	decision := p.scheduler.Offer(now, admission.Request{
+		ID:     t.ID,
+		Rank:   t.Rank,
+		Caller: t.Caller,
+		Weight: p.document.Document.Weight(t.Caller),
+		Cost:   t.Cost,
+	}, capacity)
+	if !decision.Accepted {
+		err := result.New(result.Overloaded, result.RanNo, "the request would start after its target")
+		d.refuse(t.ID, err.WithRetry(decision.RetryAfter))
+		return d.take()
+	}
+	t.Query.Zone = d.options.Zone
+	d.tickets[t.ID] = &ticket{Ticket: t}
+	d.pump(now, p)
+	return d.take()
+}
+
+// Move looks for another upstream after a failed attempt.
+func (d *Dispatcher) Move(now clock.Instant, id uint64, f retry.Failure) []Action {
+	t, ok := d.tickets[id]
+	if !ok || t.state != running {
+		return d.take()
+	}
+	p := d.pools[t.Service]
+	d.release(now, t, f != retry.Reclaimed)
+	allowed := retry.Allowed(f, t.Repeatable, t.attempts)
+	if allowed && f != retry.Reclaimed {
+		allowed = p.budget.Spend(now)
+	}
+	if !allowed {
+		delete(d.tickets, id)
+		d.refuse(id, failed(f))
+		d.pump(now, p)
+		return d.take()
+	}
+	t.state = moving
+	p.movers = append(p.movers, id)
+	d.pump(now, p)
+	return d.take()
+}
+
+func failed(f retry.Failure) *result.Error {
+	if f.Ran() {
+		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream was lost after the request was sent")
+	}
+	return result.New(result.UpstreamFailed, result.RanNo, "no upstream took the request").WithRetry(time.Second)
+}
+
+// release takes a ticket off its upstream.
+func (d *Dispatcher) release(now clock.Instant, t *ticket, avoid bool) {
+	u, ok := d.directory.Get(t.upstream)
+	if !ok || u.Incarnation != t.incarnation {
+		return
+	}
+	u.Finish()
+	if avoid {
+		u.Avoid(now + avoidTime)
+		t.Query.Exclude = append(t.Query.Exclude, t.upstream)
+	}
+}
+
+// Finish ends a ticket that was answered.
+func (d *Dispatcher) Finish(now clock.Instant, id uint64) []Action {
+	t, ok := d.tickets[id]
+	if !ok {
+		return d.take()
+	}
+	p := d.pools[t.Service]
+	if t.state == running {
+		d.release(now, t, false)
+		p.measure(t, now)
+	}
+	delete(d.tickets, id)
+	d.pump(now, p)
+	return d.take()
+}
+
+// Withdraw ends a ticket whose caller is gone.
+func (d *Dispatcher) Withdraw(now clock.Instant, id uint64) []Action {
+	t, ok := d.tickets[id]
+	if !ok {
+		return d.take()
+	}
+	p := d.pools[t.Service]
+	switch t.state {
+	case waiting:
+		p.scheduler.Remove(t.Caller, id)
+	case running:
+		d.release(now, t, false)
+	case moving:
+		for i, m := range p.movers {
+			if m == id {
+				p.movers = append(p.movers[:i], p.movers[i+1:]...)
+				break
+			}
+		}
+	}
+	delete(d.tickets, id)
+	d.pump(now, p)
+	return d.take()
+}
+
+// Tick starts what waits for leases and avoided upstreams.
+func (d *Dispatcher) Tick(now clock.Instant) []Action {
+	d.pumpAll(now)
+	return d.take()
+}
+
+// measure learns the speed of a slot from an answered ticket.
+func (p *pool) measure(t *ticket, now clock.Instant) {
+	const weight = 0.05
+	if elapsed := (now - t.started).Seconds(); elapsed > 0 && t.attempts == 1 {
+		p.speed += weight * (t.Cost/elapsed - p.speed)
+	}
+}
+
+// candidates returns the upstreams that serve the pool.
+func (d *Dispatcher) candidates(p *pool) []*upstream.Upstream {
+	if generation := d.directory.Generation() + 1; p.generation != generation {
+		p.generation = generation
+		p.upstreams = p.upstreams[:0]
+		for _, u := range d.directory.All() {
+			if u.Serves(&p.document.Document) {
+				p.upstreams = append(p.upstreams, u)
+			}
+		}
+	}
+	return p.upstreams
+}
+
+// capacity sums up what the pool's upstreams can take.
+func (d *Dispatcher) capacity(now clock.Instant, p *pool) admission.Capacity {
+	var c admission.Capacity
+	slots := 0
+	for _, u := range d.candidates(p) {
+		if !u.Usable(now) {
+			continue
+		}
+		slots += u.Slots
+		if !u.Avoided(now) {
+			c.Free += u.Free()
+		}
+	}
+	c.Rate = float64(slots) * p.speed * p.share
+	return c
+}
+
+func (d *Dispatcher) pumpAll(now clock.Instant) {
+	for _, p := range d.pools {
+		d.pump(now, p)
+	}
+}
+
+// pump starts what can start: first the tickets that lost their upstream,
+// then the waiting ones in their order.
+func (d *Dispatcher) pump(now clock.Instant, p *pool) {
+	d.pumpMovers(now, p)
+	for p.scheduler.Waiting() > 0 {
+		c := d.capacity(now, p)
+		if c.Free == 0 {
+			return
+		}
+		r, ok := p.scheduler.Next(now, c)
+		if !ok {
+			return
+		}
+		t := d.tickets[r.ID]
+		if !d.place(now, p, t, true) {
+			// Free slots that this ticket may not use: it goes on as a mover.
+			t.state = moving
+			p.movers = append(p.movers, t.ID)
+		}
+	}
+}
+
+func (d *Dispatcher) pumpMovers(now clock.Instant, p *pool) {
+	left := p.movers[:0]
+	for _, id := range p.movers {
+		if t := d.tickets[id]; t != nil && !d.place(now, p, t, false) {
+			left = append(left, id)
+		}
+	}
+	p.movers = left
+}
+
+// place grants an upstream to the ticket, if one can take it.
+func (d *Dispatcher) place(now clock.Instant, p *pool, t *ticket, needFree bool) bool {
+	q := t.Query
+	q.NeedFree = needFree
+	u := route.Choose(now, q, d.candidates(p), d.hints, d.options.Costs)
+	if u == nil && len(q.Exclude) > 0 {
+		q.Exclude = nil
+		u = route.Choose(now, q, d.candidates(p), d.hints, d.options.Costs)
+	}
+	if u == nil {
+		return false
+	}
+	u.Start()
+	t.state = running
+	t.attempts++
+	t.upstream, t.incarnation, t.started = u.ID, u.Incarnation, now
+	d.hints.Add(u.ID, t.Query.Prefixes)
+	d.actions = append(d.actions, Grant{Ticket: t.ID, Upstream: u.Announcement})
+	return true
+}
+
+func (d *Dispatcher) refuse(id uint64, err *result.Error) {
+	d.actions = append(d.actions, Refuse{Ticket: id, Err: err})
+}
+
+func (d *Dispatcher) take() []Action {
+	actions := d.actions
+	d.actions = nil
+	return actions
+}
--- /dev/null
+++ b/dispatch/dispatch__state.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"sort"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// ServiceState describes one service for status and dump.
+type ServiceState struct {
+	Service  string         `json:"service"`
+	Revision uint64         `json:"revision"`
+	Waiting  map[string]int `json:"waiting"`
+	Moving   int            `json:"moving"`
+	Slots    int            `json:"slots"`
+	Free     int            `json:"free"`
+	// Rate is the expected work per second, in tokens.
+	Rate      float64         `json:"rate"`
+	Upstreams []UpstreamState `json:"upstreams"`
+}
+
+// UpstreamState describes one upstream for status and dump.
+type UpstreamState struct {
+	ID          string        `json:"id"`
+	Zone        string        `json:"zone"`
+	Class       string        `json:"class"`
+	Usable      bool          `json:"usable"`
+	Leaving     bool          `json:"leaving"`
+	Outstanding int           `json:"outstanding"`
+	Load        upstream.Load `json:"load"`
+	Slots       int           `json:"slots"`
+}
+
+// State describes every service in order of name.
+func (d *Dispatcher) State(now clock.Instant) []ServiceState {
+	var all []ServiceState
+	for name, p := range d.pools {
+		c := d.capacity(now, p)
+		s := ServiceState{
+			Service:  name,
+			Revision: p.document.Revision,
+			Waiting:  map[string]int{},
+			Moving:   len(p.movers),
+			Free:     c.Free,
+			Rate:     c.Rate,
+		}
+		for i, r := range p.document.Document.Ranks {
+			s.Waiting[r.Name] = p.scheduler.WaitingIn(i)
+		}
+		for _, u := range d.candidates(p) {
+			s.Slots += u.Slots
+			s.Upstreams = append(s.Upstreams, describe(now, u))
+		}
+		all = append(all, s)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Service < all[j].Service })
+	return all
+}
+
+func describe(now clock.Instant, u *upstream.Upstream) UpstreamState {
+	return UpstreamState{
+		ID:          u.ID,
+		Zone:        u.Zone,
+		Class:       u.Class,
+		Usable:      u.Usable(now),
+		Leaving:     u.Leaving,
+		Outstanding: u.Outstanding(),
+		Load:        u.Load,
+		Slots:       u.Slots,
+	}
+}
+
+// Open is the number of tickets on their way.
+func (d *Dispatcher) Open() int { return len(d.tickets) }
--- /dev/null
+++ b/member/node.go
@@ -0,0 +1,37 @@
+package member
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+)
+
+// NodeInfo is the payload of a Node record.
+type NodeInfo struct {
+	Name    string         `json:"name"`
+	Region  string         `json:"region"`
+	Zone    string         `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+	Roles   []string       `json:"roles"`
+	// KeeperID is the identity of the node's data folder, if it is a keeper.
+	KeeperID string `json:"keeperId,omitempty"`
+}
+
+// Check verifies a decoded node.
+func (n *NodeInfo) Check() error {
+	if n.Name == "" || !n.Address.IsValid() {
+		return errors.New("node: a name and an address are needed")
+	}
+	return nil
+}
+
+// All returns every record that is alive or leaving, as it would be sent.
+func (t *Table) All(now clock.Instant) []Record {
+	keys := make([]Key, 0, len(t.rows))
+	for key := range t.rows {
+		keys = append(keys, key)
+	}
+	return t.Select(now, keys)
+}
--- /dev/null
+++ b/member/record.go
@@ -0,0 +1,137 @@
+// Package member holds the soft state that nodes share: who is alive, which
+// upstreams there are, and which documents are in force. It is pure: time and
+// randomness are passed in.
+package member
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind says what a record describes.
+type Kind string
+
+// The kinds of record.
+const (
+	Node       Kind = "node"
+	Upstream   Kind = "upstream"
+	Document   Kind = "document"
+	Quarantine Kind = "quarantine"
+)
+
+// Limits of a record.
+const (
+	MaxPayload = 80 << 10
+	MaxID      = 128
+	MaxLease   = 10 * time.Minute
+)
+
+// Key identifies a record.
+type Key struct {
+	Kind Kind   `json:"k"`
+	ID   string `json:"i"`
+}
+
+// Version orders the states of one key.
+type Version struct {
+	// Incarnation counts the lives of the record's owner.
+	Incarnation uint64 `json:"n"`
+	// Leaving is final within an incarnation.
+	Leaving bool `json:"l,omitempty"`
+	// Sequence counts the changes within an incarnation.
+	Sequence uint64 `json:"s"`
+}
+
+// After reports whether v replaces w.
+func (v Version) After(w Version) bool {
+	if v.Incarnation != w.Incarnation {
+		return v.Incarnation > w.Incarnation
+	}
+	if v.Leaving != w.Leaving {
+		return v.Leaving
+	}
+	return v.Sequence > w.Sequence
+}
+
+// Record is one piece of shared state.
+type Record struct {
+	Key
+	Version
+	// Remaining is how much of the lease is left, on the sender's clock, at
+	// the time of sending. Zero means that the record has no lease.
+	Remaining time.Duration `json:"r,omitempty"`
+	// Payload is the encoded domain type that Kind names.
+	Payload []byte `json:"p,omitempty"`
+}
+
+// Check verifies a decoded record.
+func (r *Record) Check() error {
+	switch r.Kind {
+	case Node, Upstream, Document, Quarantine:
+	default:
+		return errors.Errorf("record kind %q", r.Kind)
+	}
+	if r.ID == "" || len(r.ID) > MaxID {
+		return errors.Errorf("record ID of %d bytes, want 1 to %d", len(r.ID), MaxID)
+	}
+	if len(r.Payload) > MaxPayload {
+		return errors.Errorf("record payload of %d bytes, want at most %d", len(r.Payload), MaxPayload)
+	}
+	if r.Remaining < 0 || r.Remaining > MaxLease {
+		return errors.Errorf("record lease of %v, want 0 to %v", r.Remaining, MaxLease)
+	}
+	return nil
+}
+
+// DigestEntry is one key with the version that the sender holds.
+type DigestEntry struct {
+	Key
+	Version
+}
+
+// Exchange is a round of gossip: records that the sender pushes, and the
+// digest of all that it holds when it asks for a comparison.
+type Exchange struct {
+	// From is the sender's node name.
+	From string `json:"f"`
+	// Push are records that changed lately.
+	Push []Record `json:"p,omitempty"`
+	// Compare says that Digest is complete.
+	Compare bool          `json:"c,omitempty"`
+	Digest  []DigestEntry `json:"d,omitempty"`
+	// Ready says that the sender holds the documents in force.
+	Ready bool `json:"y,omitempty"`
+}
+
+// Check verifies a decoded exchange.
+func (e *Exchange) Check() error {
+	for i := range e.Push {
+		if err := e.Push[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Answer is the reply to an Exchange.
+type Answer struct {
+	// Push are records that the asker lacks.
+	Push []Record `json:"p,omitempty"`
+	// Want are keys of which the asker holds a newer version.
+	Want []Key `json:"w,omitempty"`
+	// Compared says that Push and Want answer a digest.
+	Compared bool `json:"c,omitempty"`
+	// Ready says that the answering node holds the documents in force.
+	Ready bool `json:"y,omitempty"`
+}
+
+// Check verifies a decoded answer.
+func (a *Answer) Check() error {
+	for i := range a.Push {
+		if err := a.Push[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,211 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+)
+
+// tombstoneTime is how long the end of a record is remembered. It exceeds the
+// longest time for which a copy of an older version can travel.
+const tombstoneTime = 2 * time.Minute
+
+// pushes is how often a changed record is pushed before only the digest
+// carries it on.
+const pushes = 4
+
+// Table holds the newest version of every record. It isn't safe for
+// concurrent use.
+type Table struct {
+	rows map[Key]*row
+	hot  map[Key]int
+}
+
+type row struct {
+	record Record
+	// expires is when the lease ends; forget is when the row goes.
+	expires clock.Instant
+	forget  clock.Instant
+	ended   bool
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: map[Key]*row{}, hot: map[Key]int{}}
+}
+
+// Merge takes in records and returns those that changed the table.
+func (t *Table) Merge(now clock.Instant, records []Record) []Record {
+	var changed []Record
+	for _, r := range records {
+		if t.merge(now, r) {
+			changed = append(changed, r)
+		}
+	}
+	return changed
+}
+
+func (t *Table) merge(now clock.Instant, r Record) bool {
+	held, ok := t.rows[r.Key]
+	if ok && !r.After(held.record.Version) {
+		return false
+	}
+	next := &row{record: r}
+	if r.Remaining > 0 {
+		next.expires = now + r.Remaining
+	}
+	if r.Leaving {
+		next.forget = now + tombstoneTime
+	}
+	t.rows[r.Key] = next
+	t.hot[r.Key] = pushes
+	return true
+}
+
+// Expire ends the records whose lease has run out and returns them. An ended
+// record stays known, so that an old copy can't revive it.
+func (t *Table) Expire(now clock.Instant) []Record {
+	var ended []Record
+	for key, held := range t.rows {
+		if held.forget > 0 && now >= held.forget {
+			delete(t.rows, key)
+			delete(t.hot, key)
+			continue
+		}
+		if !held.ended && held.expires > 0 && now >= held.expires {
+			held.ended = true
+			held.forget = now + tombstoneTime
+			delete(t.hot, key)
+			ended = append(ended, held.record)
+		}
+	}
+	sort.Slice(ended, func(i, j int) bool { return less(ended[i].Key, ended[j].Key) })
+	return ended
+}
+
+// Live returns the records of a kind that are neither leaving nor ended.
+func (t *Table) Live(now clock.Instant, kind Kind) []Record {
+	var live []Record
+	for key, held := range t.rows {
+		if key.Kind == kind && !held.record.Leaving && held.alive(now) {
+			live = append(live, held.record)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
+	return live
+}
+
+// Get returns the record of a key, also if it is leaving.
+func (t *Table) Get(key Key) (Record, bool) {
+	held, ok := t.rows[key]
+	if !ok {
+		return Record{}, false
+	}
+	return held.record, true
+}
+
+// Len returns the number of records that the table knows.
+func (t *Table) Len() int { return len(t.rows) }
+
+func (r *row) alive(now clock.Instant) bool {
+	return !r.ended && (r.expires == 0 || now < r.expires)
+}
+
+// wire returns the record as it is sent: with the part of the lease that is
+// left. A record whose lease has run out isn't sent.
+func (r *row) wire(now clock.Instant) (Record, bool) {
+	out := r.record
+	if r.expires > 0 && !out.Leaving {
+		out.Remaining = r.expires - now
+		if out.Remaining <= 0 || r.ended {
+			return out, false
+		}
+	}
+	return out, true
+}
+
+// Hot returns the records to push in this round, at most limit payload bytes.
+func (t *Table) Hot(now clock.Instant, limit int) []Record {
+	var out []Record
+	size := 0
+	for _, key := range sortedKeys(t.hot) {
+		record, ok := t.rows[key].wire(now)
+		if size > 0 && size+len(record.Payload) > limit {
+			break
+		}
+		if t.hot[key]--; t.hot[key] <= 0 || !ok {
+			delete(t.hot, key)
+		}
+		if ok {
+			out = append(out, record)
+			size += len(record.Payload)
+		}
+	}
+	return out
+}
+
+// Digest returns every key with its version.
+func (t *Table) Digest() []DigestEntry {
+	out := make([]DigestEntry, 0, len(t.rows))
+	for key, held := range t.rows {
+		if !held.ended {
+			out = append(out, DigestEntry{Key: key, Version: held.record.Version})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return less(out[i].Key, out[j].Key) })
+	return out
+}
+
+// Compare answers a digest: the records that its sender lacks, and the keys
+// of which the sender holds a newer version.
+func (t *Table) Compare(now clock.Instant, digest []DigestEntry) (push []Record, want []Key) {
+	theirs := make(map[Key]Version, len(digest))
+	for _, d := range digest {
+		theirs[d.Key] = d.Version
+		held, ok := t.rows[d.Key]
+		if !ok || d.After(held.record.Version) {
+			want = append(want, d.Key)
+		}
+	}
+	for key, held := range t.rows {
+		version, ok := theirs[key]
+		if ok && !held.record.After(version) {
+			continue
+		}
+		if record, alive := held.wire(now); alive {
+			push = append(push, record)
+		}
+	}
+	sort.Slice(push, func(i, j int) bool { return less(push[i].Key, push[j].Key) })
+	return push, want
+}
+
+// Select returns the records of the given keys as they are sent.
+func (t *Table) Select(now clock.Instant, keys []Key) []Record {
+	var out []Record
+	for _, key := range keys {
+		if held, ok := t.rows[key]; ok {
+			if record, alive := held.wire(now); alive {
+				out = append(out, record)
+			}
+		}
+	}
+	return out
+}
+
+func sortedKeys(m map[Key]int) []Key {
+	keys := make([]Key, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return less(keys[i], keys[j]) })
+	return keys
+}
+
+func less(a, b Key) bool {
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	return a.ID < b.ID
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,75 @@
+// Package retry decides whether a request may be tried again.
+package retry
+
+import (
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+)
+
+// Failure says how an attempt ended.
+type Failure int
+
+// The ways in which an attempt fails.
+const (
+	// NotSent means that no byte went to the upstream.
+	NotSent Failure = iota
+	// Refused means that the upstream said it did not run the request.
+	Refused
+	// Reclaimed means that the upstream announced its end.
+	Reclaimed
+	// Broken means that the connection ended or went silent after bytes were
+	// sent: the request may have run.
+	Broken
+)
+
+// Ran reports what is known about the request's execution after f.
+func (f Failure) Ran() bool { return f == Reclaimed || f == Broken }
+
+// MaxAttempts bounds the attempts of one request.
+const MaxAttempts = 8
+
+// Allowed reports whether a request may be tried again after the failure. A
+// request that may have run is only repeated if it is repeatable.
+func Allowed(f Failure, repeatable bool, attempts int) bool {
+	if attempts >= MaxAttempts {
+		return false
+	}
+	return repeatable || !f.Ran()
+}
+
+// Budget bounds retries to a part of the requests, so that retries can't
+// multiply the load on a failing fleet.
+type Budget struct {
+	ratio  float64
+	floor  float64
+	tokens float64
+	last   clock.Instant
+}
+
+// Retries that a service has per second whatever its traffic, and the
+// largest number that it can save up.
+const (
+	floorPerSecond = 2
+	maxSaved       = 64
+)
+
+// NewBudget returns a budget of ratio retries per request.
+func NewBudget(ratio float64) *Budget {
+	return &Budget{ratio: ratio, floor: floorPerSecond, tokens: maxSaved / 2}
+}
+
+// Deposit counts a request.
+func (b *Budget) Deposit() { b.tokens = min(b.tokens+b.ratio, maxSaved) }
+
+// Spend takes one retry from the budget and reports whether there was one.
+func (b *Budget) Spend(now clock.Instant) bool {
+	elapsed := now - b.last
+	b.last = now
+	b.tokens = min(b.tokens+b.floor*float64(elapsed)/float64(time.Second), maxSaved)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
