--- /dev/null
+++ b/commands/node.go
@@ -0,0 +1,92 @@
+package commands
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/entry"
+	"github.com/hyssopladder/hyssopladder/kernel"
+	// The plug-ins register themselves.
+	_ "github.com/hyssopladder/hyssopladder/gossip"
+	_ "github.com/hyssopladder/hyssopladder/operator"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/settings"
+)
+
+func (c *cli) addNode(app *kingpin.Application) {
+	node := app.Command("node", "Run a node with the roles that its settings name, until it gets SIGTERM.")
+	path := node.Flag("settings", "Settings file, INI.").Required().String()
+	c.add(node, func() error {
+		s, err := settings.Load(*path)
+		if err != nil {
+			return err
+		}
+		return c.runNode(s)
+	})
+}
+
+// Listening is the line by which a started process tells its addresses.
+type Listening struct {
+	Instance string         `json:"instance"`
+	Callers  netip.AddrPort `json:"callers,omitzero"`
+	Peers    netip.AddrPort `json:"peers,omitzero"`
+}
+
+func (c *cli) runNode(s settings.Settings) error {
+	h, err := kernel.New(context.WithoutCancel(c.ctx), s)
+	if err != nil {
+		return err
+	}
+	defer h.Close()
+	if err := json.NewEncoder(c.out).Encode(listening(h)); err != nil {
+		return err
+	}
+	dumps := make(chan os.Signal, 1)
+	signal.Notify(dumps, syscall.SIGUSR1)
+	defer signal.Stop(dumps)
+	for {
+		select {
+		case <-dumps:
+			c.writeDump(h)
+		case <-h.StopRequested():
+			return drain(h, s)
+		case <-c.ctx.Done():
+			return drain(h, s)
+		}
+	}
+}
+
+func listening(h *kernel.Host) Listening {
+	l := Listening{Instance: h.Settings.Node.Name}
+	if e, ok := kernel.Find[*entry.Entry](h); ok {
+		l.Callers = e.Address
+	}
+	if p, ok := kernel.Find[*peer.Server](h); ok {
+		l.Peers = p.Address
+	}
+	return l
+}
+
+func (c *cli) writeDump(h *kernel.Host) {
+	data, err := h.Dump()
+	if err != nil {
+		klog.ErrorS(err, "dump failed", "instance", h.Settings.Node.Name)
+		return
+	}
+	_, _ = c.err.Write(append(data, '\n'))
+}
+
+func drain(h *kernel.Host, s settings.Settings) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Node.StopLimit)
+	defer cancel()
+	err := h.Drain(ctx)
+	klog.InfoS("node stopped", "instance", s.Node.Name, "err", err)
+	return err
+}
--- /dev/null
+++ b/commands/state.go
@@ -0,0 +1,107 @@
+package commands
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/operator"
+)
+
+func (c *cli) addState(app *kingpin.Application) {
+	status := app.Command("status", "Print what each service has and what it lacks.")
+	statusNode := nodeFlag(status)
+	c.add(status, func() error { return c.status(*statusNode) })
+
+	drain := app.Command("drain", "Drain a node: it takes no new callers, finishes what is under way and stops.")
+	drainNode := nodeFlag(drain)
+	c.add(drain, func() error { return operator.NewClient(*drainNode).Drain(c.ctx) })
+
+	dump := app.Command("dump", "Print a node's whole state as JSON.")
+	dumpNode := nodeFlag(dump)
+	c.add(dump, func() error {
+		d, err := operator.NewClient(*dumpNode).Dump(c.ctx)
+		if err != nil {
+			return err
+		}
+		return c.printJSON(d)
+	})
+}
+
+func (c *cli) status(node netip.AddrPort) error {
+	s, err := operator.NewClient(node).Status(c.ctx)
+	if err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return c.printJSON(s)
+	}
+	_, _ = fmt.Fprintf(c.out, "instance %s, zone %s, ready %t, %d nodes alive\n\n", s.Instance, s.Zone, s.Ready, len(s.Nodes))
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "SERVICE\tREVISION\tUPSTREAMS\tFREE/SLOTS\tWAITING\tNOTE")
+	for _, service := range s.Services {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%d/%d\t%s\t%s\n", service.Service, service.Revision,
+			zoneCounts(service), service.Free, service.Slots, waiting(service), note(service))
+	}
+	return w.Flush()
+}
+
+// zoneCounts lists the usable upstreams of each zone.
+func zoneCounts(s dispatch.ServiceState) string {
+	counts := map[string]int{}
+	for _, u := range s.Upstreams {
+		if u.Usable {
+			counts[u.Zone]++
+		}
+	}
+	return joinCounts(counts)
+}
+
+func waiting(s dispatch.ServiceState) string { return joinCounts(s.Waiting) }
+
+func joinCounts(counts map[string]int) string {
+	parts := make([]string, 0, len(counts))
+	for name, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s:%d", name, n))
+	}
+	sort.Strings(parts)
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, " ")
+}
+
+// note says in words why a service may miss its targets.
+func note(s dispatch.ServiceState) string {
+	usable, leaving := 0, 0
+	for _, u := range s.Upstreams {
+		if u.Usable {
+			usable++
+		}
+		if u.Leaving {
+			leaving++
+		}
+	}
+	var notes []string
+	if usable == 0 {
+		notes = append(notes, "no upstream: every call is refused")
+	}
+	if leaving > 0 {
+		notes = append(notes, fmt.Sprintf("%d leaving", leaving))
+	}
+	if usable > 0 && s.Free == 0 {
+		notes = append(notes, "all slots taken: calls wait or are refused")
+	}
+	if s.Moving > 0 {
+		notes = append(notes, fmt.Sprintf("%d calls lost their upstream and wait for another", s.Moving))
+	}
+	if len(notes) == 0 {
+		return "ok"
+	}
+	return strings.Join(notes, "; ")
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,284 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/hyssopladder/hyssopladder/commands"
+	"github.com/hyssopladder/hyssopladder/examples"
+	"github.com/hyssopladder/hyssopladder/operator"
+	"github.com/hyssopladder/hyssopladder/standin"
+)
+
+const (
+	startLimit = 20 * time.Second
+	stopLimit  = 20 * time.Second
+)
+
+var binary string
+
+func TestE2E(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "End to end")
+}
+
+var _ = ginkgo.BeforeSuite(func() {
+	var err error
+	binary, err = gexec.Build("github.com/hyssopladder/hyssopladder")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+})
+
+var _ = ginkgo.AfterSuite(gexec.CleanupBuildArtifacts)
+
+// process is one started process of the real binary.
+type process struct {
+	*gexec.Session
+	commands.Listening
+	address  netip.AddrPort
+	settings string
+}
+
+func start(args ...string) *gexec.Session {
+	s, err := gexec.Start(exec.Command(binary, args...), ginkgo.GinkgoWriter, ginkgo.GinkgoWriter)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() {
+		s.Kill().Wait(stopLimit)
+	})
+	return s
+}
+
+// firstLine waits for the line by which a process tells its addresses.
+func firstLine(s *gexec.Session, into any) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func() ([]byte, error) {
+		line, _, found := bytes.Cut(s.Out.Contents(), []byte("\n"))
+		if !found {
+			return nil, fmt.Errorf("no line yet")
+		}
+		return line, json.Unmarshal(line, into)
+	}, startLimit).ShouldNot(gomega.BeEmpty())
+}
+
+type nodeOptions struct {
+	name, zone, roles, extra string
+	callers, peers           netip.AddrPort
+	seeds                    []netip.AddrPort
+	folder                   string
+}
+
+func (o *nodeOptions) settings() string {
+	seeds := make([]string, 0, len(o.seeds))
+	for _, s := range o.seeds {
+		seeds = append(seeds, s.String())
+	}
+	text := fmt.Sprintf("[node]\nname = %s\nzone = %s\nroles = %s\n", o.name, o.zone, o.roles)
+	if o.folder != "" {
+		text += "dataFolder = " + o.folder + "\n"
+	}
+	text += "[peer]\nseeds = " + strings.Join(seeds, ", ") + "\n"
+	if o.peers.IsValid() {
+		text += "listen = " + o.peers.String() + "\n"
+	}
+	text += "[entry]\n"
+	if o.callers.IsValid() {
+		text += "listen = " + o.callers.String() + "\n"
+	}
+	return text + o.extra
+}
+
+func startNode(o nodeOptions) *process {
+	ginkgo.GinkgoHelper()
+	path := filepath.Join(ginkgo.GinkgoT().TempDir(), o.name+".ini")
+	gomega.Expect(os.WriteFile(path, []byte(o.settings()), 0o600)).To(gomega.Succeed())
+	p := &process{Session: start("node", "--settings", path), settings: path}
+	firstLine(p.Session, &p.Listening)
+	return p
+}
+
+type upstreamOptions struct {
+	kind, id, zone, serves string
+	entries                []*process
+	flags                  []string
+}
+
+func startUpstream(o upstreamOptions) *process {
+	ginkgo.GinkgoHelper()
+	args := []string{"standin", o.kind, "--id", o.id, "--zone", o.zone, "--serves", o.serves}
+	for _, e := range o.entries {
+		args = append(args, "--entry", e.Peers.String())
+	}
+	p := &process{Session: start(append(args, o.flags...)...)}
+	var l struct {
+		Address netip.AddrPort `json:"address"`
+	}
+	firstLine(p.Session, &l)
+	p.address = l.Address
+	return p
+}
+
+func (p *process) signal(s os.Signal) {
+	ginkgo.GinkgoHelper()
+	gomega.Expect(p.Command.Process.Signal(s)).To(gomega.Succeed())
+}
+
+func (p *process) operator() *operator.Client { return operator.NewClient(p.Peers) }
+
+// applyExamples puts the example documents in force on every node.
+func applyExamples(p *process) {
+	ginkgo.GinkgoHelper()
+	for name, ini := range map[string][]byte{"assistant": examples.Assistant, "booking": examples.Booking} {
+		applied := func() error {
+			_, err := p.operator().Apply(context.Background(), operator.Write{
+				Name: name, INI: ini, ChangeID: "first-" + name, Match: "*",
+			})
+			return err
+		}
+		gomega.Eventually(applied, startLimit).Should(gomega.Succeed())
+	}
+}
+
+// waitServing waits until each node is ready and sees the wanted number of
+// usable upstreams.
+func waitServing(nodes []*process, service string, upstreams int) {
+	ginkgo.GinkgoHelper()
+	for _, n := range nodes {
+		gomega.Eventually(func() int {
+			status, err := n.operator().Status(context.Background())
+			if err != nil || !status.Ready {
+				return -1
+			}
+			usable := 0
+			for _, s := range status.Services {
+				for _, u := range s.Upstreams {
+					if s.Service == service && u.Usable {
+						usable++
+					}
+				}
+			}
+			return usable
+		}, startLimit).Should(gomega.Equal(upstreams), n.Instance)
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+var httpClient = &http.Client{Timeout: 60 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+
+func call(method, url, body string, header map[string]string) reply {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	response, err := httpClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: data, err: err}
+}
+
+// ask sends a chat request and returns the text of the answer.
+func ask(entry *process, content string, tokens int, stream bool, header map[string]string) (string, error) {
+	question, _ := json.Marshal(content)
+	body := fmt.Sprintf(`{"model":"rota-7b","messages":[{"role":"user","content":%s}],"max_tokens":%d,"stream":%t}`, question, tokens, stream)
+	r := call(http.MethodPost, "http://"+entry.Callers.String()+"/v1/chat/completions", body, header)
+	if r.err != nil {
+		return "", r.err
+	}
+	if r.status != http.StatusOK {
+		return "", fmt.Errorf("status %d: %s", r.status, r.body)
+	}
+	if stream {
+		return streamText(r.body)
+	}
+	var c struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(r.body, &c); err != nil || len(c.Choices) != 1 {
+		return "", fmt.Errorf("answer %s: %v", r.body, err)
+	}
+	return c.Choices[0].Message.Content, nil
+}
+
+// streamText joins the tokens of an event stream that is whole.
+func streamText(body []byte) (string, error) {
+	var text strings.Builder
+	for _, event := range strings.Split(string(body), "\n\n") {
+		_, data, found := strings.Cut(event, "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), nil
+		}
+		var c struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &c); err != nil || len(c.Choices) != 1 {
+			return text.String(), fmt.Errorf("event %q: %v", event, err)
+		}
+		text.WriteString(c.Choices[0].Delta.Content)
+	}
+	return text.String(), fmt.Errorf("the stream ended without its final event")
+}
+
+func expected(content string, tokens int) string { return standin.Answer("rota-7b", content, tokens) }
+
+// ranCounts adds up how often each call ran at the plain upstreams.
+func ranCounts(upstreams ...*process) map[string]int {
+	ginkgo.GinkgoHelper()
+	total := map[string]int{}
+	for _, u := range upstreams {
+		if u.ExitCode() >= 0 {
+			continue
+		}
+		r := call(http.MethodGet, "http://"+u.address.String()+"/control/ran", "", nil)
+		gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+		counts := map[string]int{}
+		gomega.Expect(json.Unmarshal(r.body, &counts)).To(gomega.Succeed())
+		for k, n := range counts {
+			total[k] += n
+		}
+	}
+	return total
+}
+
+func (p *process) reclaim(notice time.Duration) {
+	ginkgo.GinkgoHelper()
+	r := call(http.MethodPost, fmt.Sprintf("http://%s/control/reclaim?notice=%v", p.address, notice), "", nil)
+	gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+}
+
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,14 @@
+// Package examples holds the documents that the demo and the tests serve by.
+package examples
+
+import _ "embed"
+
+// Assistant is the document of a model service.
+//
+//go:embed assistant.ini
+var Assistant []byte
+
+// Booking is the document of a plain service.
+//
+//go:embed booking.ini
+var Booking []byte
--- /dev/null
+++ b/operator/plugin.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/entry"
+	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/member"
+	"github.com/hyssopladder/hyssopladder/peer"
+)
+
+// Drainer is called when an operator asks a node to drain.
+type Drainer func()
+
+type plugin struct{}
+
+var _ kernel.Plugin = plugin{}
+
+func init() {
+	kernel.Register(kernel.Registration{Name: "operator", Order: 50, New: newPlugin})
+}
+
+func newPlugin(_ context.Context, h *kernel.Host) (kernel.Plugin, error) {
+	server, err := kernel.Require[*peer.Server](h)
+	if err != nil {
+		return nil, err
+	}
+	g, err := kernel.Require[*gossip.Host](h)
+	if err != nil {
+		return nil, err
+	}
+	n := h.Settings.Node
+	a := &API{
+		node:    member.NodeInfo{Name: n.Name, Zone: n.Zone},
+		gossip:  g,
+		metrics: h.Metrics,
+		dump:    h.Dump,
+		drain:   h.RequestStop,
+	}
+	if e, ok := kernel.Find[*entry.Entry](h); ok {
+		a.entry = e
+	}
+	a.documents = &local{store: document.New(), gossip: g}
+	g.SetReady()
+	a.register(server)
+	return plugin{}, nil
+}
+
+func (plugin) Drain(context.Context) error { return nil }
+func (plugin) Dump() any                   { return nil }
+
+// local keeps documents in memory.
+type local struct {
+	mu     sync.Mutex
+	store  *document.Store
+	gossip *gossip.Host
+}
+
+func (l *local) Apply(_ context.Context, c document.Change) (document.Reply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply, accepted := l.store.Apply(c)
+	if accepted != nil {
+		l.gossip.Publish(document.Record(*accepted))
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,326 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/route"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// Options are common to all stand-ins.
+type Options struct {
+	ID      string
+	Zone    string
+	Class   string
+	Listen  netip.AddrPort
+	Entries []netip.AddrPort
+	Lease   time.Duration
+	Slots   int
+	// Names are the models of an engine or the services of a plain upstream.
+	Names []string
+	// Prefill is the time for one prompt token that isn't cached; Decode is
+	// the time for one generated token, or for one plain call.
+	Prefill time.Duration
+	Decode  time.Duration
+	// CacheBlocks is the number of prompt blocks that an engine remembers.
+	CacheBlocks int
+	// CrashOn makes an engine stop when a prompt holds this text.
+	CrashOn string
+}
+
+// heartbeatInterval is the time between two heartbeats of a waiting stream.
+const heartbeatInterval = 300 * time.Millisecond
+
+// defaultTokens is the length of an answer if the caller sets none.
+const defaultTokens = 64
+
+// Engine is a model engine with continuous batching, a prefix cache and
+// resumable streams. Its answers depend only on the prompt.
+type Engine struct {
+	// Address is where it listens.
+	Address   netip.AddrPort
+	options   Options
+	announcer *announcer
+	cancel    context.CancelFunc
+	slots     chan struct{}
+	running   atomic.Int64
+	queued    atomic.Int64
+	// Counters of computed work, in tokens.
+	prefilled, decoded atomic.Int64
+	mu                 sync.Mutex
+	cache              map[uint64]int64
+	turn               int64
+	done               chan struct{}
+}
+
+// NewEngine starts an engine; it ends with ctx.
+func NewEngine(ctx context.Context, o Options) (*Engine, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Engine{
+		options: o,
+		cancel:  cancel,
+		slots:   make(chan struct{}, o.Slots),
+		cache:   map[uint64]int64{},
+		done:    make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	mux.HandleFunc("POST /control/reclaim", func(w http.ResponseWriter, r *http.Request) {
+		reclaim(w, r, e.Reclaim)
+	})
+	mux.HandleFunc("GET /control/stats", e.stats)
+	address, err := serve(ctx, o.Listen, mux, e.done)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	e.Address = address
+	e.announcer = newAnnouncer(ctx, o.announcement(address, service.Model), o.Entries, e.load)
+	return e, nil
+}
+
+func (o *Options) announcement(address netip.AddrPort, kind service.Kind) upstream.Announcement {
+	a := upstream.Announcement{
+		ID:          o.ID,
+		Incarnation: uint64(time.Now().UnixMicro()),
+		Address:     address,
+		Zone:        o.Zone,
+		Class:       o.Class,
+		Reclaimable: true,
+		Kind:        kind,
+		Lease:       o.Lease,
+		Slots:       o.Slots,
+	}
+	if kind == service.Model {
+		a.Models = o.Names
+	} else {
+		a.Services = o.Names
+	}
+	return a
+}
+
+// serve listens and serves until ctx ends; it then closes all connections.
+func serve(ctx context.Context, listen netip.AddrPort, handler http.Handler, done chan struct{}) (netip.AddrPort, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", listen.String())
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() {
+		_ = server.Serve(l)
+		close(done)
+	}()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// reclaim serves the control call by which a test or demo takes an instance.
+func reclaim(w http.ResponseWriter, r *http.Request, f func(time.Duration)) {
+	notice, err := time.ParseDuration(r.URL.Query().Get("notice"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f(notice)
+}
+
+// Reclaim announces that the engine leaves and stops it after the notice.
+func (e *Engine) Reclaim(notice time.Duration) {
+	e.announcer.leave(notice)
+	time.AfterFunc(notice, e.cancel)
+}
+
+// Close stops the engine without a notice.
+func (e *Engine) Close() { e.cancel() }
+
+// Done is closed when the engine has stopped.
+func (e *Engine) Done() <-chan struct{} { return e.done }
+
+func (e *Engine) load() upstream.Load {
+	return upstream.Load{Running: int(e.running.Load()), Queued: int(e.queued.Load())}
+}
+
+// Stats are an engine's counters.
+type Stats struct {
+	Running   int64 `json:"running"`
+	Prefilled int64 `json:"prefilled"`
+	Decoded   int64 `json:"decoded"`
+}
+
+// Stats returns the counters.
+func (e *Engine) Stats() Stats {
+	return Stats{Running: e.running.Load(), Prefilled: e.prefilled.Load(), Decoded: e.decoded.Load()}
+}
+
+func (e *Engine) stats(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Stats())
+}
+
+type engineRequest struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	MaxTokens int `json:"max_tokens"`
+	Resume    struct {
+		Offset int    `json:"offset"`
+		Text   string `json:"text"`
+	} `json:"resume"`
+}
+
+func (r *engineRequest) prompt() string {
+	var b strings.Builder
+	b.WriteString(r.Model)
+	for _, m := range r.Messages {
+		b.WriteString("\n" + m.Role + "\n")
+		b.Write(m.Content)
+	}
+	return b.String()
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request engineRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, `{"detail":"body"}`, http.StatusBadRequest)
+		return
+	}
+	if e.announcer.isLeaving() {
+		w.Header().Set("X-Ran", "no")
+		http.Error(w, `{"detail":"leaving"}`, http.StatusServiceUnavailable)
+		return
+	}
+	prompt := request.prompt()
+	if e.options.CrashOn != "" && strings.Contains(prompt, e.options.CrashOn) {
+		e.cancel()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	if !e.takeSlot(r.Context(), w, control) {
+		return
+	}
+	defer func() {
+		e.running.Add(-1)
+		<-e.slots
+	}()
+	e.generate(r.Context(), w, control, &request, prompt)
+}
+
+// takeSlot waits for a slot and sends heartbeats meanwhile.
+func (e *Engine) takeSlot(ctx context.Context, w http.ResponseWriter, control *http.ResponseController) bool {
+	e.queued.Add(1)
+	defer e.queued.Add(-1)
+	t := time.NewTicker(heartbeatInterval)
+	defer t.Stop()
+	for {
+		_, _ = fmt.Fprint(w, ": waiting\n\n")
+		_ = control.Flush()
+		select {
+		case e.slots <- struct{}{}:
+			e.running.Add(1)
+			return true
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+}
+
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, control *http.ResponseController, r *engineRequest, prompt string) {
+	uncached := e.prefill(prompt) + r.Resume.Offset
+	e.prefilled.Add(int64(uncached))
+	if !pause(ctx, time.Duration(uncached)*e.options.Prefill) {
+		return
+	}
+	total := r.MaxTokens
+	if total == 0 {
+		total = defaultTokens
+	}
+	for i := r.Resume.Offset; i < total; i++ {
+		if !pause(ctx, e.options.Decode) {
+			return
+		}
+		e.decoded.Add(1)
+		text, _ := json.Marshal(Token(prompt, i))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%s}}]}\n\n", i, text)
+		if control.Flush() != nil {
+			return
+		}
+	}
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: [DONE]\n\n", total)
+}
+
+// prefill puts the prompt into the cache and returns the number of tokens
+// that were not there.
+func (e *Engine) prefill(prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	uncached := route.Tokens(prompt)
+	blocks := route.Prefixes(prompt)
+	for _, b := range blocks {
+		if _, ok := e.cache[b]; ok {
+			uncached -= route.BlockTokens
+		}
+		e.turn++
+		e.cache[b] = e.turn
+	}
+	for len(e.cache) > max(e.options.CacheBlocks, len(blocks)) {
+		e.evict()
+	}
+	return max(uncached, 0)
+}
+
+func (e *Engine) evict() {
+	var oldest uint64
+	least := int64(-1)
+	for b, turn := range e.cache {
+		if least < 0 || turn < least {
+			oldest, least = b, turn
+		}
+	}
+	delete(e.cache, oldest)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Token returns the token at an offset of the answer to a prompt.
+func Token(prompt string, offset int) string {
+	return fmt.Sprintf("%04x ", uint16(xxhash.Sum64String(fmt.Sprintf("%s#%d", prompt, offset))))
+}
+
+// Answer returns the whole answer to a user's single message.
+func Answer(model, content string, tokens int) string {
+	quoted, _ := json.Marshal(content)
+	prompt := model + "\nuser\n" + string(quoted)
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
