--- /dev/null
+++ b/consensus/cluster_test.go
@@ -0,0 +1,552 @@
+package consensus_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/service"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+const (
+	electionTicks  = 10
+	heartbeatTicks = 2
+)
+
+// member is one node with its disk and state machine.
+type member struct {
+	id    consensus.ID
+	node  *consensus.Node
+	disk  consensus.Stored
+	store *document.Store
+	// proposals are those that this member's clients wait for, by index.
+	proposals map[uint64]proposal
+}
+
+type proposal struct {
+	term   uint64
+	change document.Change
+}
+
+// cluster runs members over a network that loses, doubles, delays and
+// reorders messages.
+type cluster struct {
+	t       *rapid.T
+	random  *rand.Rand
+	members map[consensus.ID]*member
+	nextID  consensus.ID
+	network []consensus.Message
+	cut     map[[2]consensus.ID]bool
+	lossy   bool
+	// crashy makes members crash between a step and its sync.
+	crashy bool
+	// lost are members whose disk is gone.
+	lost map[consensus.ID]bool
+
+	history map[uint64]consensus.Entry
+	leaders map[uint64]consensus.ID
+	// answers are the first answers that clients got, by change ID.
+	answers map[string]document.Reply
+	changes []document.Change
+	// acknowledged is the highest index that a client knows of.
+	acknowledged uint64
+}
+
+func newCluster(t *rapid.T, size int) *cluster {
+	c := &cluster{
+		t:       t,
+		random:  rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		members: map[consensus.ID]*member{},
+		cut:     map[[2]consensus.ID]bool{},
+		lost:    map[consensus.ID]bool{},
+		history: map[uint64]consensus.Entry{},
+		leaders: map[uint64]consensus.ID{},
+		answers: map[string]document.Reply{},
+	}
+	var voters []consensus.ID
+	for range 2 {
+		c.add()
+	}
+	for range size {
+		voters = append(voters, c.add().id)
+	}
+	if err := c.members[voters[0]].node.Bootstrap(voters); err != nil {
+		t.Fatal(err)
+	}
+	// A bootstrap counts once its configuration is committed.
+	c.flush(c.members[voters[0]], false)
+	for c.leader() == nil {
+		c.round()
+	}
+	return c
+}
+
+func (c *cluster) add() *member {
+	c.nextID++
+	m := &member{id: c.nextID}
+	c.members[m.id] = m
+	c.start(m)
+	return m
+}
+
+// start runs a member from its disk.
+func (c *cluster) start(m *member) {
+	node, err := consensus.New(consensus.Options{
+		ID:             m.id,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		MaxAppendBytes: 2000,
+		Random:         c.random.IntN,
+	}, m.disk)
+	if err != nil {
+		c.t.Fatalf("start %v: %v", m.id, err)
+	}
+	m.node = node
+	m.store = document.New()
+	m.proposals = map[uint64]proposal{}
+	if m.disk.Snapshot.Index > 0 {
+		if err := m.store.Restore(m.disk.Snapshot.Data); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+func (c *cluster) alive() []*member {
+	var list []*member
+	for id := consensus.ID(1); id <= c.nextID; id++ {
+		if m := c.members[id]; m != nil && m.node != nil {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (c *cluster) leader() *member {
+	for _, m := range c.alive() {
+		if m.node.IsLeader() {
+			return m
+		}
+	}
+	return nil
+}
+
+// flush does what a member asks for. A crash may come before the sync, after
+// early messages went out.
+func (c *cluster) flush(m *member, crash bool) {
+	r := m.node.Ready()
+	crash = crash || (c.crashy && r.MustSync() && c.random.IntN(15) == 0)
+	if err := m.node.Err(); err != nil {
+		c.t.Fatalf("node %v: %v", m.id, err)
+	}
+	c.network = append(c.network, r.Early...)
+	if crash {
+		m.node = nil
+		return
+	}
+	m.disk.State = r.State
+	if r.Snapshot != nil {
+		m.disk.Snapshot = *r.Snapshot
+		m.disk.Entries = nil
+		if err := m.store.Restore(r.Snapshot.Data); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	if len(r.Entries) > 0 {
+		keep := m.disk.Entries
+		for len(keep) > 0 && keep[len(keep)-1].Index >= r.Entries[0].Index {
+			keep = keep[:len(keep)-1]
+		}
+		m.disk.Entries = append(slices.Clone(keep), r.Entries...)
+	}
+	c.network = append(c.network, r.Messages...)
+	for _, e := range r.Committed {
+		c.apply(m, e)
+	}
+	m.node.Advance(r)
+	c.checkLeader(m)
+}
+
+func (c *cluster) checkLeader(m *member) {
+	s := m.node.Status()
+	if s.Role != "leader" {
+		return
+	}
+	if other, ok := c.leaders[s.Term]; ok && other != m.id {
+		c.t.Fatalf("term %d has leaders %v and %v", s.Term, other, m.id)
+	}
+	c.leaders[s.Term] = m.id
+}
+
+func (c *cluster) apply(m *member, e consensus.Entry) {
+	if first, ok := c.history[e.Index]; ok && (first.Term != e.Term || !bytes.Equal(first.Data, e.Data)) {
+		c.t.Fatalf("index %d was applied as %v and as %v", e.Index, first, e)
+	}
+	c.history[e.Index] = e
+	if e.Kind != consensus.Command {
+		return
+	}
+	var change document.Change
+	if err := wire.Decode(e.Data, &change); err != nil {
+		c.t.Fatal(err)
+	}
+	reply, _ := m.store.Apply(change)
+	p, ok := m.proposals[e.Index]
+	delete(m.proposals, e.Index)
+	if !ok || p.term != e.Term {
+		return
+	}
+	c.acknowledged = max(c.acknowledged, e.Index)
+	if first, ok := c.answers[change.ID]; ok && first != reply {
+		c.t.Fatalf("change %s was answered %v and %v", change.ID, first, reply)
+	}
+	c.answers[change.ID] = reply
+}
+
+// round moves time on by a little everywhere, at speeds that differ.
+func (c *cluster) round() {
+	for _, m := range c.alive() {
+		for range c.random.IntN(3) {
+			m.node.Tick()
+		}
+		c.flush(m, false)
+	}
+	c.deliver()
+}
+
+// chaos is a round in which members crash and come back, links are cut and
+// healed, and clients propose.
+func (c *cluster) chaos() {
+	c.crashy = true
+	for id := consensus.ID(1); id <= c.nextID; id++ {
+		if m := c.members[id]; m.node == nil && !c.lost[id] && c.random.IntN(4) == 0 {
+			c.start(m)
+		}
+	}
+	if alive := c.alive(); len(alive) > 0 {
+		from, to := alive[c.random.IntN(len(alive))], alive[c.random.IntN(len(alive))]
+		link := [2]consensus.ID{from.id, to.id}
+		if c.cut[link] {
+			delete(c.cut, link)
+		} else if c.random.IntN(3) == 0 {
+			c.cut[link] = true
+		}
+		c.changes = append(c.changes, c.randomChange())
+		c.propose(from, c.changes[len(c.changes)-1])
+	}
+	if c.random.IntN(10) == 0 {
+		c.reshape()
+	}
+	if c.random.IntN(10) == 0 {
+		c.cut = map[[2]consensus.ID]bool{}
+	}
+	c.round()
+}
+
+func (c *cluster) randomChange() document.Change {
+	return document.Change{
+		ID:       fmt.Sprintf("change-%d", len(c.changes)),
+		Any:      true,
+		Document: testDocument("x", 1+len(c.changes)),
+	}
+}
+
+// reshape asks for a random set of voters.
+func (c *cluster) reshape() {
+	var voters []consensus.ID
+	for id := consensus.ID(1); id <= c.nextID; id++ {
+		if !c.lost[id] && c.random.IntN(2) == 0 {
+			voters = append(voters, id)
+		}
+	}
+	for _, m := range c.alive() {
+		if len(voters) > 0 && m.node.IsLeader() {
+			_ = m.node.ProposeConfig(voters, nil)
+		}
+	}
+}
+
+func (c *cluster) deliver() {
+	batch := c.network
+	c.network = nil
+	c.random.Shuffle(len(batch), func(i, j int) { batch[i], batch[j] = batch[j], batch[i] })
+	for _, message := range batch {
+		if c.cut[[2]consensus.ID{message.From, message.To}] {
+			continue
+		}
+		if c.lossy {
+			switch c.random.IntN(10) {
+			case 0:
+				continue
+			case 1, 2:
+				c.network = append(c.network, message)
+				continue
+			case 3:
+				c.network = append(c.network, message)
+			}
+		}
+		m := c.members[message.To]
+		if m == nil || m.node == nil {
+			continue
+		}
+		copied := copyMessage(c.t, message)
+		m.node.Step(copied)
+		c.flush(m, false)
+	}
+}
+
+// copyMessage sends a message through the codec.
+func copyMessage(t *rapid.T, m consensus.Message) consensus.Message {
+	var out consensus.Message
+	if err := wire.Decode(wire.MustEncode(&m), &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func testDocument(name string, replicas int) service.Document {
+	return service.Document{
+		Name: name, Kind: service.Plain, Zones: []string{"a"}, Classes: []string{"small"}, ReplicasHigh: replicas,
+		Ranks: []service.Rank{{Name: "urgent", FirstToken: 1}},
+		Calls: []service.Call{{Name: "call", Path: "/", Rank: "urgent"}},
+	}
+}
+
+func (c *cluster) propose(m *member, change document.Change) {
+	if index, term, ok := m.node.Propose(wire.MustEncode(&change)); ok {
+		m.proposals[index] = proposal{term, change}
+	}
+}
+
+func (c *cluster) pick(t *rapid.T) *member {
+	alive := c.alive()
+	if len(alive) == 0 {
+		t.Skip("nobody is alive")
+	}
+	return alive[rapid.IntRange(0, len(alive)-1).Draw(t, "member")]
+}
+
+// mayLose reports whether the members stay a majority of every configuration
+// without the one.
+func (c *cluster) mayLose(id consensus.ID) bool {
+	if len(c.alive())+len(c.lost) < len(c.members) {
+		return false
+	}
+	gone := func(x consensus.ID) bool { return x == id || c.lost[x] }
+	for _, m := range c.members {
+		if m.node == nil {
+			continue
+		}
+		config := m.node.Config()
+		for _, set := range [][]consensus.ID{config.Voters, config.Outgoing} {
+			n := 0
+			for _, x := range set {
+				if gone(x) {
+					n++
+				}
+			}
+			if len(set) > 0 && n > (len(set)-1)/2 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *cluster) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"run": func(t *rapid.T) {
+			for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+				c.round()
+			}
+		},
+		"change": func(t *rapid.T) {
+			name := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "name")
+			change := document.Change{
+				ID:       fmt.Sprintf("change-%d", len(c.changes)),
+				Expected: rapid.Uint64Range(0, uint64(len(c.changes))).Draw(t, "expected"),
+				Any:      rapid.Bool().Draw(t, "any"),
+				Document: testDocument(name, 1+len(c.changes)),
+			}
+			c.changes = append(c.changes, change)
+			for _, m := range c.alive() {
+				c.propose(m, change)
+			}
+		},
+		"resend": func(t *rapid.T) {
+			if len(c.changes) == 0 {
+				t.Skip("no change yet")
+			}
+			c.propose(c.pick(t), rapid.SampledFrom(c.changes).Draw(t, "change"))
+		},
+		"crash": func(t *rapid.T) { c.flush(c.pick(t), true) },
+		"restart": func(*rapid.T) {
+			for id := consensus.ID(1); id <= c.nextID; id++ {
+				if m := c.members[id]; m != nil && m.node == nil && !c.lost[id] {
+					c.start(m)
+				}
+			}
+		},
+		"compact": func(t *rapid.T) {
+			m := c.pick(t)
+			data, err := m.store.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, err := m.node.Compact(data, rapid.Uint64Range(0, 3).Draw(t, "keep"))
+			if err != nil {
+				t.Skip(err.Error())
+			}
+			m.disk.Snapshot = s
+		},
+		"cut": func(t *rapid.T) {
+			from, to := c.pick(t), c.pick(t)
+			c.cut[[2]consensus.ID{from.id, to.id}] = true
+			if rapid.Bool().Draw(t, "both") {
+				c.cut[[2]consensus.ID{to.id, from.id}] = true
+			}
+		},
+		"heal":  func(*rapid.T) { c.cut = map[[2]consensus.ID]bool{} },
+		"lossy": func(t *rapid.T) { c.lossy = rapid.Bool().Draw(t, "lossy") },
+		"transfer": func(*rapid.T) {
+			if m := c.leader(); m != nil {
+				m.node.Transfer()
+			}
+		},
+		"loseDisk": func(t *rapid.T) {
+			m := c.pick(t)
+			if !c.mayLose(m.id) {
+				t.Skip("no majority would be left")
+			}
+			c.lost[m.id] = true
+			m.node = nil
+			c.add()
+		},
+		"repair":  func(*rapid.T) { c.repair() },
+		"reshape": func(*rapid.T) { c.reshape() },
+		"chaos": func(t *rapid.T) {
+			for range rapid.IntRange(1, 60).Draw(t, "rounds") {
+				c.chaos()
+			}
+			c.crashy = false
+		},
+	}
+}
+
+// repair adds new members as learners, and swaps a lost voter for a learner
+// that has caught up.
+func (c *cluster) repair() {
+	m := c.leader()
+	if m == nil {
+		return
+	}
+	config := m.node.Config()
+	for _, other := range c.alive() {
+		if !slices.Contains(config.Members(), other.id) {
+			_ = m.node.ProposeConfig(config.Voters, append(slices.Clone(config.Learners), other.id))
+			return
+		}
+	}
+	for _, learner := range config.Learners {
+		if c.lost[learner] || !m.node.CaughtUp(learner) {
+			continue
+		}
+		for i, voter := range config.Voters {
+			if c.lost[voter] {
+				voters := slices.Clone(config.Voters)
+				voters[i] = learner
+				learners := slices.DeleteFunc(slices.Clone(config.Learners), func(id consensus.ID) bool { return id == learner })
+				_ = m.node.ProposeConfig(voters, learners)
+				return
+			}
+		}
+	}
+}
+
+// settle heals everything and checks that nothing acknowledged is missing.
+func (c *cluster) settle() {
+	c.cut = map[[2]consensus.ID]bool{}
+	c.lossy = false
+	c.actions()["restart"](c.t)
+	final := document.Change{ID: "final", Any: true, Document: testDocument("final", 1)}
+	const patience = 3000
+	for i := 0; ; i++ {
+		c.round()
+		m := c.leader()
+		if m == nil && i < patience {
+			continue
+		}
+		if m == nil {
+			for _, x := range c.alive() {
+				c.t.Logf("%+v", x.node.Status())
+			}
+			c.t.Fatalf("no leader after the network healed")
+		}
+		if _, done := c.answers["final"]; done && c.converged(m) {
+			return
+		}
+		if i%50 == 0 {
+			c.propose(m, final)
+		}
+		if i > patience {
+			c.t.Fatalf("the voters didn't converge: %+v", m.node.Status())
+		}
+	}
+}
+
+// converged reports whether every voter that has its disk holds what was
+// acknowledged, and the same documents.
+func (c *cluster) converged(leader *member) bool {
+	want, err := leader.store.Snapshot()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for _, id := range leader.node.Config().Voters {
+		m := c.members[id]
+		if c.lost[id] {
+			continue
+		}
+		if m.node.Status().Applied < c.acknowledged {
+			return false
+		}
+		if got, _ := m.store.Snapshot(); !bytes.Equal(got, want) {
+			return false
+		}
+	}
+	for id, reply := range c.answers {
+		if reply.Code == 0 && !c.inHistory(id) {
+			c.t.Fatalf("change %s was accepted and is gone", id)
+		}
+	}
+	return true
+}
+
+func (c *cluster) inHistory(id string) bool {
+	for _, e := range c.history {
+		if e.Kind == consensus.Command && bytes.Contains(e.Data, []byte(id)) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestClusterAgainstOneMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "size"))
+		actions := c.actions()
+		run := actions["run"]
+		actions["run2"], actions["run3"], actions["change2"] = run, run, actions["change"]
+		actions["chaos2"], actions["chaos3"] = actions["chaos"], actions["chaos"]
+		t.Repeat(actions)
+		c.settle()
+	})
+}
--- /dev/null
+++ b/consensus/node_test.go
@@ -0,0 +1,112 @@
+package consensus_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/consensus"
+)
+
+func restarted(t *testing.T, id consensus.ID, term uint64, entries ...consensus.Entry) *consensus.Node {
+	t.Helper()
+	n, err := consensus.New(consensus.Options{
+		ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, MaxAppendBytes: 1000,
+		Random: func(int) int { return 0 },
+	}, consensus.Stored{State: consensus.HardState{Term: term}, Entries: entries})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func configEntry(index, term uint64, c consensus.Config) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Kind: consensus.ConfigChange, Data: wire.MustEncode(&c)}
+}
+
+// flush does everything that a node asks for and returns its messages.
+func flush(n *consensus.Node) []consensus.Message {
+	r := n.Ready()
+	n.Advance(r)
+	return append(r.Early, r.Messages...)
+}
+
+// elect makes node 1 of 1, 2, 3 the leader by the vote of node 2.
+func elect(n *consensus.Node) {
+	for range electionTicks {
+		n.Tick()
+	}
+	term := n.Term() + 1
+	flush(n)
+	n.Step(consensus.Message{Kind: consensus.PreVoteReply, From: 2, To: 1, Term: term})
+	flush(n)
+	n.Step(consensus.Message{Kind: consensus.VoteReply, From: 2, To: 1, Term: term})
+	flush(n)
+}
+
+func TestEntryOfOlderTermIsNotCommittedByCounting(t *testing.T) {
+	g := gomega.NewWithT(t)
+	three := consensus.Config{Voters: []consensus.ID{1, 2, 3}}
+	n := restarted(t, 1, 3, configEntry(1, 1, three), consensus.Entry{Index: 2, Term: 2})
+	elect(n)
+	g.Expect(n.Status().Role).To(gomega.Equal("leader"))
+	n.Step(consensus.Message{Kind: consensus.AppendReply, From: 2, To: 1, Term: n.Term(), Index: 2})
+	flush(n)
+	g.Expect(n.Status().Commit).To(gomega.BeZero())
+	n.Step(consensus.Message{Kind: consensus.AppendReply, From: 2, To: 1, Term: n.Term(), Index: 3})
+	flush(n)
+	g.Expect(n.Status().Commit).To(gomega.Equal(uint64(3)))
+}
+
+func TestRemovedVoterCampaignsUntilItsRemovalIsCommitted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := restarted(t, 3, 2,
+		configEntry(1, 1, consensus.Config{Voters: []consensus.ID{3}}),
+		configEntry(2, 2, consensus.Config{Voters: []consensus.ID{2}, Outgoing: []consensus.ID{3}}),
+		configEntry(3, 2, consensus.Config{Voters: []consensus.ID{2}}),
+	)
+	for range electionTicks {
+		n.Tick()
+	}
+	sent := flush(n)
+	g.Expect(sent).To(gomega.HaveLen(1))
+	g.Expect(sent[0].Kind).To(gomega.Equal(consensus.PreVote))
+	g.Expect(sent[0].To).To(gomega.Equal(consensus.ID(2)))
+}
+
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := restarted(t, 1, 1, configEntry(1, 1, consensus.Config{Voters: []consensus.ID{1, 2, 3}}))
+	elect(n)
+	g.Expect(n.Status().Role).To(gomega.Equal("leader"))
+	for range 2 * electionTicks {
+		n.Tick()
+	}
+	g.Expect(n.Status().Role).NotTo(gomega.Equal("leader"))
+	_, _, ok := n.Propose([]byte("late"))
+	g.Expect(ok).To(gomega.BeFalse())
+}
+
+func TestFollowerWithLivingLeaderIgnoresVotes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := restarted(t, 1, 1, configEntry(1, 1, consensus.Config{Voters: []consensus.ID{1, 2, 3}}))
+	n.Step(consensus.Message{Kind: consensus.Append, From: 2, To: 1, Term: 1, Index: 1, LogTerm: 1})
+	flush(n)
+	n.Step(consensus.Message{Kind: consensus.Vote, From: 3, To: 1, Term: 5, Index: 9, LogTerm: 4})
+	g.Expect(flush(n)).To(gomega.BeEmpty())
+	g.Expect(n.Term()).To(gomega.Equal(uint64(1)))
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add(wire.MustEncode(&consensus.Message{Kind: consensus.Append, From: 2, To: 1, Term: 1}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m consensus.Message
+		if wire.Decode(data, &m) != nil {
+			return
+		}
+		n := restarted(t, 1, 1, configEntry(1, 1, consensus.Config{Voters: []consensus.ID{1, 2, 3}}))
+		n.Step(m)
+		flush(n)
+	})
+}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,211 @@
+package journal
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/result"
+)
+
+func newID() consensus.ID { return 7 }
+
+func mustOpen(t interface{ Fatalf(string, ...any) }, fs FS) (*Journal, consensus.Stored) {
+	j, stored, err := Open(fs, newID)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return j, stored
+}
+
+// machine checks a journal against the list of what Save returned from.
+type machine struct {
+	fs      *memory
+	journal *Journal
+	// want is what must be found after a crash.
+	want consensus.Stored
+	// unsure is what may be found after a Save that failed.
+	unsure *consensus.Stored
+}
+
+func (m *machine) ready(t *rapid.T) consensus.Ready {
+	last := m.want.Snapshot.Index
+	if n := len(m.want.Entries); n > 0 {
+		last = m.want.Entries[n-1].Index
+	}
+	from := rapid.Uint64Range(m.want.Snapshot.Index+1, last+1).Draw(t, "from")
+	term := m.want.State.Term + rapid.Uint64Range(0, 1).Draw(t, "term")
+	r := consensus.Ready{State: consensus.HardState{Term: term, Vote: 7}, StateChanged: true}
+	for i := range rapid.Uint64Range(0, 4).Draw(t, "entries") {
+		r.Entries = append(r.Entries, consensus.Entry{Index: from + i, Term: term, Data: rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "data")})
+	}
+	return r
+}
+
+func after(s consensus.Stored, r consensus.Ready) consensus.Stored {
+	s.State = r.State
+	if len(r.Entries) > 0 {
+		keep := []consensus.Entry{}
+		for _, e := range s.Entries {
+			if e.Index < r.Entries[0].Index {
+				keep = append(keep, e)
+			}
+		}
+		s.Entries = append(keep, r.Entries...)
+	}
+	return s
+}
+
+func (m *machine) save(t *rapid.T, fail bool) {
+	r := m.ready(t)
+	next := after(m.want, r)
+	err := m.journal.Save(r)
+	switch {
+	case err == nil && fail:
+		t.Fatalf("a failing disk took a save")
+	case err == nil:
+		m.want = next
+	default:
+		m.unsure = &next
+		if second := m.journal.Save(r); second == nil {
+			t.Fatalf("a journal that failed took a save")
+		}
+		m.restart(t)
+	}
+}
+
+func (m *machine) restart(t *rapid.T) {
+	m.fs.crash(t)
+	j, stored, err := Open(m.fs, newID)
+	if err != nil {
+		t.Fatalf("open after a crash: %v", err)
+	}
+	m.journal = j
+	if m.unsure != nil && same(stored, *m.unsure) {
+		m.want = *m.unsure
+	}
+	m.unsure = nil
+	if !same(stored, m.want) {
+		t.Fatalf("found %+v\nwant %+v", stored, m.want)
+	}
+}
+
+func same(a, b consensus.Stored) bool {
+	return a.State == b.State && reflect.DeepEqual(visible(a), visible(b)) && a.Snapshot.Index == b.Snapshot.Index
+}
+
+// visible are the entries that follow the snapshot.
+func visible(s consensus.Stored) []consensus.Entry {
+	list := []consensus.Entry{}
+	for _, e := range s.Entries {
+		if e.Index > s.Snapshot.Index {
+			if len(e.Data) == 0 {
+				e.Data = nil
+			}
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func TestJournalKeepsWhatItSaved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fs := newMemory()
+		j, _ := mustOpen(t, fs)
+		m := &machine{fs: fs, journal: j}
+		t.Repeat(map[string]func(*rapid.T){
+			"save":     func(t *rapid.T) { m.save(t, false) },
+			"syncFail": func(t *rapid.T) { m.fs.failSync = true; m.save(t, true) },
+			"full":     func(t *rapid.T) { m.fs.full = true; m.save(t, true) },
+			"crash":    func(t *rapid.T) { m.restart(t) },
+			"compact": func(t *rapid.T) {
+				visible := visible(m.want)
+				if len(visible) == 0 {
+					t.Skip("nothing to compact")
+				}
+				e := visible[rapid.IntRange(0, len(visible)-1).Draw(t, "at")]
+				s := consensus.Snapshot{Index: e.Index, Term: e.Term, Data: []byte("state")}
+				if err := m.journal.Compact(s, m.want.State, m.want.Entries); err != nil {
+					t.Fatalf("compact: %v", err)
+				}
+				m.want.Snapshot = s
+			},
+		})
+	})
+}
+
+func TestJournalFaults(t *testing.T) {
+	save := func(g *gomega.WithT, fs FS) {
+		j, _, err := Open(fs, newID)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(j.Join(99)).To(gomega.Succeed())
+		for i := uint64(1); i <= 3; i++ {
+			g.Expect(j.Save(consensus.Ready{Entries: []consensus.Entry{{Index: i, Term: 1, Data: []byte("payload")}}})).To(gomega.Succeed())
+		}
+	}
+	cases := []struct {
+		name  string
+		spoil func(m *memory)
+		code  result.Code
+		left  int
+	}{
+		{"nothing", func(*memory) {}, 0, 3},
+		{"torn tail", func(m *memory) { c := m.files[logFile]; c.data = c.data[:len(c.data)-3] }, 0, 2},
+		{"garbled tail", func(m *memory) { c := m.files[logFile]; c.data[len(c.data)-1] ^= 1 }, 0, 2},
+		{"damage before the tail", func(m *memory) { c := m.files[logFile]; c.data[len(c.data)/2] ^= 1 }, result.JournalDamaged, 0},
+		{"lost log", func(m *memory) { delete(m.files, logFile) }, result.JournalDamaged, 0},
+		{"lost identity", func(m *memory) { delete(m.files, identityFile) }, result.JournalDamaged, 0},
+		{"damaged identity", func(m *memory) { m.files[identityFile].data[15] ^= 1 }, result.JournalDamaged, 0},
+		{"empty snapshot", func(m *memory) { m.files[snapshotFile] = &content{} }, result.JournalDamaged, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			fs := newMemory()
+			save(g, fs)
+			c.spoil(fs)
+			j, stored, err := Open(fs, newID)
+			if c.code != 0 {
+				g.Expect(result.From(err).Code).To(gomega.Equal(c.code))
+				return
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(stored.Entries).To(gomega.HaveLen(c.left))
+			g.Expect(j.Identity()).To(gomega.Equal(Identity{ID: 7, Cluster: 99}))
+		})
+	}
+}
+
+func TestFolderLocksAndSurvives(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := t.TempDir()
+	fs, err := OpenFolder(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = OpenFolder(path)
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("in use")))
+	j, _ := mustOpen(t, fs)
+	g.Expect(j.Save(consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}})).To(gomega.Succeed())
+	g.Expect(j.Close()).To(gomega.Succeed())
+	fs, err = OpenFolder(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, stored := mustOpen(t, fs)
+	g.Expect(stored.Entries).To(gomega.HaveLen(1))
+}
+
+func FuzzReplay(f *testing.F) {
+	f.Add([]byte{})
+	f.Add(appendFrame(nil, []byte{0xa0}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fs := newMemory()
+		j, _ := mustOpen(t, fs)
+		fs.files[logFile] = &content{data: data, synced: len(data)}
+		_ = j
+		_, _, err := Open(fs, newID)
+		if err != nil && result.From(err).Code != result.JournalDamaged {
+			t.Fatalf("an error without its code: %v", err)
+		}
+	})
+}
