keeper: Host the replicated log on disk and take operators' writes by it

One sync serves all commands that wait. New keepers become learners and replace voters that are gone for long.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -332,3 +332,6 @@
 	n.elapsed = 0
 	n.timeout = n.options.ElectionTicks + n.options.Random(n.options.ElectionTicks)
 }
+
+// State returns the term and vote.
+func (n *Node) State() HardState { return n.state }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -10,6 +10,9 @@
 	"github.com/onsi/gomega"
 )
 
+// keepers is the number of nodes with a data folder.
+const keepers = 3
+
 var calls = []string{"medication", "question", "rota"}
 
 // twoZones starts two zones with two entries each, and the example documents.
@@ -19,7 +22,13 @@
 	var seeds []netip.AddrPort
 	for _, zone := range []string{"a", "b"} {
 		for i := range 2 {
-			n := startNode(nodeOptions{name: fmt.Sprintf("entry-%s%d", zone, i), zone: zone, roles: "entry", seeds: seeds})
+			o := nodeOptions{name: fmt.Sprintf("entry-%s%d", zone, i), zone: zone, roles: "entry", seeds: seeds}
+			if len(nodes) < keepers {
+				o.roles = "entry, keeper"
+				o.folder = ginkgo.GinkgoT().TempDir()
+				o.extra = fmt.Sprintf("[keeper]\nbootstrap = %t\ninitialVoters = %d\n", len(nodes) == 0, keepers)
+			}
+			n := startNode(o)
 			nodes = append(nodes, n)
 			seeds = append(seeds, n.Peers)
 		}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -71,6 +71,10 @@
 	refresh   struct{}
 	subscribe struct{ f func(Change) }
 	setReady  struct{}
+	setKeeper struct {
+		id      string
+		cluster uint64
+	}
 	leave     struct{}
 	exchanged struct {
 		message member.Exchange
@@ -122,6 +126,9 @@
 // SetReady says that this node holds the documents in force.
 func (h *Host) SetReady() { h.ref.Send(setReady{}) }
 
+// SetKeeper publishes the identity of this node's data folder.
+func (h *Host) SetKeeper(id string, cluster uint64) { h.ref.Send(setKeeper{id, cluster}) }
+
 // Leave announces that this node stops.
 func (h *Host) Leave() { h.ref.Send(leave{}) }
 
@@ -184,6 +191,9 @@
 		m.f(Change{Changed: h.table.All(now)})
 	case setReady:
 		h.ready = true
+	case setKeeper:
+		h.options.Node.KeeperID, h.options.Node.Cluster = m.id, m.cluster
+		h.refresh(now)
 	case leave:
 		h.leaving = true
 		h.refresh(now)
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,505 @@
+package keeper
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/claim"
+	"github.com/hyssopladder/hyssopladder/common/actors"
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/journal"
+	"github.com/hyssopladder/hyssopladder/member"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/settings"
+)
+
+// Times and sizes of the log.
+const (
+	tickInterval   = 50 * time.Millisecond
+	electionTicks  = 12
+	heartbeatTicks = 2
+	maxAppendBytes = 512 << 10
+	// compactBytes is the length of the log on disk that is compacted.
+	compactBytes = 8 << 20
+	// compactKeep is the number of entries that stay for slow followers.
+	compactKeep = 1000
+	// maxPending bounds the proposals that wait.
+	maxPending = 8192
+	// advanceInterval is the time between two steps of the claims' time.
+	advanceInterval = 10 * time.Second
+	// watchInterval is the time between two looks at the members.
+	watchInterval = 500 * time.Millisecond
+)
+
+// Options are what a Keeper needs.
+type Options struct {
+	Name     string
+	Settings settings.Keeper
+	Journal  *journal.Journal
+	Stored   consensus.Stored
+	Gossip   *gossip.Host
+	Server   *peer.Server
+	Clock    clock.Clock
+	Actors   *actor.ActorSystem
+	Metrics  metrics.Registry
+}
+
+// Keeper is the role that keeps the durable state.
+type Keeper struct {
+	options Options
+	ref     *actors.Ref
+	outbox  *outbox
+
+	// The fields below belong to the actor.
+	node     *consensus.Node
+	machine  *machine
+	pending  map[uint64]pending
+	flushing bool
+	failed   *result.Error
+	wasReady bool
+	leading  bool
+	watch    *watch
+	// alive are the keepers that gossip knows; fresh are those of them that
+	// belong to no cluster yet.
+	alive, fresh []consensus.ID
+	foreign      bool
+	lastAdvance  clock.Instant
+	syncs        metrics.Timer
+	batches      metrics.Histogram
+}
+
+type pending struct {
+	term  uint64
+	reply chan<- Reply
+}
+
+type (
+	tick     struct{}
+	look     struct{ nodes []member.NodeInfo }
+	flush    struct{}
+	received struct{ batch Batch }
+	propose  struct {
+		command Command
+		reply   chan<- Reply
+	}
+	transfer    struct{ done chan<- struct{} }
+	statusQuery struct{ reply chan<- Status }
+)
+
+// Status describes a keeper.
+type Status struct {
+	consensus.Status
+	Cluster  uint64 `json:"cluster"`
+	Claims   int    `json:"claims"`
+	LogBytes int64  `json:"logBytes"`
+	Failed   string `json:"failed,omitempty"`
+}
+
+// New starts a keeper from its journal; it ends with ctx.
+func New(ctx context.Context, o Options) (*Keeper, error) {
+	k := &Keeper{
+		options: o,
+		machine: newMachine(),
+		pending: map[uint64]pending{},
+		watch:   newWatch(o.Settings.ReplaceAfter),
+		syncs:   metrics.GetOrRegisterTimer("keeper.sync", o.Metrics),
+		batches: metrics.GetOrRegisterHistogram("keeper.entriesPerSync", o.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
+	}
+	node, err := consensus.New(consensus.Options{
+		ID:             o.Journal.Identity().ID,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		MaxAppendBytes: maxAppendBytes,
+		Random:         mathrand.IntN,
+	}, o.Stored)
+	if err != nil {
+		return nil, result.New(result.JournalDamaged, result.RanNo, "%v", err)
+	}
+	k.node = node
+	if len(o.Stored.Snapshot.Data) > 0 {
+		if err := k.machine.restore(o.Stored.Snapshot.Data); err != nil {
+			return nil, result.New(result.JournalDamaged, result.RanNo, "snapshot: %v", err)
+		}
+		k.publishAll()
+	}
+	k.outbox = newOutbox(ctx, o.Server.Client)
+	k.ref = actors.Spawn(ctx, o.Actors, "keeper", k.receive)
+	o.Server.On(peer.Step, k.serveStep)
+	o.Server.On(peer.Propose, k.servePropose)
+	k.run(ctx)
+	return k, nil
+}
+
+// run starts the keeper's clocks.
+func (k *Keeper) run(ctx context.Context) {
+	go func() {
+		ticks, looks := time.NewTicker(tickInterval), time.NewTicker(watchInterval)
+		defer ticks.Stop()
+		defer looks.Stop()
+		for {
+			select {
+			case <-ticks.C:
+				k.ref.Send(tick{})
+			case <-looks.C:
+				k.ref.Send(look{k.options.Gossip.Nodes(ctx)})
+			case <-ctx.Done():
+				_ = k.options.Journal.Close()
+				return
+			}
+		}
+	}()
+}
+
+func (k *Keeper) serveStep(_ context.Context, body []byte) (any, error) {
+	var b Batch
+	if err := wire.Decode(body, &b); err != nil {
+		return nil, err
+	}
+	k.ref.Send(received{b})
+	return struct{}{}, nil
+}
+
+func (k *Keeper) servePropose(ctx context.Context, body []byte) (any, error) {
+	var c Command
+	if err := wire.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	return k.Propose(ctx, c), nil
+}
+
+// Propose has the command applied, if this keeper leads.
+func (k *Keeper) Propose(ctx context.Context, c Command) Reply {
+	reply, ok := actors.Ask(ctx, k.ref, func(reply chan<- Reply) any { return propose{c, reply} })
+	if !ok {
+		return Reply{NotLeader: true}
+	}
+	return reply
+}
+
+// Status describes the keeper.
+func (k *Keeper) Status(ctx context.Context) Status {
+	s, _ := actors.Ask(ctx, k.ref, func(reply chan<- Status) any { return statusQuery{reply} })
+	return s
+}
+
+func (k *Keeper) receive(message any) {
+	switch m := message.(type) {
+	case tick:
+		k.tick()
+	case look:
+		k.look(m.nodes)
+	case received:
+		k.received(m.batch)
+	case propose:
+		k.propose(m)
+	case flush:
+		k.flushing = false
+		k.flush()
+		return
+	case transfer:
+		k.node.Transfer()
+		m.done <- struct{}{}
+	case statusQuery:
+		m.reply <- k.status()
+		return
+	}
+	k.scheduleFlush()
+}
+
+// scheduleFlush puts a flush behind the messages that wait already, so that
+// one sync serves them all.
+func (k *Keeper) scheduleFlush() {
+	if !k.flushing {
+		k.flushing = true
+		k.ref.Send(flush{})
+	}
+}
+
+func (k *Keeper) status() Status {
+	s := Status{
+		Status:   k.node.Status(),
+		Cluster:  k.options.Journal.Identity().Cluster,
+		Claims:   k.machine.claims.Len(),
+		LogBytes: k.options.Journal.Size(),
+	}
+	if k.failed != nil {
+		s.Failed = k.failed.Error()
+	}
+	return s
+}
+
+func (k *Keeper) tick() {
+	if k.failed != nil {
+		return
+	}
+	k.node.Tick()
+	if !k.node.IsLeader() {
+		k.leading = false
+		return
+	}
+	now := k.options.Clock()
+	if !k.leading {
+		k.leading = true
+		k.lastAdvance = now
+		k.watch.reset()
+		klog.InfoS("keeper leads", "instance", k.options.Name, "term", k.node.Term())
+	}
+	if by := now - k.lastAdvance; by >= advanceInterval {
+		k.lastAdvance = now
+		if k.machine.claims.Len() > 0 {
+			c := Command{Claim: &claim.Command{Advance: &claim.Advance{By: min(by, 2*advanceInterval)}}}
+			k.node.Propose(wire.MustEncode(&c))
+		}
+	}
+}
+
+// look takes in which keepers are alive.
+func (k *Keeper) look(nodes []member.NodeInfo) {
+	own := k.options.Journal.Identity()
+	k.alive, k.fresh, k.foreign = nil, nil, false
+	for _, n := range nodes {
+		id, ok := parseID(n.KeeperID)
+		if !ok {
+			continue
+		}
+		k.outbox.address(id, n.Address)
+		switch {
+		case n.Cluster == 0:
+			k.fresh = append(k.fresh, id)
+			k.alive = append(k.alive, id)
+		case n.Cluster == own.Cluster:
+			k.alive = append(k.alive, id)
+		default:
+			k.foreign = true
+		}
+	}
+	slices.Sort(k.alive)
+	slices.Sort(k.fresh)
+	k.bootstrap(own)
+	k.changeMembers()
+}
+
+// bootstrap founds the cluster, on the one keeper whose settings say so, when
+// enough keepers are there that belong to no cluster, and none that does.
+func (k *Keeper) bootstrap(own journal.Identity) {
+	s := k.options.Settings
+	if k.failed != nil || own.Cluster != 0 || !s.Bootstrap || k.foreign || len(k.fresh) < s.InitialVoters || !slices.Contains(k.fresh, own.ID) {
+		return
+	}
+	voters := []consensus.ID{own.ID}
+	for _, id := range k.fresh {
+		if id != own.ID && len(voters) < s.InitialVoters {
+			voters = append(voters, id)
+		}
+	}
+	if err := k.options.Journal.Join(randomNumber()); err != nil {
+		k.fail(err)
+		return
+	}
+	if err := k.node.Bootstrap(voters); err != nil {
+		klog.ErrorS(err, "bootstrap failed", "instance", k.options.Name)
+		return
+	}
+	klog.InfoS("keeper founded a cluster", "instance", k.options.Name, "voters", voters)
+	k.joined()
+}
+
+// joined tells the other nodes the keeper's cluster.
+func (k *Keeper) joined() {
+	i := k.options.Journal.Identity()
+	k.options.Gossip.SetKeeper(i.ID.String(), i.Cluster)
+}
+
+func (k *Keeper) changeMembers() {
+	if k.failed != nil || !k.node.IsLeader() {
+		return
+	}
+	voters, learners, change := k.watch.decide(k.options.Clock(), k.node.Config(), k.alive, k.node.CaughtUp)
+	if !change {
+		return
+	}
+	if err := k.node.ProposeConfig(voters, learners); err != nil && !errors.Is(err, consensus.ErrBusy) {
+		klog.ErrorS(err, "change of keepers refused", "instance", k.options.Name)
+		return
+	}
+	klog.InfoS("keepers change", "instance", k.options.Name, "voters", voters, "learners", learners)
+}
+
+func (k *Keeper) received(b Batch) {
+	if k.failed != nil {
+		return
+	}
+	own := k.options.Journal.Identity().Cluster
+	if own == 0 {
+		if err := k.options.Journal.Join(b.Cluster); err != nil {
+			k.fail(err)
+			return
+		}
+		k.joined()
+	} else if own != b.Cluster {
+		klog.ErrorS(nil, "messages of another cluster dropped", "instance", k.options.Name, "own", own, "theirs", b.Cluster)
+		return
+	}
+	for _, m := range b.Messages {
+		k.node.Step(m)
+	}
+}
+
+func (k *Keeper) propose(m propose) {
+	switch {
+	case k.failed != nil:
+		m.reply <- Reply{NotLeader: true, Code: k.failed.Code, Detail: k.failed.Detail}
+		return
+	case len(k.pending) >= maxPending:
+		m.reply <- Reply{NotLeader: true, Code: result.Overloaded, Detail: "too many proposals wait"}
+		return
+	}
+	index, term, ok := k.node.Propose(wire.MustEncode(&m.command))
+	if !ok {
+		m.reply <- Reply{NotLeader: true, Leader: k.node.Leader()}
+		return
+	}
+	k.pending[index] = pending{term, m.reply}
+}
+
+// flush stores, sends and applies until there is nothing left to do.
+func (k *Keeper) flush() {
+	for k.failed == nil {
+		r := k.node.Ready()
+		if err := k.node.Err(); err != nil {
+			k.fail(result.New(result.JournalDamaged, result.RanUnknown, "%v", err))
+			return
+		}
+		if r.Empty() {
+			break
+		}
+		k.send(r.Early)
+		if r.MustSync() {
+			began := time.Now()
+			if err := k.options.Journal.Save(r); err != nil {
+				k.fail(err)
+				return
+			}
+			k.syncs.UpdateSince(began)
+			k.batches.Update(int64(len(r.Entries)))
+		}
+		k.send(r.Messages)
+		if err := k.applyReady(r); err != nil {
+			k.fail(result.New(result.JournalDamaged, result.RanUnknown, "%v", err))
+			return
+		}
+		k.node.Advance(r)
+	}
+	k.afterFlush()
+}
+
+func (k *Keeper) applyReady(r consensus.Ready) error {
+	if r.Snapshot != nil {
+		if err := k.machine.restore(r.Snapshot.Data); err != nil {
+			return err
+		}
+		k.publishAll()
+	}
+	for _, e := range r.Committed {
+		reply, accepted, err := k.machine.apply(e)
+		if err != nil {
+			return err
+		}
+		if accepted != nil {
+			k.options.Gossip.Publish(document.Record(*accepted))
+		}
+		if p, ok := k.pending[e.Index]; ok {
+			delete(k.pending, e.Index)
+			if p.term != e.Term {
+				reply = Reply{NotLeader: true, Leader: k.node.Leader()}
+			}
+			p.reply <- reply
+		}
+	}
+	return nil
+}
+
+// publishAll spreads every document in force.
+func (k *Keeper) publishAll() {
+	for _, a := range k.machine.documents.All() {
+		k.options.Gossip.Publish(document.Record(a))
+	}
+}
+
+func (k *Keeper) afterFlush() {
+	if k.failed != nil {
+		return
+	}
+	if k.node.Status().Role != consensus.Leader.String() {
+		k.dropPending()
+	}
+	s := k.node.Status()
+	if !k.wasReady && s.Leader != consensus.None && s.Commit > 0 && s.Applied == s.Commit {
+		k.wasReady = true
+		k.options.Gossip.SetReady()
+	}
+	if k.options.Journal.Size() > compactBytes && s.Applied > 0 {
+		k.compact()
+	}
+}
+
+// dropPending answers the proposals whose outcome only another leader knows.
+func (k *Keeper) dropPending() {
+	for index, p := range k.pending {
+		delete(k.pending, index)
+		p.reply <- Reply{NotLeader: true, Leader: k.node.Leader()}
+	}
+}
+
+func (k *Keeper) compact() {
+	data, err := k.machine.snapshot()
+	if err != nil {
+		k.fail(err)
+		return
+	}
+	s, err := k.node.Compact(data, compactKeep)
+	if err != nil {
+		k.fail(err)
+		return
+	}
+	if err := k.options.Journal.Compact(s, k.node.State(), k.node.Entries()); err != nil {
+		k.fail(err)
+		return
+	}
+	klog.InfoS("log compacted", "instance", k.options.Name, "index", s.Index, "snapshotBytes", len(data))
+}
+
+// fail stops the keeper: what its disk holds isn't known any more.
+func (k *Keeper) fail(err error) {
+	k.failed = result.From(err)
+	klog.ErrorS(err, "keeper stopped", "instance", k.options.Name, "code", int(k.failed.Code))
+	k.dropPending()
+}
+
+func (k *Keeper) send(messages []consensus.Message) {
+	cluster := k.options.Journal.Identity().Cluster
+	for _, m := range messages {
+		k.outbox.send(cluster, m)
+	}
+}
+
+// randomNumber returns a random number above 0.
+func randomNumber() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
--- /dev/null
+++ b/keeper/plugin.go
@@ -0,0 +1,111 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/common/actors"
+	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/journal"
+	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/settings"
+)
+
+// transferTime is how long a stopping leader waits for its successor.
+const transferTime = 200 * time.Millisecond
+
+// dumpTimeout bounds the wait for the actor.
+const dumpTimeout = time.Second
+
+var _ kernel.Plugin = (*Keeper)(nil)
+
+func init() {
+	kernel.Register(kernel.Registration{Name: "keeper", Order: 30, Role: settings.RoleKeeper, New: newPlugin})
+	kernel.Register(kernel.Registration{Name: "keeperClient", Order: 35, New: newClientPlugin})
+}
+
+func newPlugin(ctx context.Context, h *kernel.Host) (kernel.Plugin, error) {
+	server, err := kernel.Require[*peer.Server](h)
+	if err != nil {
+		return nil, err
+	}
+	g, err := kernel.Require[*gossip.Host](h)
+	if err != nil {
+		return nil, err
+	}
+	fs, err := journal.OpenFolder(h.Settings.Node.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	j, stored, err := journal.Open(fs, func() consensus.ID { return consensus.ID(randomNumber()) })
+	if err != nil {
+		_ = fs.Close()
+		return nil, errors.Wrapf(err, "data folder %s", h.Settings.Node.DataFolder)
+	}
+	g.SetKeeper(j.Identity().ID.String(), j.Identity().Cluster)
+	k, err := New(ctx, Options{
+		Name:     h.Settings.Node.Name,
+		Settings: h.Settings.Keeper,
+		Journal:  j,
+		Stored:   stored,
+		Gossip:   g,
+		Server:   server,
+		Clock:    h.Clock,
+		Actors:   h.Actors,
+		Metrics:  h.Metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	kernel.Provide(h, k)
+	return k, nil
+}
+
+// Drain implements kernel.Plugin: a leader hands over first.
+func (k *Keeper) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, transferTime)
+	defer cancel()
+	actors.Ask(ctx, k.ref, func(done chan<- struct{}) any { return transfer{done} })
+	for k.Status(ctx).Role == consensus.Leader.String() && ctx.Err() == nil {
+		select {
+		case <-time.After(tickInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// Dump implements kernel.Plugin.
+func (k *Keeper) Dump() any {
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	return k.Status(ctx)
+}
+
+// clientPlugin offers a Client to the other plug-ins of a node.
+type clientPlugin struct{}
+
+var _ kernel.Plugin = clientPlugin{}
+
+func newClientPlugin(_ context.Context, h *kernel.Host) (kernel.Plugin, error) {
+	server, err := kernel.Require[*peer.Server](h)
+	if err != nil {
+		return nil, err
+	}
+	g, err := kernel.Require[*gossip.Host](h)
+	if err != nil {
+		return nil, err
+	}
+	kernel.Provide(h, NewClient(g, server.Client))
+	return clientPlugin{}, nil
+}
+
+// Drain implements kernel.Plugin.
+func (clientPlugin) Drain(context.Context) error { return nil }
+
+// Dump implements kernel.Plugin.
+func (clientPlugin) Dump() any { return nil }
--- a/member/node.go
+++ b/member/node.go
@@ -17,6 +17,8 @@
 	Roles   []string       `json:"roles"`
 	// KeeperID is the identity of the node's data folder, if it is a keeper.
 	KeeperID string `json:"keeperId,omitempty"`
+	// Cluster is the cluster that the data folder belongs to; 0 if to none.
+	Cluster uint64 `json:"cluster,omitempty"`
 }
 
 // Check verifies a decoded node.
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"sync"
-
-	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/entry"
 	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
@@ -43,28 +41,12 @@
 	if e, ok := kernel.Find[*entry.Entry](h); ok {
 		a.entry = e
 	}
-	a.documents = &local{store: document.New(), gossip: g}
-	g.SetReady()
+	if a.documents, err = kernel.Require[*keeper.Client](h); err != nil {
+		return nil, err
+	}
 	a.register(server)
 	return plugin{}, nil
 }
 
 func (plugin) Drain(context.Context) error { return nil }
 func (plugin) Dump() any                   { return nil }
-
-// local keeps documents in memory.
-type local struct {
-	mu     sync.Mutex
-	store  *document.Store
-	gossip *gossip.Host
-}
-
-func (l *local) Apply(_ context.Context, c document.Change) (document.Reply, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	reply, accepted := l.store.Apply(c)
-	if accepted != nil {
-		l.gossip.Publish(document.Record(*accepted))
-	}
-	return reply, nil
-}
--- a/peer/client.go
+++ b/peer/client.go
@@ -21,7 +21,7 @@
 	dialTimeout     = time.Second
 	maxIdlePerPeer  = 4
 	idleTimeout     = 30 * time.Second
-	maxMessageBytes = 16 << 20
+	maxMessageBytes = 64 << 20
 )
 
 // Method names one call of the contract.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,9 +14,10 @@
 
 // Settings are those of one node.
 type Settings struct {
-	Node  Node
-	Entry Entry
-	Peer  Peer
+	Node   Node
+	Entry  Entry
+	Peer   Peer
+	Keeper Keeper
 }
 
 // Node says who and where the node is.
@@ -62,6 +63,18 @@
 	Lease time.Duration
 }
 
+// Keeper holds the settings of the keeper role.
+type Keeper struct {
+	// Bootstrap says that this keeper founds the cluster. It stands in the
+	// settings of one keeper only.
+	Bootstrap bool
+	// InitialVoters is the number of keepers that vote from the start.
+	InitialVoters int
+	// ReplaceAfter is how long a voter may be gone before another keeper
+	// takes its place.
+	ReplaceAfter time.Duration
+}
+
 // The roles that settings may name.
 const (
 	RoleEntry  = "entry"
@@ -82,7 +95,8 @@
 			WriteTimeout:        10 * time.Second,
 			ProgressTimeout:     2 * time.Second,
 		},
-		Peer: Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
+		Keeper: Keeper{InitialVoters: 3, ReplaceAfter: 30 * time.Second},
+		Peer:   Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
 	}
 }
 
@@ -117,8 +131,10 @@
 			s.Entry.read(r)
 		case "peer":
 			s.Peer.read(r)
+		case "keeper":
+			s.Keeper.read(r)
 		default:
-			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry or peer")
+			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry, peer or keeper")
 			continue
 		}
 		faults = append(faults, r.Faults()...)
@@ -220,6 +236,12 @@
 	r.span("progressTimeout", &e.ProgressTimeout)
 }
 
+func (k *Keeper) read(r *reader) {
+	k.Bootstrap = r.Bool("bootstrap")
+	r.positive("initialVoters", &k.InitialVoters)
+	r.span("replaceAfter", &k.ReplaceAfter)
+}
+
 func (p *Peer) read(r *reader) {
 	r.address("listen", &p.Listen)
 	p.Seeds = r.AddrPorts("seeds")
