entry: Run keyed calls under a claim

A call that may not be repeated and carries a key is claimed by a majority of keepers before its first byte goes upstream. It goes out on a connection of its own, since the HTTP library re-sends by itself on reused ones; a test shows that the plain library does and that the client does not.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -32,6 +32,8 @@
 
 var binary string
 
+var bookingINI = examples.Booking
+
 func TestE2E(t *testing.T) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "End to end")
@@ -49,8 +51,8 @@
 type process struct {
 	*gexec.Session
 	commands.Listening
-	address  netip.AddrPort
-	settings string
+	address netip.AddrPort
+	options nodeOptions
 }
 
 func start(args ...string) *gexec.Session {
@@ -105,11 +107,19 @@
 	ginkgo.GinkgoHelper()
 	path := filepath.Join(ginkgo.GinkgoT().TempDir(), o.name+".ini")
 	gomega.Expect(os.WriteFile(path, []byte(o.settings()), 0o600)).To(gomega.Succeed())
-	p := &process{Session: start("node", "--settings", path), settings: path}
+	p := &process{Session: start("node", "--settings", path), options: o}
 	firstLine(p.Session, &p.Listening)
 	return p
 }
 
+// again starts a stopped node once more, on the same addresses and folder.
+func (p *process) again() *process {
+	ginkgo.GinkgoHelper()
+	o := p.options
+	o.callers, o.peers = p.Callers, p.Peers
+	return startNode(o)
+}
+
 type upstreamOptions struct {
 	kind, id, zone, serves string
 	entries                []*process
@@ -142,16 +152,19 @@
 func applyExamples(p *process) {
 	ginkgo.GinkgoHelper()
 	for name, ini := range map[string][]byte{"assistant": examples.Assistant, "booking": examples.Booking} {
-		applied := func() error {
-			_, err := p.operator().Apply(context.Background(), operator.Write{
-				Name: name, INI: ini, ChangeID: "first-" + name, Match: "*",
-			})
-			return err
-		}
-		gomega.Eventually(applied, startLimit).Should(gomega.Succeed())
+		applyINI(p, name, ini, "first-"+name)
 	}
 }
 
+func applyINI(p *process, name string, ini []byte, change string) {
+	ginkgo.GinkgoHelper()
+	applied := func() error {
+		_, err := p.operator().Apply(context.Background(), operator.Write{Name: name, INI: ini, ChangeID: change, Match: "*"})
+		return err
+	}
+	gomega.Eventually(applied, startLimit).Should(gomega.Succeed())
+}
+
 // waitServing waits until each node is ready and sees the wanted number of
 // usable upstreams.
 func waitServing(nodes []*process, service string, upstreams int) {
@@ -281,4 +294,3 @@
 	r := call(http.MethodPost, fmt.Sprintf("http://%s/control/reclaim?notice=%v", p.address, notice), "", nil)
 	gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
 }
-
--- /dev/null
+++ b/entry/client_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// flaky answers its first request and breaks the connection after it has read
+// any later one.
+func flaky(t *testing.T, requests *atomic.Int64) netip.AddrPort {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if requests.Add(1) > 1 {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = c.Close()
+			}
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func send(g *gomega.WithT, c *clients, address netip.AddrPort, method, body string, repeatable bool) error {
+	r, err := http.NewRequest(method, "http://"+address.String()+"/", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	if body != "" {
+		r.Body = io.NopCloser(onceReader{bytes.NewReader([]byte(body))})
+		r.ContentLength = int64(len(body))
+	}
+	// A header of this name would make the library re-send a POST.
+	r.Header.Set(keyForUpstream, "k")
+	x, err := c.do(context.Background(), address, r, repeatable)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, x.response.Body)
+		_ = x.response.Body.Close()
+	}
+	return err
+}
+
+func TestClientNeverSendsTwiceByItself(t *testing.T) {
+	cases := []struct {
+		name, method, body string
+		repeatable         bool
+	}{
+		{"a booking", http.MethodPost, "booking", false},
+		{"a booking without a body", http.MethodPost, "", false},
+		{"a GET that may not be repeated", http.MethodGet, "", false},
+		{"a DELETE that may not be repeated", http.MethodDelete, "", false},
+		{"a repeatable call with a body", http.MethodPost, "question", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var requests atomic.Int64
+			address := flaky(t, &requests)
+			clients := newClients()
+			g.Expect(send(g, clients, address, c.method, c.body, c.repeatable)).To(gomega.Succeed())
+			g.Expect(send(g, clients, address, c.method, c.body, c.repeatable)).NotTo(gomega.Succeed())
+			g.Expect(requests.Load()).To(gomega.Equal(int64(2)))
+		})
+	}
+}
+
+// TestLibraryWouldSendTwice shows the behaviour that the client guards
+// against: the plain library sends a keyed POST a second time.
+func TestLibraryWouldSendTwice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var requests atomic.Int64
+	address := flaky(t, &requests)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+address.String()+"/", strings.NewReader("booking"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		r.Header.Set(headerKey, "k")
+		if response, err := client.Do(r); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}
+	g.Expect(requests.Load()).To(gomega.BeNumerically(">", 2))
+}
+
+func TestHopHeadersStayBehind(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range []string{headerKey, "X-" + headerKey, "Connection", "Transfer-Encoding"} {
+		g.Expect(hopHeaders).To(gomega.ContainElement(name))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
@@ -42,6 +43,7 @@
 	Gossip   *gossip.Host
 	Server   *peer.Server
 	Metrics  metrics.Registry
+	Claims   Claims
 }
 
 // Entry is the role that serves callers.
@@ -53,7 +55,7 @@
 	clients  *clients
 	http     *http.Server
 	draining atomic.Bool
-	open     sync.WaitGroup
+	settling sync.WaitGroup
 	streams  streamCounter
 	meters   meters
 }
@@ -73,6 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
+	claims, err := kernel.Require[*keeper.Client](h)
+	if err != nil {
+		return nil, err
+	}
 	n := h.Settings.Node
 	e, err := New(ctx, Options{
 		Node:     member.NodeInfo{Name: n.Name, Region: n.Region, Zone: n.Zone},
@@ -80,6 +86,7 @@
 		Gossip:   g,
 		Server:   server,
 		Metrics:  h.Metrics,
+		Claims:   claims,
 	}, newHost(ctx, n.Zone, h.Clock, h.Actors, g))
 	if err != nil {
 		return nil, err
@@ -154,7 +161,9 @@
 	case <-ctx.Done():
 	}
 	e.http.SetKeepAlivesEnabled(false)
-	return errors.Wrap(e.http.Shutdown(ctx), "drain callers")
+	err := e.http.Shutdown(ctx)
+	e.waitSettled(ctx)
+	return errors.Wrap(err, "drain callers")
 }
 
 // Dump implements kernel.Plugin.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -83,7 +83,11 @@
 		in:      in,
 		timeout: max(d.Ranks[rank].FirstToken, e.options.Settings.ProgressTimeout),
 	}
-	answer, err := p.run(ctx)
+	run := p.run
+	if !call.Repeatable && in.key != "" {
+		run = p.runClaimed
+	}
+	answer, err := run(ctx)
 	if err != nil {
 		return err
 	}
--- a/result/code.go
+++ b/result/code.go
@@ -26,7 +26,8 @@
 	ClaimNoQuorum       Code = 4001
 	ClaimPending        Code = 4002
 	ClaimUnknown        Code = 4003
-	ClaimLost           Code = 4004
+	ClaimFull           Code = 4005
+	ClaimAnswered       Code = 4006
 	DocumentInvalid     Code = 5001
 	RevisionConflict    Code = 5002
 	ChangeReused        Code = 5003
@@ -70,7 +71,8 @@
 	ClaimNoQuorum:       {"claimNoQuorum", 503, true},
 	ClaimPending:        {"claimPending", 409, true},
 	ClaimUnknown:        {"claimUnknown", 409, false},
-	ClaimLost:           {"claimLost", 409, true},
+	ClaimFull:           {"claimFull", 503, true},
+	ClaimAnswered:       {"claimAnswered", 409, false},
 	DocumentInvalid:     {"documentInvalid", 400, false},
 	RevisionConflict:    {"revisionConflict", 412, false},
 	ChangeReused:        {"changeReused", 422, false},
