--- /dev/null
+++ b/e2e/reclaim_test.go
@@ -0,0 +1,184 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func startEngines(nodes []*process, zones []string, flags ...string) []*process {
+	ginkgo.GinkgoHelper()
+	var list []*process
+	for i, zone := range zones {
+		list = append(list, startUpstream(upstreamOptions{
+			kind: "engine", id: fmt.Sprintf("engine-%d", i), zone: zone, serves: "rota-7b", entries: nodes, flags: flags,
+		}))
+	}
+	waitServing(nodes, "assistant", len(zones))
+	return list
+}
+
+// load sends requests one after another from several callers until stopped.
+type load struct {
+	wait     sync.WaitGroup
+	stopping atomic.Bool
+	answered atomic.Int64
+	mu       sync.Mutex
+	failures []string
+}
+
+func startLoad(workers, tokens int, pick func(i int) *process) *load {
+	l := &load{}
+	for w := range workers {
+		l.wait.Go(func() {
+			for i := 0; !l.stopping.Load(); i++ {
+				content := fmt.Sprintf("question %d of worker %d", i, w)
+				header := map[string]string{"X-Caller": fmt.Sprintf("caller-%d", w%5), "X-Call": calls[i%3]}
+				text, err := ask(pick(w+i), content, tokens, i%2 == 0, header)
+				switch {
+				case err != nil:
+					l.fail("%s: %v", content, err)
+				case text != expected(content, tokens):
+					l.fail("%s: got %q", content, text)
+				default:
+					l.answered.Add(1)
+				}
+			}
+		})
+	}
+	return l
+}
+
+func (l *load) fail(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = append(l.failures, fmt.Sprintf(format, args...))
+}
+
+// answers waits until n more requests were answered.
+func (l *load) answers(n int64) {
+	ginkgo.GinkgoHelper()
+	want := l.answered.Load() + n
+	gomega.Eventually(l.answered.Load, 60*time.Second).Should(gomega.BeNumerically(">=", want))
+}
+
+func (l *load) end() {
+	ginkgo.GinkgoHelper()
+	l.stopping.Store(true)
+	l.wait.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gomega.Expect(l.failures).To(gomega.BeEmpty())
+}
+
+var _ = ginkgo.Describe("While instances are taken away", func() {
+	any4 := func(nodes []*process) func(int) *process {
+		return func(i int) *process { return nodes[i%len(nodes)] }
+	}
+
+	ginkgo.It("a reclaim in the middle of streams loses no token", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes, []string{"a", "a", "b"}, "--decode", "10ms")
+		l := startLoad(12, 60, any4(nodes))
+		l.answers(12)
+		engines[0].reclaim(300 * time.Millisecond)
+		gomega.Eventually(engines[0].Exited, stopLimit).Should(gomega.BeClosed())
+		l.answers(12)
+		l.end()
+	})
+
+	ginkgo.It("a whole zone goes with notice, then the instances that took over", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes, []string{"a", "a", "b", "b"}, "--decode", "10ms")
+		l := startLoad(12, 60, any4(nodes))
+		l.answers(12)
+		engines[0].reclaim(500 * time.Millisecond)
+		engines[1].reclaim(500 * time.Millisecond)
+		gomega.Eventually(engines[0].Exited, stopLimit).Should(gomega.BeClosed())
+		engines[2].reclaim(300 * time.Millisecond)
+		gomega.Eventually(engines[2].Exited, stopLimit).Should(gomega.BeClosed())
+		l.answers(12)
+		l.end()
+	})
+
+	ginkgo.It("engines that die without notice cost no answer", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes, []string{"a", "a", "b"}, "--decode", "10ms")
+		l := startLoad(12, 60, any4(nodes))
+		l.answers(12)
+		engines[1].signal(syscall.SIGKILL)
+		l.answers(24)
+		l.end()
+	})
+
+	ginkgo.It("an engine that freezes costs no answer", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes, []string{"a", "b"}, "--decode", "10ms")
+		l := startLoad(8, 60, any4(nodes))
+		l.answers(8)
+		engines[0].signal(syscall.SIGSTOP)
+		l.answers(16)
+		engines[0].signal(syscall.SIGCONT)
+		l.end()
+	})
+
+	ginkgo.It("a leaving upstream gets no new work within three seconds, and a late word doesn't revive it", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes[:1], []string{"a", "b"}, "--decode", "1ms")
+		waitServing(nodes, "assistant", 2)
+		began := time.Now()
+		engines[0].reclaim(time.Minute)
+		waitServing(nodes, "assistant", 1)
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 3*time.Second))
+		for i := range 40 {
+			content := fmt.Sprintf("question %d", i)
+			r := call(http.MethodPost, "http://"+nodes[i%4].Callers.String()+"/v1/chat/completions",
+				fmt.Sprintf(`{"model":"rota-7b","messages":[{"role":"user","content":%q}],"max_tokens":4}`, content), nil)
+			gomega.Expect(r.status).To(gomega.Equal(http.StatusOK))
+			gomega.Expect(r.header.Get("X-Served-By")).To(gomega.Equal("engine-1"))
+		}
+	})
+
+	ginkgo.It("a rolling restart of every entry under load cuts off nothing", func() {
+		nodes := twoZones()
+		startEngines(nodes, []string{"a", "b", "b"}, "--decode", "5ms")
+		var mu sync.Mutex
+		l := startLoad(8, 40, func(i int) *process {
+			for {
+				mu.Lock()
+				n := nodes[i%len(nodes)]
+				mu.Unlock()
+				if r := call(http.MethodGet, "http://"+n.Callers.String()+"/readyz", "", nil); r.status == http.StatusOK {
+					return n
+				}
+				i++
+			}
+		})
+		l.answers(8)
+		for i, n := range nodes {
+			n.signal(syscall.SIGTERM)
+			gomega.Eventually(n.Exited, stopLimit).Should(gomega.BeClosed())
+			gomega.Expect(n.ExitCode()).To(gomega.Equal(0))
+			next := n.again()
+			waitReady(next)
+			mu.Lock()
+			nodes[i] = next
+			mu.Unlock()
+			l.answers(8)
+		}
+		l.end()
+	})
+})
+
+func waitReady(n *process) {
+	ginkgo.GinkgoHelper()
+	gomega.Eventually(func() int {
+		return call(http.MethodGet, "http://"+n.Callers.String()+"/readyz", "", nil).status
+	}, startLimit).Should(gomega.Equal(http.StatusOK))
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func record(id string, incarnation, sequence uint64, leaving bool, lease time.Duration) Record {
+	return Record{
+		Key:       Key{Kind: Upstream, ID: id},
+		Version:   Version{Incarnation: incarnation, Sequence: sequence, Leaving: leaving},
+		Remaining: lease,
+	}
+}
+
+func TestMerge(t *testing.T) {
+	const lease = time.Second
+	cases := []struct {
+		name  string
+		merge []Record
+		at    clock.Instant
+		live  int
+	}{
+		{"ready", []Record{record("u", 1, 1, false, lease)}, 0, 1},
+		{"lease over", []Record{record("u", 1, 1, false, lease)}, lease, 0},
+		{"leaving is final", []Record{record("u", 1, 1, true, lease), record("u", 1, 7, false, lease)}, 0, 0},
+		{"next incarnation", []Record{record("u", 1, 1, true, lease), record("u", 2, 1, false, lease)}, 0, 1},
+		{"older sequence", []Record{record("u", 1, 5, false, lease), record("u", 1, 4, false, 9*lease)}, lease, 0},
+		{"no lease", []Record{record("u", 0, 1, false, 0)}, time.Hour, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := New()
+			table.Merge(0, c.merge)
+			g.Expect(table.Live(c.at, Upstream)).To(gomega.HaveLen(c.live))
+		})
+	}
+}
+
+func TestEndedRecordIsNotRevivedByAnOldCopy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := New(), New()
+	r := record("u", 1, 1, false, time.Second)
+	a.Merge(0, []Record{r})
+	b.Merge(0, []Record{r})
+	g.Expect(a.Expire(time.Second)).To(gomega.HaveLen(1))
+	a.Merge(time.Second, b.Select(900*time.Millisecond, []Key{r.Key}))
+	g.Expect(a.Live(time.Second, Upstream)).To(gomega.BeEmpty())
+	a.Merge(time.Second, []Record{record("u", 1, 2, false, time.Second)})
+	g.Expect(a.Live(time.Second, Upstream)).To(gomega.HaveLen(1))
+}
+
+func TestLeaseIsNotExtendedOnTheWay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := New(), New()
+	r := record("u", 1, 1, false, time.Second)
+	a.Merge(0, []Record{r})
+	b.Merge(0, a.Select(600*time.Millisecond, []Key{r.Key}))
+	g.Expect(b.Live(399*time.Millisecond, Upstream)).To(gomega.HaveLen(1))
+	g.Expect(b.Live(401*time.Millisecond, Upstream)).To(gomega.BeEmpty())
+}
+
+// TestTablesConverge changes records at random tables, exchanges in any order
+// with losses, and compares with a map that holds the newest version of each.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 4
+		tables := make([]*Table, n)
+		for i := range tables {
+			tables[i] = New()
+		}
+		newest := map[Key]Version{}
+		pick := func(t *rapid.T, name string) *Table { return tables[rapid.IntRange(0, n-1).Draw(t, name)] }
+		exchange := func(from, to *Table) {
+			push, want := to.Compare(0, from.Digest())
+			from.Merge(0, push)
+			to.Merge(0, from.Select(0, want))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				r := record(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "id")), rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+					rapid.Uint64Range(1, 9).Draw(t, "sequence"), rapid.Bool().Draw(t, "leaving"), time.Minute)
+				pick(t, "table").Merge(0, []Record{r})
+				if v, ok := newest[r.Key]; !ok || r.After(v) {
+					newest[r.Key] = r.Version
+				}
+			},
+			"push":     func(t *rapid.T) { pick(t, "to").Merge(0, pick(t, "from").Hot(0, 1000)) },
+			"exchange": func(t *rapid.T) { exchange(pick(t, "from"), pick(t, "to")) },
+		})
+		for range 2 {
+			for _, a := range tables {
+				for _, b := range tables {
+					exchange(a, b)
+				}
+			}
+		}
+		for i, table := range tables {
+			for key, v := range newest {
+				if held, _ := table.Get(key); held.Version != v {
+					t.Fatalf("table %d holds %v of %v, want %v", i, held.Version, key, v)
+				}
+			}
+		}
+	})
+}
+
+func FuzzExchange(f *testing.F) {
+	f.Add(wire.MustEncode(&Exchange{From: "a", Push: []Record{record("u", 1, 1, false, time.Second)}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var e Exchange
+		if wire.Decode(data, &e) == nil {
+			table := New()
+			table.Merge(0, e.Push)
+			table.Compare(0, e.Digest)
+			table.Hot(0, 100)
+		}
+	})
+}
