--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -200,7 +200,7 @@
 }
 
 func FuzzCommand(f *testing.F) {
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := New()
 		_ = r.Restore(data)
 		r.Apply(claimOf(key("a", "b"), 1, "c"))
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -57,9 +57,9 @@
 // entryOverhead is about the size of an entry without its data, in bytes.
 const entryOverhead = 16
 
-// append adds entries after index, dropping whatever conflicts with them. It
-// returns the index from which entries were dropped, or 0.
-func (l *log) append(index uint64, entries []Entry) (dropped uint64) {
+// append adds entries, dropping whatever conflicts with them. It returns the
+// index from which entries were dropped, or 0.
+func (l *log) append(entries []Entry) (dropped uint64) {
 	for i, e := range entries {
 		if e.Index <= l.baseIndex || l.matches(e.Index, e.Term) {
 			continue
--- a/consensus/node__replication.go
+++ b/consensus/node__replication.go
@@ -94,7 +94,7 @@
 		n.send(Message{Kind: AppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint})
 		return
 	}
-	if dropped := n.log.append(m.Index, m.Entries); dropped > 0 && dropped <= n.commit {
+	if dropped := n.log.append(m.Entries); dropped > 0 && dropped <= n.commit {
 		n.fail("committed entry %d contradicts the leader", dropped)
 		return
 	}
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -118,7 +118,7 @@
 
 func FuzzExchange(f *testing.F) {
 	f.Add(wire.MustEncode(&Exchange{From: "a", Push: []Record{record("u", 1, 1, false, time.Second)}}))
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		var e Exchange
 		if wire.Decode(data, &e) == nil {
 			table := New()
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+
 	"github.com/hyssopladder/hyssopladder/entry"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/keeper"
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -92,7 +92,7 @@
 func FuzzRecord(f *testing.F) {
 	a := announcement(1, 1)
 	f.Add(a.Record().Payload)
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		r := a.Record()
 		r.Payload = data
 		if got, err := FromRecord(r); err == nil {
