admission: Predict waiting by what a rank is guaranteed

Cause: the prediction used what other ranks left at the moment. A flood that came later took it away, so that work was accepted that then came late; below five times the capacity most of what was accepted had no chance. Ruled out: the order of the queues (floors held in served work) and the estimate of a slot's speed (within 5% of the fake's). Now a rank counts on its floor, the most urgent one on all that the floors of the others leave, and a caller on its share among the callers seen in the last 15 s; the part of the target that waiting may fill goes from 0.8 to 0.65 for the spread of departures.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
 // fairQueue shares one rank's turns among callers by weighted cost: the caller
@@ -12,8 +14,9 @@
 	active  callerHeap
 	virtual float64
 	work    float64
-	weight  float64
-	length  int
+	// weight adds up the weights of the callers that were seen lately.
+	weight float64
+	length int
 }
 
 type callerQueue struct {
@@ -24,22 +27,30 @@
 	// start is the tag of the head; finish is that of the last one served.
 	start, finish float64
 	index         int
+	seen          clock.Instant
 }
 
 func newFairQueue() *fairQueue {
 	return &fairQueue{callers: map[string]*callerQueue{}}
 }
 
-func (q *fairQueue) push(r Request) {
-	c, ok := q.callers[r.Caller]
+// see notes that a caller asks.
+func (q *fairQueue) see(name string, weight float64, now clock.Instant) *callerQueue {
+	c, ok := q.callers[name]
 	if !ok {
-		c = &callerQueue{name: r.Caller, index: -1}
-		q.callers[r.Caller] = c
+		c = &callerQueue{name: name, index: -1}
+		q.callers[name] = c
 	}
+	q.weight += weight - c.weight
+	c.weight = weight
+	c.seen = now
+	return c
+}
+
+func (q *fairQueue) push(r Request) {
+	c := q.see(r.Caller, r.Weight, r.Accepted)
 	if len(c.items) == 0 {
-		c.weight = r.Weight
 		c.start = max(q.virtual, c.finish)
-		q.weight += c.weight
 		heap.Push(&q.active, c)
 	}
 	c.items = append(c.items, r)
@@ -73,10 +84,6 @@
 	q.length--
 	if len(c.items) == 0 {
 		heap.Remove(&q.active, c.index)
-		q.weight -= c.weight
-		if c.finish <= q.virtual {
-			delete(q.callers, c.name)
-		}
 		return
 	}
 	if i == 0 {
@@ -108,20 +115,17 @@
 	return 0
 }
 
-// callerShare is the part of the rank's turns that the caller gets while the
-// callers that wait now go on waiting.
-func (q *fairQueue) callerShare(caller string, weight float64) float64 {
-	total := q.weight
-	if c, ok := q.callers[caller]; !ok || len(c.items) == 0 {
-		total += weight
-	}
-	return weight / total
+// callerShare is the part of the rank's turns that the caller gets when all
+// callers that were seen lately ask again.
+func (q *fairQueue) callerShare(caller string) float64 {
+	return q.callers[caller].weight / q.weight
 }
 
-// prune forgets callers that wait for nothing and have no debt left.
-func (q *fairQueue) prune() {
+// prune forgets callers that wait for nothing and were not seen lately.
+func (q *fairQueue) prune(now clock.Instant) {
 	for name, c := range q.callers {
-		if len(c.items) == 0 && c.finish <= q.virtual {
+		if len(c.items) == 0 && now-c.seen >= activeTime {
+			q.weight -= c.weight
 			delete(q.callers, name)
 		}
 	}
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -18,14 +18,17 @@
 	MaxWaiting = 1 << 14
 	// safety is the part of a rank's target that predicted waiting may fill;
 	// the rest is for the hop and the prefill.
-	safety = 0.8
+	safety = 0.65
 	// usageHalfLife is the half-life of the measured use of each rank.
 	usageHalfLife = 4 * time.Second
 	// creditSeconds bounds, in seconds of capacity, the credit that a rank
 	// below its floor can save up.
 	creditSeconds = 0.5
-	// pruneEvery is the number of offers between two clean-ups.
-	pruneEvery = 4096
+	// pruneInterval is the time between two clean-ups.
+	pruneInterval = time.Second
+	// activeTime is how long after its last request a caller counts as one
+	// that may come back.
+	activeTime = 15 * time.Second
 )
 
 // Request is what admission needs to know of a call.
@@ -63,7 +66,7 @@
 type Scheduler struct {
 	ranks   []rankState
 	waiting int
-	offers  int
+	pruned  clock.Instant
 	last    clock.Instant
 }
 
@@ -112,9 +115,11 @@
 func (s *Scheduler) Offer(now clock.Instant, r Request, c Capacity) Decision {
 	s.decay(now)
 	r.Rank = min(max(r.Rank, 0), len(s.ranks)-1)
-	if s.offers++; s.offers%pruneEvery == 0 {
-		s.prune()
+	if now-s.pruned >= pruneInterval {
+		s.pruned = now
+		s.prune(now)
 	}
+	s.ranks[r.Rank].queue.see(r.Caller, r.Weight, now)
 	wait := s.predict(r, c)
 	target := time.Duration(safety * float64(s.ranks[r.Rank].target))
 	if wait > target || s.waiting >= MaxWaiting {
@@ -133,7 +138,8 @@
 	return min(max(wait-target, least), most)
 }
 
-// predict bounds the waiting time of r: no caller waits longer than its own
+// predict bounds the waiting time of r by what the rank is guaranteed,
+// whatever the other ranks ask for later: no caller waits longer than its own
 // backlog takes at its own share, nor longer than the whole rank's backlog
 // takes at the rank's rate.
 func (s *Scheduler) predict(r Request, c Capacity) time.Duration {
@@ -144,32 +150,37 @@
 		return math.MaxInt64
 	}
 	rank := &s.ranks[r.Rank]
-	rate := s.rankRate(r.Rank, c.Rate)
-	share := rank.queue.callerShare(r.Caller, r.Weight)
+	rate := s.guaranteed(r.Rank, c.Rate)
+	share := rank.queue.callerShare(r.Caller)
 	own := (rank.queue.callerWork(r.Caller) + r.Cost) / (rate * share)
 	all := (rank.queue.work + r.Cost) / rate
-	if seconds := min(own, all); seconds < float64(math.MaxInt64)/float64(2*time.Second) {
+	if seconds := max(own, all); seconds < float64(math.MaxInt64)/float64(2*time.Second) {
 		return time.Duration(seconds * float64(time.Second))
 	}
 	return math.MaxInt64
 }
 
-// rankRate is the work per second that the rank can count on: what more
-// urgent ranks leave and the floors of less urgent ones, but at least its own
-// floor.
-func (s *Scheduler) rankRate(rank int, rate float64) float64 {
+// guaranteed is the work per second that the rank gets even when all others
+// ask for more than there is: its floor, and for the most urgent rank all that
+// the floors of the others leave. A rank without a floor counts on what is
+// left at present.
+func (s *Scheduler) guaranteed(rank int, rate float64) float64 {
 	const least = 1e-6
-	left := rate
+	others, left := 0.0, rate
 	for i := range s.ranks {
-		o := &s.ranks[i]
-		switch {
-		case i < rank:
-			left -= min(o.usage, rate)
-		case i > rank:
-			left -= min(o.usage, o.floor*rate)
+		if i != rank {
+			others += s.ranks[i].floor
+			left -= s.ranks[i].usage
 		}
 	}
-	return max(left, s.ranks[rank].floor*rate, least*rate)
+	switch {
+	case rank == 0:
+		return max((1-others)*rate, s.ranks[0].floor*rate, least*rate)
+	case s.ranks[rank].floor > 0:
+		return s.ranks[rank].floor * rate
+	default:
+		return max(left, least*rate)
+	}
 }
 
 // Next takes the request that gets the next free slot: the most urgent, unless
@@ -256,8 +267,8 @@
 	}
 }
 
-func (s *Scheduler) prune() {
+func (s *Scheduler) prune(now clock.Instant) {
 	for i := range s.ranks {
-		s.ranks[i].queue.prune()
+		s.ranks[i].queue.prune(now)
 	}
 }
