--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -294,3 +294,12 @@
 	r := call(http.MethodPost, fmt.Sprintf("http://%s/control/reclaim?notice=%v", p.address, notice), "", nil)
 	gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
 }
+
+func (p *process) engineStats() standin.Stats {
+	ginkgo.GinkgoHelper()
+	var s standin.Stats
+	r := call(http.MethodGet, "http://"+p.address.String()+"/control/stats", "", nil)
+	gomega.Expect(r.err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(json.Unmarshal(r.body, &s)).To(gomega.Succeed())
+	return s
+}
--- a/e2e/reclaim_test.go
+++ b/e2e/reclaim_test.go
@@ -29,12 +29,14 @@
 	wait     sync.WaitGroup
 	stopping atomic.Bool
 	answered atomic.Int64
-	mu       sync.Mutex
-	failures []string
+	// perWorker counts each worker's answers.
+	perWorker []atomic.Int64
+	mu        sync.Mutex
+	failures  []string
 }
 
 func startLoad(workers, tokens int, pick func(i int) *process) *load {
-	l := &load{}
+	l := &load{perWorker: make([]atomic.Int64, workers)}
 	for w := range workers {
 		l.wait.Go(func() {
 			for i := 0; !l.stopping.Load(); i++ {
@@ -48,6 +50,7 @@
 					l.fail("%s: got %q", content, text)
 				default:
 					l.answered.Add(1)
+					l.perWorker[w].Add(1)
 				}
 			}
 		})
@@ -68,6 +71,15 @@
 	gomega.Eventually(l.answered.Load, 60*time.Second).Should(gomega.BeNumerically(">=", want))
 }
 
+// everybody waits until each worker got n more answers.
+func (l *load) everybody(n int64) {
+	ginkgo.GinkgoHelper()
+	for w := range l.perWorker {
+		want := l.perWorker[w].Load() + n
+		gomega.Eventually(l.perWorker[w].Load, 20*time.Second).Should(gomega.BeNumerically(">=", want), "worker %d", w)
+	}
+}
+
 func (l *load) end() {
 	ginkgo.GinkgoHelper()
 	l.stopping.Store(true)
@@ -93,6 +105,16 @@
 		l.end()
 	})
 
+	ginkgo.It("streams move away early when the notice is too short for them", func() {
+		nodes := twoZones()
+		engines := startEngines(nodes, []string{"a", "b"}, "--decode", "20ms")
+		l := startLoad(8, 400, any4(nodes))
+		gomega.Eventually(func() int64 { return engines[0].engineStats().Running }, startLimit).Should(gomega.BeNumerically(">", 2))
+		engines[0].reclaim(6 * time.Second)
+		gomega.Eventually(func() int64 { return engines[0].engineStats().Running }, 3*time.Second).Should(gomega.BeZero())
+		l.end()
+	})
+
 	ginkgo.It("a whole zone goes with notice, then the instances that took over", func() {
 		nodes := twoZones()
 		engines := startEngines(nodes, []string{"a", "a", "b", "b"}, "--decode", "10ms")
@@ -123,7 +145,7 @@
 		l := startLoad(8, 60, any4(nodes))
 		l.answers(8)
 		engines[0].signal(syscall.SIGSTOP)
-		l.answers(16)
+		l.everybody(2)
 		engines[0].signal(syscall.SIGCONT)
 		l.end()
 	})
