--- a/commands/commands.go
+++ b/commands/commands.go
@@ -83,6 +83,8 @@
 	c.addDocuments(app)
 	c.addState(app)
 	c.addStandin(app)
+	c.addLoad(app)
+	c.addDemo(app)
 	c.add(app.Command("version", "Print the version."), func() error {
 		_, err := fmt.Fprintln(c.out, "hyssopladder "+Version)
 		return err
--- /dev/null
+++ b/commands/commands_test.go
@@ -0,0 +1,152 @@
+package commands
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/examples"
+	"github.com/hyssopladder/hyssopladder/load"
+	"github.com/hyssopladder/hyssopladder/operator"
+	"github.com/hyssopladder/hyssopladder/service"
+)
+
+// run executes a command line and returns its output with the exit code.
+func run(args ...string) (string, int) {
+	var out bytes.Buffer
+	code := Execute(args, &out, &out)
+	return out.String(), code
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	goldie.New(t).Assert(t, name, []byte(got))
+}
+
+func TestHelp(t *testing.T) {
+	for _, command := range []string{"", "node", "apply", "get", "list", "check", "status", "drain", "dump", "load", "demo", "standin engine", "standin service"} {
+		t.Run(command, func(t *testing.T) {
+			out, code := run(append(strings.Fields(command), "--help")...)
+			gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitOK))
+			golden(t, "help-"+strings.ReplaceAll(command, " ", "-"), out)
+		})
+	}
+}
+
+func TestUsageErrors(t *testing.T) {
+	cases := map[string][]string{
+		"no such command": {"serve"},
+		"missing flag":    {"status"},
+		"bad address":     {"status", "--node", "localhost:7000"},
+		"bad output":      {"--output", "xml", "version"},
+	}
+	for name, args := range cases {
+		t.Run(name, func(t *testing.T) {
+			out, code := run(args...)
+			gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitUsage))
+			golden(t, "usage-"+strings.ReplaceAll(name, " ", "-"), out)
+		})
+	}
+}
+
+func TestVersion(t *testing.T) {
+	out, code := run("version")
+	gomega.NewWithT(t).Expect(code).To(gomega.Equal(exitOK))
+	golden(t, "version", out)
+}
+
+func TestCheckReportsAllFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	t.Chdir(t.TempDir())
+	g.Expect(os.WriteFile("good.ini", examples.Assistant, 0o600)).To(gomega.Succeed())
+	bad := strings.NewReplacer("kind = model", "kind = modle", "floor = 0.5", "floor = 0.95", "firstToken = 10s", "firstToken = 10",
+		"rank = draft", "rank = drafts", "zones = a, b", "zone = a").Replace(string(examples.Assistant))
+	g.Expect(os.WriteFile("bad.ini", []byte(bad), 0o600)).To(gomega.Succeed())
+	out, code := run("check", "good.ini", "bad.ini")
+	g.Expect(code).To(gomega.Equal(exitFailed))
+	g.Expect(out).To(gomega.ContainSubstring("good.ini: service assistant is valid"))
+	for _, fault := range []string{"kind: found", "floors add up", "firstToken: found \"10\"", "no rank of this document", "zone: unknown key", "zones: at least one"} {
+		g.Expect(out).To(gomega.ContainSubstring(fault))
+	}
+}
+
+func exampleStatus() operator.Status {
+	upstreams := []dispatch.UpstreamState{
+		{ID: "e0", Zone: "a", Usable: true, Slots: 8},
+		{ID: "e1", Zone: "b", Usable: false, Leaving: true, Slots: 8},
+	}
+	return operator.Status{
+		Instance: "entry-a0", Zone: "a", Ready: true,
+		Services: []dispatch.ServiceState{
+			{Service: "assistant", Revision: 7, Slots: 16, Waiting: map[string]int{"urgent": 2, "draft": 9}, Upstreams: upstreams},
+			{Service: "booking", Revision: 3, Slots: 8, Free: 8, Waiting: map[string]int{"urgent": 0}, Upstreams: upstreams[:1]},
+			{Service: "rota", Revision: 1, Waiting: map[string]int{}},
+		},
+	}
+}
+
+func TestStatus(t *testing.T) {
+	for _, output := range []string{"text", "json"} {
+		t.Run(output, func(t *testing.T) {
+			var out bytes.Buffer
+			c := &cli{out: &out, output: output}
+			gomega.NewWithT(t).Expect(c.printStatus(exampleStatus())).To(gomega.Succeed())
+			golden(t, "status-"+output, out.String())
+		})
+	}
+}
+
+func TestList(t *testing.T) {
+	g := gomega.NewWithT(t)
+	assistant, err := service.ParseINI(examples.Assistant)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	booking, err := service.ParseINI(examples.Booking)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	all := []operator.Stored{{Revision: 4, Document: assistant}, {Revision: 12, Document: booking}}
+	for _, output := range []string{"text", "json"} {
+		var out bytes.Buffer
+		c := &cli{out: &out, output: output}
+		g.Expect(c.printList(all)).To(gomega.Succeed())
+		golden(t, "list-"+output, out.String())
+	}
+}
+
+func TestLoadTraceIsTheSameForTheSameSeed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := filepath.Join(t.TempDir(), "trace.jsonl")
+	out, code := run("load", "--writeTrace", path, "--rate", "2", "--duration", "2s", "--seed", "7")
+	g.Expect(code).To(gomega.Equal(exitOK), out)
+	data, err := os.ReadFile(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	golden(t, "load-trace", string(data))
+	_, err = load.ReadTrace(bytes.NewReader(data))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func TestLoadReport(t *testing.T) {
+	var out bytes.Buffer
+	q := load.Quantiles{P50: 18.2, P95: 30, P99: 41.7, Max: 50}
+	r := &load.Report{
+		Ranks:   []*load.Group{{Name: "urgent", Sent: 10, Answered: 9, Refused: 1, FirstToken: q, Whole: q}},
+		Callers: []*load.Group{{Name: "cooperative", Sent: 10, Answered: 9, Failed: 1, FirstToken: q, Whole: q}},
+	}
+	r.Table(&out)
+	golden(t, "load-report", out.String())
+}
+
+func TestDemoAnswersWhole(t *testing.T) {
+	g := gomega.NewWithT(t)
+	began := time.Now()
+	out, code := run("demo", "--once")
+	g.Expect(code).To(gomega.Equal(exitOK), out)
+	g.Expect(out).To(gomega.ContainSubstring("the answer is whole"))
+	g.Expect(out).To(gomega.ContainSubstring("replayed true"))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", demoReady))
+}
--- a/commands/documents.go
+++ b/commands/documents.go
@@ -139,6 +139,10 @@
 	if err != nil {
 		return err
 	}
+	return c.printList(all)
+}
+
+func (c *cli) printList(all []operator.Stored) error {
 	if c.output == "json" {
 		return c.printJSON(all)
 	}
--- a/commands/state.go
+++ b/commands/state.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return err
 	}
+	return c.printStatus(s)
+}
+
+func (c *cli) printStatus(s operator.Status) error {
 	if c.output == "json" {
 		return c.printJSON(s)
 	}
--- a/common/inifile/inifile.go
+++ b/common/inifile/inifile.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -81,7 +83,13 @@
 }
 
 // Has reports whether the key stands in the section.
-func (r *Reader) Has(key string) bool { return r.section.HasKey(key) }
+func (r *Reader) Has(key string) bool {
+	r.asked[key] = true
+	return r.section.HasKey(key)
+}
+
+// Asked returns the keys that were asked for, in order.
+func (r *Reader) Asked() []string { return slices.Sorted(maps.Keys(r.asked)) }
 
 // String returns the key's value, or "" if it is absent.
 func (r *Reader) String(key string) string {
--- /dev/null
+++ b/load/trace.go
@@ -0,0 +1,134 @@
+// Package load sends requests to entries at the times of a trace, whether or
+// not earlier ones were answered, and reports how long answers took.
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Arrival is one request of a trace. A trace file holds one as JSON on each
+// line.
+type Arrival struct {
+	// AtMicros is the time from the start of the run, in microseconds.
+	AtMicros int64  `json:"atMicros"`
+	Service  string `json:"service"`
+	// Model is set for a model service.
+	Model  string `json:"model,omitempty"`
+	Call   string `json:"call,omitempty"`
+	Rank   string `json:"rank"`
+	Caller string `json:"caller"`
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"tokens,omitempty"`
+	Stream bool   `json:"stream,omitempty"`
+	// Path and Key are those of a plain call.
+	Path string `json:"path,omitempty"`
+	Key  string `json:"key,omitempty"`
+}
+
+// Check verifies a decoded arrival.
+func (a *Arrival) Check() error {
+	switch {
+	case a.AtMicros < 0:
+		return errors.New("atMicros is negative")
+	case a.Model == "" && a.Path == "":
+		return errors.New("either a model or a path is needed")
+	case a.Model != "" && a.Path != "":
+		return errors.New("a model and a path exclude each other")
+	case a.Path != "" && !strings.HasPrefix(a.Path, "/"):
+		return errors.Errorf("path %q doesn't start with /", a.Path)
+	}
+	return nil
+}
+
+// maxLine bounds a line of a trace file.
+const maxLine = 1 << 20
+
+// ReadTrace reads a trace file.
+func ReadTrace(r io.Reader) ([]Arrival, error) {
+	var trace []Arrival
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for n := 1; lines.Scan(); n++ {
+		if strings.TrimSpace(lines.Text()) == "" {
+			continue
+		}
+		var a Arrival
+		err := json.Unmarshal(lines.Bytes(), &a)
+		if err == nil {
+			err = a.Check()
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "trace line %d", n)
+		}
+		trace = append(trace, a)
+	}
+	return trace, errors.Wrap(lines.Err(), "read trace")
+}
+
+// WriteTrace writes a trace file.
+func WriteTrace(w io.Writer, trace []Arrival) error {
+	e := json.NewEncoder(w)
+	for _, a := range trace {
+		if err := e.Encode(a); err != nil {
+			return errors.Wrap(err, "write trace")
+		}
+	}
+	return nil
+}
+
+// Mix is one part of a generated trace.
+type Mix struct {
+	Model, Call, Rank string
+	// Rate is in requests per second.
+	Rate    float64
+	Callers []string
+	Tokens  int
+}
+
+// Generate makes a Poisson trace. The same seed gives the same trace.
+func Generate(seed uint64, duration time.Duration, mixes []Mix) []Arrival {
+	var trace []Arrival
+	for i, m := range mixes {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		at := time.Duration(0)
+		for n := 0; m.Rate > 0; n++ {
+			at += time.Duration(random.ExpFloat64() / m.Rate * float64(time.Second))
+			if at >= duration {
+				break
+			}
+			trace = append(trace, Arrival{
+				AtMicros: at.Microseconds(),
+				Service:  m.Model,
+				Model:    m.Model,
+				Call:     m.Call,
+				Rank:     m.Rank,
+				Caller:   m.Callers[random.IntN(len(m.Callers))],
+				Prompt:   sharedPrompt(random.IntN(prompts)) + fmt.Sprintf("%s %d", m.Call, n),
+				Tokens:   m.Tokens,
+				Stream:   true,
+			})
+		}
+	}
+	sort.SliceStable(trace, func(i, j int) bool { return trace[i].AtMicros < trace[j].AtMicros })
+	return trace
+}
+
+// prompts is the number of different starts of generated prompts, and
+// promptRepeat their length in sentences.
+const (
+	prompts      = 8
+	promptRepeat = 16
+)
+
+func sharedPrompt(kind int) string {
+	return strings.Repeat(fmt.Sprintf("These are the rules of household %d. ", kind), promptRepeat)
+}
--- a/measure/policies_test.go
+++ b/measure/policies_test.go
@@ -70,7 +70,7 @@
 	return f.pump(now)
 }
 
-func (f *fifo) move(now clock.Instant, id uint64) []dispatch.Action {
+func (f *fifo) move(now clock.Instant, _ uint64) []dispatch.Action {
 	return f.pump(now)
 }
 
--- a/measure/ranks_test.go
+++ b/measure/ranks_test.go
@@ -42,7 +42,7 @@
 	return trace
 }
 
-func TestServiceByRank(t *testing.T) {
+func TestServiceByRank(_ *testing.T) {
 	d := limaDocument()
 	for _, factor := range []float64{0.7, 1, 2, 5} {
 		for _, name := range makerNames {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"gopkg.in/ini.v1"
+
 	"github.com/hyssopladder/hyssopladder/common/inifile"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
@@ -121,22 +123,18 @@
 		return s, service.Faults{err.Error()}
 	}
 	var faults service.Faults
+	sections := s.sections()
 	for _, section := range file.Sections() {
-		r := &reader{inifile.NewReader(section)}
-		switch section.Name() {
-		case "DEFAULT":
-		case "node":
-			s.Node.read(r)
-		case "entry":
-			s.Entry.read(r)
-		case "peer":
-			s.Peer.read(r)
-		case "keeper":
-			s.Keeper.read(r)
-		default:
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		read, ok := sections[section.Name()]
+		if !ok {
 			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry, peer or keeper")
 			continue
 		}
+		r := &reader{inifile.NewReader(section)}
+		read(r)
 		faults = append(faults, r.Faults()...)
 	}
 	faults = append(faults, s.faults()...)
@@ -146,6 +144,28 @@
 	return s, nil
 }
 
+// sections are the readers of a file's sections.
+func (s *Settings) sections() map[string]func(*reader) {
+	return map[string]func(*reader){
+		"node":   s.Node.read,
+		"entry":  s.Entry.read,
+		"peer":   s.Peer.read,
+		"keeper": s.Keeper.read,
+	}
+}
+
+// Keys returns the keys of every section, in order.
+func Keys() map[string][]string {
+	s := Default()
+	keys := map[string][]string{}
+	for name, read := range s.sections() {
+		r := &reader{inifile.NewReader(ini.Empty().Section(name))}
+		read(r)
+		keys[name] = r.Asked()
+	}
+	return keys
+}
+
 // HasRole reports whether the node runs the role.
 func (s *Settings) HasRole(role string) bool {
 	for _, r := range s.Node.Roles {
@@ -244,7 +264,9 @@
 
 func (p *Peer) read(r *reader) {
 	r.address("listen", &p.Listen)
-	p.Seeds = r.AddrPorts("seeds")
+	if r.Has("seeds") {
+		p.Seeds = r.AddrPorts("seeds")
+	}
 	r.span("interval", &p.Interval)
 	r.span("lease", &p.Lease)
 }
