gossip: Call a node ready only when it has heard of the upstreams

The rolling restart failed now and then: a keeper that came back had its documents from its own disk, said that it was ready, and refused calls with noUpstream until the next announcement. Ruled out: lost announcements (they came within a quarter of a lease). A node is now ready after a comparison with a ready peer, or when it has listened for the time of a lease.

--- a/e2e/reclaim_test.go
+++ b/e2e/reclaim_test.go
@@ -170,18 +170,8 @@
 	ginkgo.It("a rolling restart of every entry under load cuts off nothing", func() {
 		nodes := twoZones()
 		startEngines(nodes, []string{"a", "b", "b"}, "--decode", "5ms")
-		var mu sync.Mutex
-		l := startLoad(8, 40, func(i int) *process {
-			for {
-				mu.Lock()
-				n := nodes[i%len(nodes)]
-				mu.Unlock()
-				if r := call(http.MethodGet, "http://"+n.Callers.String()+"/readyz", "", nil); r.status == http.StatusOK {
-					return n
-				}
-				i++
-			}
-		})
+		b := startBalancer(nodes)
+		l := startLoad(8, 40, b.pick)
 		l.answers(8)
 		for i, n := range nodes {
 			n.signal(syscall.SIGTERM)
@@ -189,9 +179,7 @@
 			gomega.Expect(n.ExitCode()).To(gomega.Equal(0))
 			next := n.again()
 			waitReady(next)
-			mu.Lock()
-			nodes[i] = next
-			mu.Unlock()
+			b.replace(i, next)
 			l.answers(8)
 		}
 		l.end()
@@ -204,3 +192,61 @@
 		return call(http.MethodGet, "http://"+n.Callers.String()+"/readyz", "", nil).status
 	}, startLimit).Should(gomega.Equal(http.StatusOK))
 }
+
+// balancer picks entries as a platform's balancer does: by a health check
+// that it makes now and then.
+type balancer struct {
+	mu      sync.Mutex
+	nodes   []*process
+	healthy []bool
+}
+
+// healthInterval is the time between two health checks of an entry.
+const healthInterval = 100 * time.Millisecond
+
+func startBalancer(nodes []*process) *balancer {
+	b := &balancer{nodes: append([]*process(nil), nodes...), healthy: make([]bool, len(nodes))}
+	stop := make(chan struct{})
+	ginkgo.DeferCleanup(func() { close(stop) })
+	for i := range nodes {
+		b.healthy[i] = true
+		go func() {
+			t := time.NewTicker(healthInterval)
+			defer t.Stop()
+			for {
+				select {
+				case <-t.C:
+					b.check(i)
+				case <-stop:
+					return
+				}
+			}
+		}()
+	}
+	return b
+}
+
+func (b *balancer) check(i int) {
+	b.mu.Lock()
+	n := b.nodes[i]
+	b.mu.Unlock()
+	r := call(http.MethodGet, "http://"+n.Callers.String()+"/readyz", "", nil)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.healthy[i] = r.status == http.StatusOK
+}
+
+func (b *balancer) replace(i int, n *process) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes[i] = n
+}
+
+func (b *balancer) pick(i int) *process {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !b.healthy[i%len(b.nodes)] {
+		i++
+	}
+	return b.nodes[i%len(b.nodes)]
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -56,13 +56,16 @@
 	ref     *actors.Ref
 
 	// The fields below belong to the actor.
-	table       *member.Table
-	random      *rand.Rand
-	round       int
-	sequence    uint64
-	leaving     bool
-	ready       bool
-	subscribers []func(Change)
+	table    *member.Table
+	random   *rand.Rand
+	round    int
+	sequence uint64
+	leaving  bool
+	// documents says that this node holds the documents in force; settled
+	// that it has had the time to hear of the upstreams.
+	documents, settled bool
+	began              clock.Instant
+	subscribers        []func(Change)
 }
 
 type (
@@ -98,6 +101,7 @@
 		table:   member.New(),
 		random:  rand.New(rand.NewPCG(o.Incarnation, 0)),
 	}
+	h.began = o.Clock()
 	h.ref = actors.Spawn(ctx, o.Actors, "gossip", h.receive)
 	o.Server.On(peer.Exchange, h.serveExchange)
 	h.ref.Send(refresh{})
@@ -133,7 +137,8 @@
 func (h *Host) Leave() { h.ref.Send(leave{}) }
 
 // Ready reports whether this node holds the documents in force, from a ready
-// peer or from a keeper of its own.
+// peer or from a keeper of its own, and has heard of the upstreams: from a
+// ready peer, or because it has listened for the time of a lease.
 func (h *Host) Ready(ctx context.Context) bool {
 	ready, _ := actors.Ask(ctx, h.ref, func(reply chan<- bool) any { return readyQuery{reply} })
 	return ready
@@ -190,7 +195,7 @@
 		h.subscribers = append(h.subscribers, m.f)
 		m.f(Change{Changed: h.table.All(now)})
 	case setReady:
-		h.ready = true
+		h.documents = true
 	case setKeeper:
 		h.options.Node.KeeperID, h.options.Node.Cluster = m.id, m.cluster
 		h.refresh(now)
@@ -206,10 +211,12 @@
 		m.f(now, h.table)
 		m.done <- struct{}{}
 	case readyQuery:
-		m.reply <- h.ready
+		m.reply <- h.ready()
 	}
 }
 
+func (h *Host) ready() bool { return h.documents && h.settled }
+
 func (h *Host) merge(now clock.Instant, records []member.Record) {
 	changed := h.table.Merge(now, records)
 	if len(changed) > 0 {
@@ -238,6 +245,7 @@
 	if ended := h.table.Expire(now); len(ended) > 0 {
 		h.notify(Change{Ended: ended})
 	}
+	h.settled = h.settled || now-h.began >= h.options.Lease
 	h.round++
 	if refreshEvery := max(int(h.options.Lease/h.options.Interval)/3, 1); h.round%refreshEvery == 0 {
 		h.refresh(now)
@@ -256,7 +264,7 @@
 	}
 	targets := h.targets(now, fanOut)
 	for _, to := range targets {
-		h.send(to, member.Exchange{From: h.options.Node.Name, Push: hot, Ready: h.ready})
+		h.send(to, member.Exchange{From: h.options.Node.Name, Push: hot, Ready: h.ready()})
 	}
 }
 
@@ -267,7 +275,7 @@
 			From:    h.options.Node.Name,
 			Compare: true,
 			Digest:  h.table.Digest(),
-			Ready:   h.ready,
+			Ready:   h.ready(),
 		})
 	}
 }
@@ -308,7 +316,7 @@
 
 func (h *Host) exchange(now clock.Instant, m member.Exchange) member.Answer {
 	h.merge(now, m.Push)
-	answer := member.Answer{Ready: h.ready}
+	answer := member.Answer{Ready: h.ready()}
 	if m.Compare {
 		answer.Push, answer.Want = h.table.Compare(now, m.Digest)
 		answer.Compared = true
@@ -319,13 +327,13 @@
 func (h *Host) answered(now clock.Instant, m answered) {
 	h.merge(now, m.answer.Push)
 	if m.answer.Compared && m.answer.Ready {
-		h.ready = true
+		h.documents, h.settled = true, true
 	}
 	if len(m.answer.Want) > 0 {
 		h.send(m.from, member.Exchange{
 			From:  h.options.Node.Name,
 			Push:  h.table.Select(now, m.answer.Want),
-			Ready: h.ready,
+			Ready: h.ready(),
 		})
 	}
 }
