share: Split capacity among entries by what callers ask of each

Entries gossip their callers' demand and compute the same weighted max-min split. A fault of the measure's own fake, which lost grants given on a load report, misled three tries.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
 )
@@ -11,9 +12,11 @@
 // starts at the current virtual time and so gets no credit for idle time.
 type fairQueue struct {
 	callers map[string]*callerQueue
-	active  callerHeap
-	virtual float64
-	work    float64
+	// active are the callers that wait; those that ask for more than their
+	// share are in over.
+	active, over callerHeap
+	virtual      float64
+	work         float64
 	// weight adds up the weights of the callers that were seen lately.
 	weight float64
 	length int
@@ -28,6 +31,22 @@
 	start, finish float64
 	index         int
 	seen          clock.Instant
+	// isOver says that the caller asks for more than its share.
+	isOver bool
+	// asked is the decayed work per second that the caller asked for, as of
+	// askedAt.
+	asked   float64
+	askedAt clock.Instant
+}
+
+// ask adds to the work that the caller asked for.
+func (c *callerQueue) ask(cost float64, now clock.Instant) {
+	c.asked = c.askedNow(now) + cost*math.Ln2/usageHalfLife.Seconds()
+	c.askedAt = now
+}
+
+func (c *callerQueue) askedNow(now clock.Instant) float64 {
+	return c.asked * math.Exp2(-float64(now-c.askedAt)/float64(usageHalfLife))
 }
 
 func newFairQueue() *fairQueue {
@@ -47,11 +66,25 @@
 	return c
 }
 
+// heap returns the heap that the caller waits in.
+func (q *fairQueue) heap(c *callerQueue) *callerHeap {
+	if c.isOver {
+		return &q.over
+	}
+	return &q.active
+}
+
 func (q *fairQueue) push(r Request) {
 	c := q.see(r.Caller, r.Weight, r.Accepted)
+	if len(c.items) > 0 && c.isOver != r.Over {
+		heap.Remove(q.heap(c), c.index)
+		c.isOver = r.Over
+		heap.Push(q.heap(c), c)
+	}
 	if len(c.items) == 0 {
+		c.isOver = r.Over
 		c.start = max(q.virtual, c.finish)
-		heap.Push(&q.active, c)
+		heap.Push(q.heap(c), c)
 	}
 	c.items = append(c.items, r)
 	c.work += r.Cost
@@ -59,15 +92,29 @@
 	q.length++
 }
 
-func (q *fairQueue) head() (Request, bool) {
-	if len(q.active) == 0 {
+// next returns the caller whose turn it is. Those that ask for more than their
+// share are left out unless withOver is set.
+func (q *fairQueue) next(withOver bool) *callerQueue {
+	var best *callerQueue
+	if len(q.active) > 0 {
+		best = q.active[0]
+	}
+	if withOver && len(q.over) > 0 && (best == nil || q.over[0].start < best.start) {
+		best = q.over[0]
+	}
+	return best
+}
+
+func (q *fairQueue) head(withOver bool) (Request, bool) {
+	c := q.next(withOver)
+	if c == nil {
 		return Request{}, false
 	}
-	return q.active[0].items[0], true
+	return c.items[0], true
 }
 
-func (q *fairQueue) pop() Request {
-	c := q.active[0]
+func (q *fairQueue) pop(withOver bool) Request {
+	c := q.next(withOver)
 	r := c.items[0]
 	q.virtual = max(q.virtual, c.start)
 	c.finish = c.start + r.Cost/c.weight
@@ -83,12 +130,12 @@
 	q.work -= r.Cost
 	q.length--
 	if len(c.items) == 0 {
-		heap.Remove(&q.active, c.index)
+		heap.Remove(q.heap(c), c.index)
 		return
 	}
 	if i == 0 {
 		c.start = max(c.start, c.finish)
-		heap.Fix(&q.active, c.index)
+		heap.Fix(q.heap(c), c.index)
 	}
 }
 
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -23,7 +23,7 @@
 	usageHalfLife = 4 * time.Second
 	// creditSeconds bounds, in seconds of capacity, the credit that a rank
 	// below its floor can save up.
-	creditSeconds = 0.5
+	creditSeconds = 2
 	// pruneInterval is the time between two clean-ups.
 	pruneInterval = time.Second
 	// activeTime is how long after its last request a caller counts as one
@@ -39,6 +39,8 @@
 	Weight float64
 	// Cost is the expected work in tokens.
 	Cost float64
+	// Over says that the caller asks for more than its share.
+	Over bool
 	// Accepted is when the request was accepted.
 	Accepted clock.Instant
 }
@@ -47,6 +49,9 @@
 type Capacity struct {
 	// Free is the number of slots that are free now.
 	Free int
+	// FreeOver is the part of Free that callers may use who ask for more than
+	// their share.
+	FreeOver int
 	// Rate is the expected work per second, in tokens, of this entry's share
 	// of the fleet.
 	Rate float64
@@ -99,11 +104,10 @@
 		to := &s.ranks[min(i, len(ranks)-1)]
 		to.usage += o.usage
 		for {
-			r, ok := o.queue.head()
-			if !ok {
+			if _, ok := o.queue.head(true); !ok {
 				break
 			}
-			o.queue.pop()
+			r := o.queue.pop(true)
 			r.Rank = min(i, len(ranks)-1)
 			to.queue.push(r)
 		}
@@ -119,7 +123,7 @@
 		s.pruned = now
 		s.prune(now)
 	}
-	s.ranks[r.Rank].queue.see(r.Caller, r.Weight, now)
+	s.ranks[r.Rank].queue.see(r.Caller, r.Weight, now).ask(r.Cost, now)
 	wait := s.predict(r, c)
 	target := time.Duration(safety * float64(s.ranks[r.Rank].target))
 	if wait > target || s.waiting >= MaxWaiting {
@@ -139,9 +143,10 @@
 }
 
 // predict bounds the waiting time of r by what the rank is guaranteed,
-// whatever the other ranks ask for later: no caller waits longer than its own
-// backlog takes at its own share, nor longer than the whole rank's backlog
-// takes at the rank's rate.
+// whatever the other ranks ask for later: a caller waits until its own backlog
+// is done at its own share, and the rank's until it is done at the rate that
+// the rank has at present. The request itself isn't counted: a caller without
+// a backlog gets the next turn.
 func (s *Scheduler) predict(r Request, c Capacity) time.Duration {
 	if s.waiting == 0 && c.Free > 0 {
 		return 0
@@ -151,26 +156,34 @@
 	}
 	rank := &s.ranks[r.Rank]
 	rate := s.guaranteed(r.Rank, c.Rate)
-	share := rank.queue.callerShare(r.Caller)
-	own := (rank.queue.callerWork(r.Caller) + r.Cost) / (rate * share)
-	all := (rank.queue.work + r.Cost) / rate
+	own := rank.queue.callerWork(r.Caller) / (rate * rank.queue.callerShare(r.Caller))
+	all := rank.queue.work / max(rate, min(s.left(r.Rank, c.Rate), c.Rate))
 	if seconds := max(own, all); seconds < float64(math.MaxInt64)/float64(2*time.Second) {
 		return time.Duration(seconds * float64(time.Second))
 	}
 	return math.MaxInt64
 }
 
+// left is the work per second that the other ranks leave at present.
+func (s *Scheduler) left(rank int, rate float64) float64 {
+	for i := range s.ranks {
+		if i != rank {
+			rate -= s.ranks[i].usage
+		}
+	}
+	return rate
+}
+
 // guaranteed is the work per second that the rank gets even when all others
 // ask for more than there is: its floor, and for the most urgent rank all that
 // the floors of the others leave. A rank without a floor counts on what is
 // left at present.
 func (s *Scheduler) guaranteed(rank int, rate float64) float64 {
 	const least = 1e-6
-	others, left := 0.0, rate
+	others := 0.0
 	for i := range s.ranks {
 		if i != rank {
 			others += s.ranks[i].floor
-			left -= s.ranks[i].usage
 		}
 	}
 	switch {
@@ -179,7 +192,7 @@
 	case s.ranks[rank].floor > 0:
 		return s.ranks[rank].floor * rate
 	default:
-		return max(left, least*rate)
+		return max(s.left(rank, rate), least*rate)
 	}
 }
 
@@ -187,21 +200,25 @@
 // a rank has fallen behind its floor.
 func (s *Scheduler) Next(now clock.Instant, c Capacity) (Request, bool) {
 	s.decay(now)
-	rank := s.pick()
+	if c.Free <= 0 {
+		return Request{}, false
+	}
+	withOver := c.FreeOver > 0
+	rank := s.pick(withOver)
 	if rank < 0 {
 		return Request{}, false
 	}
-	r := s.ranks[rank].queue.pop()
+	r := s.ranks[rank].queue.pop(withOver)
 	s.waiting--
 	s.settleCredit(rank, r.Cost, c.Rate*creditSeconds)
 	return r, true
 }
 
-func (s *Scheduler) pick() int {
+func (s *Scheduler) pick(withOver bool) int {
 	urgent, behind := -1, -1
 	for i := range s.ranks {
 		rank := &s.ranks[i]
-		head, ok := rank.queue.head()
+		head, ok := rank.queue.head(withOver)
 		if !ok {
 			continue
 		}
@@ -231,7 +248,7 @@
 			rank.credit = 0
 			continue
 		}
-		head, _ := rank.queue.head()
+		head, _ := rank.queue.head(true)
 		rank.credit = min(rank.credit+rank.floor*cost, max(most*rank.floor, head.Cost))
 	}
 }
@@ -253,6 +270,15 @@
 // WaitingIn is the number of requests that wait in a rank.
 func (s *Scheduler) WaitingIn(rank int) int { return s.ranks[rank].queue.length }
 
+// Asked is the work per second, in tokens, that callers asked for lately.
+func (s *Scheduler) Asked(now clock.Instant, f func(rank int, caller string, rate float64)) {
+	for i := range s.ranks {
+		for name, c := range s.ranks[i].queue.callers {
+			f(i, name, c.askedNow(now))
+		}
+	}
+}
+
 // Usage is the decayed work per second, in tokens, accepted in a rank.
 func (s *Scheduler) Usage(rank int) float64 { return s.ranks[rank].usage }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/admission"
@@ -13,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/route"
 	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/share"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -95,7 +97,18 @@
 	generation uint64
 	// speed is the measured work per slot and second, in tokens.
 	speed float64
-	share float64
+	// share and allocation are this entry's part of the service's capacity.
+	share      float64
+	part       upstream.Part
+	allocation share.Allocation
+	// entries is the number of entries that share the capacity.
+	entries int
+	// reserve is the number of slots that stay free for callers within their
+	// share.
+	reserve int
+	// dither, from 0 to 1, rounds parts of slots so that over time every
+	// entry gets its part.
+	dither float64
 }
 
 type ticket struct {
@@ -106,6 +119,9 @@
 	upstream    string
 	incarnation uint64
 	started     clock.Instant
+	// queued says that the upstream had no free slot when the ticket went
+	// there, so that its time doesn't tell the speed of a slot.
+	queued bool
 }
 
 type ticketState int
@@ -141,6 +157,8 @@
 			budget:    retry.NewBudget(retryRatio),
 			speed:     initialSpeed,
 			share:     1,
+			part:      upstream.Whole,
+			entries:   1,
 		}
 		d.pools[a.Document.Name] = p
 	case a.Revision <= p.document.Revision:
@@ -154,13 +172,6 @@
 	return d.take()
 }
 
-// SetShare sets the part of a service's fleet that this entry counts on.
-func (d *Dispatcher) SetShare(name string, share float64) {
-	if p, ok := d.pools[name]; ok {
-		p.share = share
-	}
-}
-
 // Announce takes in what an upstream says about itself.
 func (d *Dispatcher) Announce(now clock.Instant, a upstream.Announcement) []Action {
 	held, known := d.directory.Get(a.ID)
@@ -213,8 +224,9 @@
 		ID:     t.ID,
 		Rank:   t.Rank,
 		Caller: t.Caller,
-		Weight: p.document.Document.Weight(t.Caller),
+		Weight: p.weight(t.Rank, t.Caller),
 		Cost:   t.Cost,
+		Over:   p.isOver(t.Rank, t.Caller),
 	}, capacity)
 	if !decision.Accepted {
 		err := result.New(result.Overloaded, result.RanNo, "the request would start after its target")
@@ -321,7 +333,7 @@
 // measure learns the speed of a slot from an answered ticket.
 func (p *pool) measure(t *ticket, now clock.Instant) {
 	const weight = 0.05
-	if elapsed := (now - t.started).Seconds(); elapsed > 0 && t.attempts == 1 {
+	if elapsed := (now - t.started).Seconds(); elapsed > 0 && t.attempts == 1 && !t.queued {
 		p.speed += weight * (t.Cost/elapsed - p.speed)
 	}
 }
@@ -343,17 +355,22 @@
 // capacity sums up what the pool's upstreams can take.
 func (d *Dispatcher) capacity(now clock.Instant, p *pool) admission.Capacity {
 	var c admission.Capacity
-	slots := 0
+	slots, own, free := 0, 0, 0
 	for _, u := range d.candidates(p) {
 		if !u.Usable(now) {
 			continue
 		}
 		slots += u.Slots
 		if !u.Avoided(now) {
-			c.Free += u.Free()
+			free += u.Free()
+			c.Free += max(u.Slots+p.overcommit()-u.Busy(), 0)
+			own += u.Allowance(p.part)
 		}
 	}
-	c.Rate = float64(slots) * p.speed * p.share
+	// Callers above their share use only slots that fall to this entry, so
+	// that entries with the same view don't all take the same ones.
+	c.FreeOver = min(own-int(math.Ceil(p.share*float64(p.reserve)-p.dither)), free)
+	c.Rate = float64(max(slots-p.reserve, 0)) * p.speed * p.share
 	return c
 }
 
@@ -368,16 +385,12 @@
 func (d *Dispatcher) pump(now clock.Instant, p *pool) {
 	d.pumpMovers(now, p)
 	for p.scheduler.Waiting() > 0 {
-		c := d.capacity(now, p)
-		if c.Free == 0 {
-			return
-		}
-		r, ok := p.scheduler.Next(now, c)
+		r, ok := p.scheduler.Next(now, d.capacity(now, p))
 		if !ok {
 			return
 		}
 		t := d.tickets[r.ID]
-		if !d.place(now, p, t, true) {
+		if !d.placeWaiting(now, p, t, r.Over) {
 			// Free slots that this ticket may not use: it goes on as a mover.
 			t.state = moving
 			p.movers = append(p.movers, t.ID)
@@ -388,17 +401,43 @@
 func (d *Dispatcher) pumpMovers(now clock.Instant, p *pool) {
 	left := p.movers[:0]
 	for _, id := range p.movers {
-		if t := d.tickets[id]; t != nil && !d.place(now, p, t, false) {
+		if t := d.tickets[id]; t != nil && !d.place(now, p, t, t.Query) {
 			left = append(left, id)
 		}
 	}
 	p.movers = left
 }
 
-// place grants an upstream to the ticket, if one can take it.
-func (d *Dispatcher) place(now clock.Instant, p *pool, t *ticket, needFree bool) bool {
+// overcommit is the number of requests beyond its slots that an upstream may
+// get from callers within their share. With other entries about, free slots
+// are known late, and the upstream's own short queue is the one that all
+// share.
+func (p *pool) overcommit() int {
+	if p.entries > 1 {
+		return 1
+	}
+	return 0
+}
+
+// placeWaiting grants a free upstream to a ticket whose turn it is: one with a
+// slot of this entry's part before any other.
+func (d *Dispatcher) placeWaiting(now clock.Instant, p *pool, t *ticket, over bool) bool {
 	q := t.Query
-	q.NeedFree = needFree
+	q.Part = p.part
+	q.NeedFree, q.NeedOwn = true, p.entries > 1
+	if d.place(now, p, t, q) {
+		return true
+	}
+	q.NeedOwn = false
+	if !over {
+		q.Overcommit = p.overcommit()
+	}
+	return d.place(now, p, t, q)
+}
+
+// place grants an upstream to the ticket, if one can take it; as a last resort
+// one that failed the ticket before.
+func (d *Dispatcher) place(now clock.Instant, p *pool, t *ticket, q route.Query) bool {
 	u := route.Choose(now, q, d.candidates(p), d.hints, d.options.Costs)
 	if u == nil && len(q.Exclude) > 0 {
 		q.Exclude = nil
@@ -407,6 +446,7 @@
 	if u == nil {
 		return false
 	}
+	t.queued = u.Free() == 0
 	u.Start()
 	t.state = running
 	t.attempts++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,14 +80,15 @@
 		return nil, err
 	}
 	n := h.Settings.Node
+	node := member.NodeInfo{Name: n.Name, Region: n.Region, Zone: n.Zone}
 	e, err := New(ctx, Options{
-		Node:     member.NodeInfo{Name: n.Name, Region: n.Region, Zone: n.Zone},
+		Node:     node,
 		Settings: h.Settings.Entry,
 		Gossip:   g,
 		Server:   server,
 		Metrics:  h.Metrics,
 		Claims:   claims,
-	}, newHost(ctx, n.Zone, h.Clock, h.Actors, g))
+	}, newHost(ctx, node, h.Incarnation, h.Clock, h.Actors, g))
 	if err != nil {
 		return nil, err
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -37,6 +37,7 @@
 	// The fields below belong to the actor.
 	dispatcher *dispatch.Dispatcher
 	waiters    map[uint64]*job
+	demands    *demands
 }
 
 // job is one accepted or offered request as its handler sees it.
@@ -76,11 +77,12 @@
 	}
 )
 
-func newHost(ctx context.Context, zone string, c clock.Clock, system *actor.ActorSystem, g *gossip.Host) *host {
+func newHost(ctx context.Context, node member.NodeInfo, incarnation uint64, c clock.Clock, system *actor.ActorSystem, g *gossip.Host) *host {
 	h := &host{
 		clock:      c,
-		dispatcher: dispatch.New(dispatch.Options{Zone: zone, Costs: dispatch.DefaultCosts()}),
+		dispatcher: dispatch.New(dispatch.Options{Zone: node.Zone, Costs: dispatch.DefaultCosts()}),
 		waiters:    map[uint64]*job{},
+		demands:    newDemands(node.Name, incarnation, g),
 	}
 	h.documents.Store(&map[string]service.Accepted{})
 	h.ref = actors.Spawn(ctx, system, "entry", h.receive)
@@ -140,6 +142,7 @@
 	now := h.clock()
 	switch m := message.(type) {
 	case tick:
+		h.demands.tick(now, h.dispatcher)
 		h.act(h.dispatcher.Tick(now))
 	case submit:
 		h.waiters[m.job.ticket.ID] = m.job
@@ -220,11 +223,16 @@
 			h.act(h.dispatcher.Announce(now, a))
 		case member.Document:
 			h.setDocument(now, r)
+		case member.Demand:
+			h.demands.take(r)
 		}
 	}
 	for _, r := range c.Ended {
-		if r.Kind == member.Upstream {
+		switch r.Kind {
+		case member.Upstream:
 			h.dispatcher.Lost(r.ID, r.Incarnation)
+		case member.Demand:
+			h.demands.drop(r)
 		}
 	}
 }
--- a/measure/fleet_test.go
+++ b/measure/fleet_test.go
@@ -49,7 +49,7 @@
 
 // policy is what decides for one entry.
 type policy interface {
-	announce(now clock.Instant, a upstream.Announcement)
+	announce(now clock.Instant, a upstream.Announcement) []dispatch.Action
 	submit(now clock.Instant, r *request) []dispatch.Action
 	finish(now clock.Instant, id uint64) []dispatch.Action
 	move(now clock.Instant, id uint64) []dispatch.Action
@@ -142,7 +142,7 @@
 	e.Sequence++
 	e.Load = upstream.Load{Running: len(e.running), Queued: len(e.queue)}
 	for _, p := range f.entries {
-		p.announce(f.now, e.Announcement)
+		f.act(p, p.announce(f.now, e.Announcement))
 	}
 	f.at(f.now+reportLag, func() { f.report(e) })
 }
--- a/measure/policies_test.go
+++ b/measure/policies_test.go
@@ -12,14 +12,15 @@
 // ours is the daemon's own dispatcher.
 type ours struct{ d *dispatch.Dispatcher }
 
-func newOurs(document service.Document, zone string, share float64) *ours {
+func newOurs(document service.Document, zone string) *ours {
 	d := dispatch.New(dispatch.Options{Zone: zone, Costs: dispatch.DefaultCosts()})
 	d.SetDocument(0, service.Accepted{Revision: 1, Document: document})
-	d.SetShare(document.Name, share)
 	return &ours{d}
 }
 
-func (o *ours) announce(now clock.Instant, a upstream.Announcement) { o.d.Announce(now, a) }
+func (o *ours) announce(now clock.Instant, a upstream.Announcement) []dispatch.Action {
+	return o.d.Announce(now, a)
+}
 
 func (o *ours) submit(now clock.Instant, r *request) []dispatch.Action {
 	return o.d.Submit(now, dispatch.Ticket{
@@ -52,9 +53,10 @@
 	return &fifo{leastLoaded: leastLoaded, directory: upstream.New(), where: map[uint64]*upstream.Upstream{}}
 }
 
-func (f *fifo) announce(now clock.Instant, a upstream.Announcement) {
+func (f *fifo) announce(now clock.Instant, a upstream.Announcement) []dispatch.Action {
 	f.directory.Apply(now, a)
 	f.upstreams = f.directory.All()
+	return f.pump(now)
 }
 
 func (f *fifo) submit(now clock.Instant, r *request) []dispatch.Action {
--- a/measure/ranks_test.go
+++ b/measure/ranks_test.go
@@ -19,7 +19,7 @@
 var makers = map[string]func() policy{
 	"fifo round robin":  func() policy { return newFIFO(false) },
 	"fifo least loaded": func() policy { return newFIFO(true) },
-	"ours":              func() policy { return newOurs(limaDocument(), "a", 1) },
+	"ours":              func() policy { return newOurs(limaDocument(), "a") },
 }
 
 var makerNames = []string{"fifo round robin", "fifo least loaded", "ours"}
@@ -36,6 +36,9 @@
 
 func runLoads(p policy, seed uint64, loads []load) []*request {
 	f := newFleet([]policy{p}, engines, zones)
+	if _, isOurs := p.(*ours); isOurs {
+		f.exchange()
+	}
 	trace := arrivals(seed, 1, loads)
 	f.arrive(trace)
 	f.run(duration + 120*time.Second)
--- a/member/record.go
+++ b/member/record.go
@@ -18,6 +18,7 @@
 	Upstream   Kind = "upstream"
 	Document   Kind = "document"
 	Quarantine Kind = "quarantine"
+	Demand     Kind = "demand"
 )
 
 // Limits of a record.
@@ -68,7 +69,7 @@
 // Check verifies a decoded record.
 func (r *Record) Check() error {
 	switch r.Kind {
-	case Node, Upstream, Document, Quarantine:
+	case Node, Upstream, Document, Quarantine, Demand:
 	default:
 		return errors.Errorf("record kind %q", r.Kind)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -22,8 +22,13 @@
 	PromptTokens int
 	// Exclude are upstreams that already failed the request.
 	Exclude []string
-	// NeedFree says that only an upstream with a free slot will do.
-	NeedFree bool
+	// NeedFree says that only an upstream with a free slot will do, and
+	// NeedOwn that the slot has to fall to this entry's part.
+	NeedFree, NeedOwn bool
+	// Overcommit is the number of requests beyond its slots that a free
+	// upstream may have.
+	Overcommit int
+	Part       upstream.Part
 }
 
 // Costs are the prices of what delays a first token.
@@ -48,7 +53,7 @@
 	var bestHash uint64
 	seed := promptSeed(q.Prefixes)
 	for _, u := range candidates {
-		if !u.Usable(now) || u.Avoided(now) || excluded(q.Exclude, u.ID) || (q.NeedFree && u.Free() == 0) {
+		if !u.Usable(now) || u.Avoided(now) || excluded(q.Exclude, u.ID) || (q.NeedFree && u.Busy() >= u.Slots+q.Overcommit) || (q.NeedOwn && u.Allowance(q.Part) <= 0) {
 			continue
 		}
 		cost := expected(q, u, hints, c)
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"math"
 	"slices"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
@@ -17,8 +20,18 @@
 	sinceReport int
 	// avoidUntil is set after a failed connection.
 	avoidUntil clock.Instant
+	// phase, from 0 to 1, decides which entries get the slots that were free
+	// at the last report.
+	phase float64
 }
 
+// Part is the interval of the numbers from 0 to 1 that belongs to an entry;
+// its length is the entry's share, and the entries' parts don't overlap.
+type Part struct{ From, To float64 }
+
+// Whole is the part of an entry that shares with nobody.
+var Whole = Part{0, 1}
+
 // Directory holds the upstreams. It isn't safe for concurrent use.
 type Directory struct {
 	upstreams map[string]*Upstream
@@ -48,13 +61,21 @@
 		held.Announcement = a
 		held.expires = now + a.Lease
 		held.sinceReport = 0
+		held.phase = phase(a)
 		return newlyLeaving
 	}
-	d.upstreams[a.ID] = &Upstream{Announcement: a, expires: now + a.Lease}
+	d.upstreams[a.ID] = &Upstream{Announcement: a, expires: now + a.Lease, phase: phase(a)}
 	d.changed()
 	return newlyLeaving
 }
 
+// phase is the same at every entry for the same report.
+func phase(a Announcement) float64 {
+	const mix = 0x9e3779b97f4a7c15
+	h := (xxhash.Sum64String(a.ID) ^ a.Sequence) * mix
+	return float64(h>>11) / (1 << 53)
+}
+
 // sameShape reports whether two announcements differ only in load and lease.
 func sameShape(a, b Announcement) bool {
 	return a.Address == b.Address && a.Zone == b.Zone && a.Class == b.Class && a.Kind == b.Kind &&
@@ -146,3 +167,16 @@
 
 // Free estimates the slots that are free.
 func (u *Upstream) Free() int { return max(u.Slots-u.Busy(), 0) }
+
+// Headroom is the number of free slots by the last report alone; it is
+// negative where requests queue.
+func (u *Upstream) Headroom() int { return u.Slots - u.Load.Running - u.Load.Queued }
+
+// Allowance is the number of slots that the entry may take without taking
+// those of others: of the slots that were free at the last report those that
+// fall to its part, and those that it has given back since.
+func (u *Upstream) Allowance(p Part) int {
+	headroom := float64(u.Headroom())
+	own := math.Ceil(p.To*headroom-u.phase) - math.Ceil(p.From*headroom-u.phase)
+	return int(own) - u.sinceReport
+}
