dispatch: Quarantine requests that crash upstreams, and prove silent wires

A request whose upstream died without notice runs alone, at an upstream that belongs to its entry for that; a second death alone quarantines it on every entry before its caller hears of it. Deaths of three upstreams within 2 s are taken for a failure of the instances. End-to-end tests also bring about silent connections to upstreams and between nodes, a zone cut off, racing operators and two disks lost one after the other.

--- a/commands/standin.go
+++ b/commands/standin.go
@@ -42,6 +42,7 @@
 	command.Flag("zone", "Availability zone.").Required().StringVar(&o.Zone)
 	command.Flag("class", "Class of the instance.").Default("small").StringVar(&o.Class)
 	command.Flag("listen", "Address to listen on.").SetValue(addrValue{&o.Listen})
+	command.Flag("advertise", "Address to announce; by default the one listened on.").SetValue(addrValue{&o.Advertise})
 	command.Flag("entry", "Peer address of an entry instance to announce to; may be repeated.").Required().SetValue(addrList{&o.Entries})
 	command.Flag("lease", "How long an announcement holds.").Default("2s").DurationVar(&o.Lease)
 	command.Flag("slots", "Requests that run at once.").Default("8").IntVar(&o.Slots)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -49,7 +49,9 @@
 	// Cost is the expected work in tokens.
 	Cost       float64
 	Repeatable bool
-	Query      route.Query
+	// Fingerprint identifies the caller, the service and the body.
+	Fingerprint uint64
+	Query       route.Query
 }
 
 // Action is what the host has to do.
@@ -73,6 +75,13 @@
 	Notice time.Duration
 }
 
+// Suspect tells the other entries of a request that upstreams died of.
+type Suspect struct {
+	Fingerprint uint64
+	Deaths      int
+}
+
+func (Suspect) action()  {}
 func (Grant) action()    {}
 func (Refuse) action()   {}
 func (Evacuate) action() {}
@@ -84,6 +93,7 @@
 	hints     *route.Hints
 	pools     map[string]*pool
 	tickets   map[uint64]*ticket
+	suspects  *suspects
 	actions   []Action
 }
 
@@ -101,8 +111,11 @@
 	share      float64
 	part       upstream.Part
 	allocation share.Allocation
-	// entries is the number of entries that share the capacity.
+	// entries is the number of entries that share the capacity, names are
+	// theirs, and entry is this one's.
 	entries int
+	names   []string
+	entry   string
 	// reserve is the number of slots that stay free for callers within their
 	// share.
 	reserve int
@@ -122,6 +135,12 @@
 	// queued says that the upstream had no free slot when the ticket went
 	// there, so that its time doesn't tell the speed of a slot.
 	queued bool
+	// alone says that the ticket has its upstream to itself, as a suspect.
+	alone bool
+	// held is the upstream that is kept for the ticket, as a suspect since
+	// suspectSince.
+	held         string
+	suspectSince clock.Instant
 }
 
 type ticketState int
@@ -144,6 +163,7 @@
 		hints:     route.NewHints(),
 		pools:     map[string]*pool{},
 		tickets:   map[uint64]*ticket{},
+		suspects:  newSuspects(),
 	}
 }
 
@@ -213,6 +233,10 @@
 		d.refuse(t.ID, result.New(result.UnknownService, result.RanNo, "service %q has no document here", t.Service))
 		return d.take()
 	}
+	if d.suspects.quarantined(now, t.Fingerprint) {
+		d.refuse(t.ID, result.New(result.Quarantined, result.RanNo, "the same request crashed the upstreams that ran it"))
+		return d.take()
+	}
 	p.budget.Deposit()
 	capacity := d.capacity(now, p)
 	if capacity.Rate <= 0 {
@@ -246,7 +270,14 @@
 		return d.take()
 	}
 	p := d.pools[t.Service]
+	alone := t.alone
 	d.release(now, t, f != retry.Reclaimed)
+	if f == retry.Broken && d.died(now, t, alone) {
+		delete(d.tickets, id)
+		d.refuse(id, result.New(result.Quarantined, result.RanUnknown, "the request crashed the upstreams that ran it"))
+		d.pump(now, p)
+		return d.take()
+	}
 	allowed := retry.Allowed(f, t.Repeatable, t.attempts)
 	if allowed && f != retry.Reclaimed {
 		allowed = p.budget.Spend(now)
@@ -277,6 +308,10 @@
 		return
 	}
 	u.Finish()
+	if t.alone {
+		t.alone = false
+		u.Release()
+	}
 	if avoid {
 		u.Avoid(now + avoidTime)
 		t.Query.Exclude = append(t.Query.Exclude, t.upstream)
@@ -293,6 +328,7 @@
 	if t.state == running {
 		d.release(now, t, false)
 		p.measure(t, now)
+		d.suspects.clear(t.Fingerprint)
 	}
 	delete(d.tickets, id)
 	d.pump(now, p)
@@ -312,6 +348,7 @@
 	case running:
 		d.release(now, t, false)
 	case moving:
+		d.unhold(t)
 		for i, m := range p.movers {
 			if m == id {
 				p.movers = append(p.movers[:i], p.movers[i+1:]...)
@@ -390,8 +427,9 @@
 			return
 		}
 		t := d.tickets[r.ID]
-		if !d.placeWaiting(now, p, t, r.Over) {
-			// Free slots that this ticket may not use: it goes on as a mover.
+		if d.suspects.suspected(now, t.Fingerprint) || !d.placeWaiting(now, p, t, r.Over) {
+			// A suspect, or free slots that this ticket may not use: it goes
+			// on as a mover.
 			t.state = moving
 			p.movers = append(p.movers, t.ID)
 		}
@@ -401,7 +439,7 @@
 func (d *Dispatcher) pumpMovers(now clock.Instant, p *pool) {
 	left := p.movers[:0]
 	for _, id := range p.movers {
-		if t := d.tickets[id]; t != nil && !d.place(now, p, t, t.Query) {
+		if t := d.tickets[id]; t != nil && !d.placeMover(now, p, t) {
 			left = append(left, id)
 		}
 	}
@@ -447,13 +485,17 @@
 		return false
 	}
 	t.queued = u.Free() == 0
+	d.grant(now, t, u)
+	return true
+}
+
+func (d *Dispatcher) grant(now clock.Instant, t *ticket, u *upstream.Upstream) {
 	u.Start()
 	t.state = running
 	t.attempts++
 	t.upstream, t.incarnation, t.started = u.ID, u.Incarnation, now
 	d.hints.Add(u.ID, t.Query.Prefixes)
 	d.actions = append(d.actions, Grant{Ticket: t.ID, Upstream: u.Announcement})
-	return true
 }
 
 func (d *Dispatcher) refuse(id uint64, err *result.Error) {
--- a/dispatch/dispatch__share.go
+++ b/dispatch/dispatch__share.go
@@ -58,7 +58,11 @@
 			slots += u.Slots
 		}
 	}
-	p.entries = len(reports)
+	p.entries, p.entry = len(reports), entry
+	p.names = p.names[:0]
+	for _, r := range reports {
+		p.names = append(p.names, r.Entry)
+	}
 	all := share.Allocate(&p.document.Document, float64(slots)*p.speed, reports)
 	own, ok := all[entry]
 	if !ok {
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -81,6 +81,7 @@
 	callers, peers           netip.AddrPort
 	seeds                    []netip.AddrPort
 	folder                   string
+	advertise                netip.AddrPort
 }
 
 func (o *nodeOptions) settings() string {
@@ -96,6 +97,9 @@
 	if o.peers.IsValid() {
 		text += "listen = " + o.peers.String() + "\n"
 	}
+	if o.advertise.IsValid() {
+		text += "advertise = " + o.advertise.String() + "\n"
+	}
 	text += "[entry]\n"
 	if o.callers.IsValid() {
 		text += "listen = " + o.callers.String() + "\n"
@@ -120,6 +124,56 @@
 	return startNode(o)
 }
 
+// onEmptyDisk starts a stopped node with a new, empty folder.
+func (p *process) onEmptyDisk() *process {
+	ginkgo.GinkgoHelper()
+	o := p.options
+	o.callers, o.peers = p.Callers, p.Peers
+	o.folder = ginkgo.GinkgoT().TempDir()
+	return startNode(o)
+}
+
+// keeperDump is the keeper's part of a node's dump.
+type keeperDump struct {
+	Plugins struct {
+		Keeper struct {
+			ID     uint64 `json:"id"`
+			Role   string `json:"role"`
+			Config struct {
+				Voters   []uint64 `json:"v"`
+				Outgoing []uint64 `json:"o"`
+			} `json:"config"`
+		} `json:"keeper"`
+	} `json:"plugins"`
+}
+
+// voters reports whether a leader says that every voter is one of the living
+// keepers, and no change is under way.
+func voters(nodes []*process) bool {
+	alive := map[uint64]bool{}
+	var config []uint64
+	for _, n := range nodes {
+		raw, err := n.operator().Dump(context.Background())
+		if err != nil {
+			return false
+		}
+		var d keeperDump
+		if json.Unmarshal(raw, &d) != nil {
+			return false
+		}
+		alive[d.Plugins.Keeper.ID] = true
+		if d.Plugins.Keeper.Role == "leader" && len(d.Plugins.Keeper.Config.Outgoing) == 0 {
+			config = d.Plugins.Keeper.Config.Voters
+		}
+	}
+	for _, id := range config {
+		if !alive[id] {
+			return false
+		}
+	}
+	return len(config) == keepers
+}
+
 type upstreamOptions struct {
 	kind, id, zone, serves string
 	entries                []*process
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -51,6 +51,8 @@
 			Cost:       cost,
 			Repeatable: call.Repeatable,
 			Query:      query,
+
+			Fingerprint: fingerprint(in.caller, accepted.Document.Name, in.body),
 		},
 	}
 	a.out = newSink(w, request, r.Header.Get(headerLastEvent), e.options.Settings.WriteTimeout)
@@ -152,10 +154,7 @@
 	}
 	x, err := a.entry.clients.do(ctx, u.Address, r, a.call.Repeatable)
 	if err != nil {
-		if x.connected {
-			return retry.Broken, nil
-		}
-		return retry.NotSent, nil
+		return failure(x.connected, watch.bitten()), nil
 	}
 	defer func() { _ = x.response.Body.Close() }()
 	if x.response.StatusCode != http.StatusOK {
@@ -166,10 +165,14 @@
 	for {
 		c, err := events.next(number)
 		if err != nil {
-			if evacuated.Load() {
+			switch {
+			case evacuated.Load():
 				return retry.Reclaimed, nil
+			case watch.bitten():
+				return retry.Silent, nil
+			default:
+				return retry.Broken, nil
 			}
-			return retry.Broken, nil
 		}
 		if failure, err := a.accept(c, u.ID); failure != nil || err != nil || a.stream.Ended() {
 			if failure != nil {
--- a/entry/host.go
+++ b/entry/host.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/actors"
@@ -38,6 +40,7 @@
 	dispatcher *dispatch.Dispatcher
 	waiters    map[uint64]*job
 	demands    *demands
+	gossip     *gossip.Host
 }
 
 // job is one accepted or offered request as its handler sees it.
@@ -83,6 +86,7 @@
 		dispatcher: dispatch.New(dispatch.Options{Zone: node.Zone, Costs: dispatch.DefaultCosts()}),
 		waiters:    map[uint64]*job{},
 		demands:    newDemands(node.Name, incarnation, g),
+		gossip:     g,
 	}
 	h.documents.Store(&map[string]service.Accepted{})
 	h.ref = actors.Spawn(ctx, system, "entry", h.receive)
@@ -172,8 +176,10 @@
 		case dispatch.Refuse:
 			if j := h.waiters[a.Ticket]; j != nil {
 				delete(h.waiters, a.Ticket)
-				j.outcomes <- refused{a.Err}
+				h.refuse(j, a.Err)
 			}
+		case dispatch.Suspect:
+			h.publishSuspect(a)
 		case dispatch.Evacuate:
 			if j := h.waiters[a.Ticket]; j != nil {
 				j.evacuate(a.Notice)
@@ -225,6 +231,8 @@
 			h.setDocument(now, r)
 		case member.Demand:
 			h.demands.take(r)
+		case member.Quarantine:
+			h.takeSuspect(now, r)
 		}
 	}
 	for _, r := range c.Ended {
@@ -256,3 +264,62 @@
 	h.documents.Store(&next)
 	klog.InfoS("document in force", "service", a.Document.Name, "revision", a.Revision)
 }
+
+// suspectInfo is the payload of a Quarantine record.
+type suspectInfo struct {
+	Deaths int `json:"d"`
+}
+
+// Check verifies a decoded suspect.
+func (s *suspectInfo) Check() error {
+	if s.Deaths < 1 {
+		return errors.Errorf("suspect with %d deaths", s.Deaths)
+	}
+	return nil
+}
+
+// spreadTimeout bounds the wait until the other entries know of a quarantine.
+const spreadTimeout = 500 * time.Millisecond
+
+// refuse answers a job with an error. A caller whose request is quarantined
+// hears of it when the other entries do, for it may send it again at once.
+func (h *host) refuse(j *job, err *result.Error) {
+	if err.Code != result.Quarantined || err.Ran == result.RanNo {
+		j.outcomes <- refused{err}
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+		defer cancel()
+		h.gossip.Spread(ctx, suspectRecord(j.ticket.Fingerprint, dispatch.MaxDeaths))
+		j.outcomes <- refused{err}
+	}()
+}
+
+// publishSuspect tells the other entries of a request that upstreams died of.
+func (h *host) publishSuspect(s dispatch.Suspect) {
+	klog.InfoS("upstreams died of a request", "fingerprint", s.Fingerprint, "deaths", s.Deaths)
+	h.gossip.Publish(suspectRecord(s.Fingerprint, s.Deaths))
+}
+
+func suspectRecord(fingerprint uint64, deaths int) member.Record {
+	return member.Record{
+		Key:       member.Key{Kind: member.Quarantine, ID: strconv.FormatUint(fingerprint, 16)},
+		Version:   member.Version{Sequence: uint64(deaths)},
+		Remaining: dispatch.QuarantineTime,
+		Payload:   wire.MustEncode(suspectInfo{deaths}),
+	}
+}
+
+func (h *host) takeSuspect(now clock.Instant, r member.Record) {
+	var info suspectInfo
+	fingerprint, err := strconv.ParseUint(r.ID, 16, 64)
+	if err == nil {
+		err = wire.Decode(r.Payload, &info)
+	}
+	if err != nil {
+		klog.ErrorS(err, "quarantine record dropped", "record", r.ID)
+		return
+	}
+	h.dispatcher.SetSuspect(now, fingerprint, info.Deaths)
+}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -77,6 +77,8 @@
 			Caller:     in.caller,
 			Cost:       plainCost,
 			Repeatable: call.Repeatable,
+
+			Fingerprint: fingerprint(in.caller, name+r.Method+path+r.URL.RawQuery, in.body),
 		},
 		request: r,
 		path:    path,
@@ -149,10 +151,7 @@
 		if ctx.Err() != nil {
 			p.entry.clients.condemn(u.Address)
 		}
-		if x.connected {
-			return nil, retry.Broken, nil
-		}
-		return nil, retry.NotSent, nil
+		return nil, failure(x.connected, ctx.Err() != nil), nil
 	}
 	defer func() { _ = x.response.Body.Close() }()
 	if x.response.Header.Get(ranHeader) == string(result.RanNo) {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 )
@@ -19,14 +21,41 @@
 type watchdog struct {
 	silence time.Duration
 	timer   *time.Timer
+	bit     atomic.Bool
 }
 
 func newWatchdog(silence time.Duration, bite func()) *watchdog {
-	return &watchdog{silence: silence, timer: time.AfterFunc(silence, bite)}
+	w := &watchdog{silence: silence}
+	w.timer = time.AfterFunc(silence, func() {
+		w.bit.Store(true)
+		bite()
+	})
+	return w
+}
+
+func (w *watchdog) progress()    { w.timer.Reset(w.silence) }
+func (w *watchdog) stop()        { w.timer.Stop() }
+func (w *watchdog) bitten() bool { return w.bit.Load() }
+
+// failure says how a request failed that got no answer.
+func failure(connected, silent bool) retry.Failure {
+	switch {
+	case !connected:
+		return retry.NotSent
+	case silent:
+		return retry.Silent
+	default:
+		return retry.Broken
+	}
 }
 
-func (w *watchdog) progress() { w.timer.Reset(w.silence) }
-func (w *watchdog) stop()     { w.timer.Stop() }
+// fingerprint identifies a request that is sent again.
+func fingerprint(caller, name string, body []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(caller + "\n" + name + "\n")
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
 
 // stayPart is the part of the notice that the rest of an answer may take if it
 // is to end where it runs.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -123,6 +124,26 @@
 // Publish merges records into the table and so spreads them.
 func (h *Host) Publish(records ...member.Record) { h.ref.Send(inbound{records}) }
 
+// Spread publishes records and hands them to every node that is alive at once,
+// for news that can't wait. It returns when all have them, or with ctx.
+func (h *Host) Spread(ctx context.Context, records ...member.Record) {
+	h.Publish(records...)
+	m := member.Exchange{From: h.options.Node.Name, Push: records}
+	var wait sync.WaitGroup
+	for _, n := range h.Nodes(ctx) {
+		if n.Name == h.options.Node.Name {
+			continue
+		}
+		wait.Go(func() {
+			var a member.Answer
+			if err := h.options.Server.Client.Call(ctx, n.Address, peer.Exchange, m, &a); err != nil {
+				klog.V(2).InfoS("gossip failed", "instance", h.options.Node.Name, "peer", n.Address, "err", err)
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // Subscribe calls f with everything held now and with all later changes. It
 // runs on the host's actor and must not block.
 func (h *Host) Subscribe(f func(Change)) { h.ref.Send(subscribe{f}) }
@@ -283,7 +304,7 @@
 // targets picks peers at random, among them the seeds, so that two parts of a
 // healed network find each other again.
 func (h *Host) targets(now clock.Instant, n int) []netip.AddrPort {
-	seen := map[netip.AddrPort]bool{h.options.Server.Address: true}
+	seen := map[netip.AddrPort]bool{h.options.Node.Address: true, h.options.Server.Address: true}
 	var all []netip.AddrPort
 	add := func(a netip.AddrPort) {
 		if !seen[a] {
--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -28,12 +28,16 @@
 		return nil, err
 	}
 	n := host.Settings.Node
+	address := host.Settings.Peer.Advertise
+	if !address.IsValid() {
+		address = server.Address
+	}
 	h := New(ctx, Options{
 		Node: member.NodeInfo{
 			Name:    n.Name,
 			Region:  n.Region,
 			Zone:    n.Zone,
-			Address: server.Address,
+			Address: address,
 			Roles:   n.Roles,
 		},
 		Incarnation: host.Incarnation,
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -18,13 +18,16 @@
 	Refused
 	// Reclaimed means that the upstream announced its end.
 	Reclaimed
-	// Broken means that the connection ended or went silent after bytes were
-	// sent: the request may have run.
+	// Broken means that the connection ended after bytes were sent: the
+	// request may have run, and the upstream may have died of it.
 	Broken
+	// Silent means that nothing more came after bytes were sent: the request
+	// may have run.
+	Silent
 )
 
 // Ran reports what is known about the request's execution after f.
-func (f Failure) Ran() bool { return f == Reclaimed || f == Broken }
+func (f Failure) Ran() bool { return f == Reclaimed || f == Broken || f == Silent }
 
 // MaxAttempts bounds the attempts of one request.
 const MaxAttempts = 8
--- a/route/route.go
+++ b/route/route.go
@@ -53,7 +53,7 @@
 	var bestHash uint64
 	seed := promptSeed(q.Prefixes)
 	for _, u := range candidates {
-		if !u.Usable(now) || u.Avoided(now) || excluded(q.Exclude, u.ID) || (q.NeedFree && u.Busy() >= u.Slots+q.Overcommit) || (q.NeedOwn && u.Allowance(q.Part) <= 0) {
+		if !u.Usable(now) || u.Avoided(now) || u.Held() || excluded(q.Exclude, u.ID) || (q.NeedFree && u.Busy() >= u.Slots+q.Overcommit) || (q.NeedOwn && u.Allowance(q.Part) <= 0) {
 			continue
 		}
 		cost := expected(q, u, hints, c)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,8 @@
 type Peer struct {
 	// Listen is where peers, upstreams and operators connect.
 	Listen netip.AddrPort
+	// Advertise is the address that other nodes use; by default Listen.
+	Advertise netip.AddrPort
 	// Seeds are the peers to join.
 	Seeds []netip.AddrPort
 	// Interval is the time between two rounds of gossip.
@@ -264,6 +266,7 @@
 
 func (p *Peer) read(r *reader) {
 	r.address("listen", &p.Listen)
+	r.address("advertise", &p.Advertise)
 	if r.Has("seeds") {
 		p.Seeds = r.AddrPorts("seeds")
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -22,13 +22,15 @@
 
 // Options are common to all stand-ins.
 type Options struct {
-	ID      string
-	Zone    string
-	Class   string
-	Listen  netip.AddrPort
-	Entries []netip.AddrPort
-	Lease   time.Duration
-	Slots   int
+	ID     string
+	Zone   string
+	Class  string
+	Listen netip.AddrPort
+	// Advertise is the address to announce; by default the one listened on.
+	Advertise netip.AddrPort
+	Entries   []netip.AddrPort
+	Lease     time.Duration
+	Slots     int
 	// Names are the models of an engine or the services of a plain upstream.
 	Names []string
 	// Prefill is the time for one prompt token that isn't cached; Decode is
@@ -93,6 +95,9 @@
 }
 
 func (o *Options) announcement(address netip.AddrPort, kind service.Kind) upstream.Announcement {
+	if o.Advertise.IsValid() {
+		address = o.Advertise
+	}
 	a := upstream.Announcement{
 		ID:          o.ID,
 		Incarnation: uint64(time.Now().UnixMicro()),
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,6 +21,9 @@
 	sinceReport int
 	// avoidUntil is set after a failed connection.
 	avoidUntil clock.Instant
+	// held keeps the upstream for one suspect; heldSince is when that began.
+	held      bool
+	heldSince clock.Instant
 	// phase, from 0 to 1, decides which entries get the slots that were free
 	// at the last report.
 	phase float64
@@ -180,3 +184,25 @@
 	own := math.Ceil(p.To*headroom-u.phase) - math.Ceil(p.From*headroom-u.phase)
 	return int(own) - u.sinceReport
 }
+
+// holdPatience is how long a held upstream may stay busy with the work of other
+// entries before it counts as idle all the same.
+const holdPatience = time.Second
+
+// Hold keeps new work away until Release, so that a suspect can run alone.
+func (u *Upstream) Hold(now clock.Instant) {
+	if !u.held {
+		u.held, u.heldSince = true, now
+	}
+}
+
+// Release ends a hold.
+func (u *Upstream) Release() { u.held = false }
+
+// Held reports whether the upstream is kept for a suspect.
+func (u *Upstream) Held() bool { return u.held }
+
+// Idle reports whether a held upstream is free for its suspect.
+func (u *Upstream) Idle(now clock.Instant) bool {
+	return u.held && u.outstanding == 0 && (u.Busy() == 0 || now-u.heldSince >= holdPatience)
+}
