--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/admission"
@@ -99,12 +98,11 @@
 
 // pool is one service with the upstreams that serve it.
 type pool struct {
-	document   service.Accepted
-	scheduler  *admission.Scheduler
-	budget     *retry.Budget
-	movers     []uint64
-	upstreams  []*upstream.Upstream
-	generation uint64
+	document  service.Accepted
+	scheduler *admission.Scheduler
+	budget    *retry.Budget
+	movers    []uint64
+	index     index
 	// speed is the measured work per slot and second, in tokens.
 	speed float64
 	// share and allocation are this entry's part of the service's capacity.
@@ -187,7 +185,7 @@
 		p.scheduler.SetRanks(a.Document.Ranks)
 	}
 	p.document = a
-	p.generation = 0
+	p.index.generation = 0
 	d.pump(now, p)
 	return d.take()
 }
@@ -203,6 +201,9 @@
 		d.hints.Forget(a.ID)
 		d.evacuate(a)
 	}
+	if u, ok := d.directory.Get(a.ID); ok {
+		d.changed(now, u)
+	}
 	d.pumpAll(now)
 	return d.take()
 }
@@ -316,6 +317,7 @@
 		u.Avoid(now + avoidTime)
 		t.Query.Exclude = append(t.Query.Exclude, t.upstream)
 	}
+	d.changed(now, u)
 }
 
 // Finish ends a ticket that was answered.
@@ -348,7 +350,7 @@
 	case running:
 		d.release(now, t, false)
 	case moving:
-		d.unhold(t)
+		d.unhold(now, t)
 		for i, m := range p.movers {
 			if m == id {
 				p.movers = append(p.movers[:i], p.movers[i+1:]...)
@@ -363,6 +365,9 @@
 
 // Tick starts what waits for leases and avoided upstreams.
 func (d *Dispatcher) Tick(now clock.Instant) []Action {
+	for _, p := range d.pools {
+		d.recount(now, p)
+	}
 	d.pumpAll(now)
 	return d.take()
 }
@@ -375,42 +380,6 @@
 	}
 }
 
-// candidates returns the upstreams that serve the pool.
-func (d *Dispatcher) candidates(p *pool) []*upstream.Upstream {
-	if generation := d.directory.Generation() + 1; p.generation != generation {
-		p.generation = generation
-		p.upstreams = p.upstreams[:0]
-		for _, u := range d.directory.All() {
-			if u.Serves(&p.document.Document) {
-				p.upstreams = append(p.upstreams, u)
-			}
-		}
-	}
-	return p.upstreams
-}
-
-// capacity sums up what the pool's upstreams can take.
-func (d *Dispatcher) capacity(now clock.Instant, p *pool) admission.Capacity {
-	var c admission.Capacity
-	slots, own, free := 0, 0, 0
-	for _, u := range d.candidates(p) {
-		if !u.Usable(now) {
-			continue
-		}
-		slots += u.Slots
-		if !u.Avoided(now) {
-			free += u.Free()
-			c.Free += max(u.Slots+p.overcommit()-u.Busy(), 0)
-			own += u.Allowance(p.part)
-		}
-	}
-	// Callers above their share use only slots that fall to this entry, so
-	// that entries with the same view don't all take the same ones.
-	c.FreeOver = min(own-int(math.Ceil(p.share*float64(p.reserve)-p.dither)), free)
-	c.Rate = float64(max(slots-p.reserve, 0)) * p.speed * p.share
-	return c
-}
-
 func (d *Dispatcher) pumpAll(now clock.Instant) {
 	for _, p := range d.pools {
 		d.pump(now, p)
@@ -476,10 +445,16 @@
 // place grants an upstream to the ticket, if one can take it; as a last resort
 // one that failed the ticket before.
 func (d *Dispatcher) place(now clock.Instant, p *pool, t *ticket, q route.Query) bool {
-	u := route.Choose(now, q, d.candidates(p), d.hints, d.options.Costs)
+	var u *upstream.Upstream
+	if q.NeedFree {
+		u = route.Choose(now, q, d.sample(now, p, t), d.hints, d.options.Costs)
+	}
+	if u == nil {
+		u = route.Choose(now, q, d.candidates(now, p), d.hints, d.options.Costs)
+	}
 	if u == nil && len(q.Exclude) > 0 {
 		q.Exclude = nil
-		u = route.Choose(now, q, d.candidates(p), d.hints, d.options.Costs)
+		u = route.Choose(now, q, d.candidates(now, p), d.hints, d.options.Costs)
 	}
 	if u == nil {
 		return false
@@ -491,6 +466,7 @@
 
 func (d *Dispatcher) grant(now clock.Instant, t *ticket, u *upstream.Upstream) {
 	u.Start()
+	d.changed(now, u)
 	t.state = running
 	t.attempts++
 	t.upstream, t.incarnation, t.started = u.ID, u.Incarnation, now
--- a/dispatch/dispatch__share.go
+++ b/dispatch/dispatch__share.go
@@ -53,7 +53,7 @@
 		return
 	}
 	slots := 0
-	for _, u := range d.candidates(p) {
+	for _, u := range d.candidates(now, p) {
 		if u.Usable(now) {
 			slots += u.Slots
 		}
@@ -73,6 +73,7 @@
 	p.share = p.part.To - p.part.From
 	p.reserve = reserve(reports, own.Over, p.speed, slots)
 	p.dither = dither(entry, now)
+	d.recount(now, p)
 }
 
 // part lays the entries' shares side by side, in order of name. A bit of the
--- a/dispatch/dispatch__state.go
+++ b/dispatch/dispatch__state.go
@@ -48,7 +48,7 @@
 		for i, r := range p.document.Document.Ranks {
 			s.Waiting[r.Name] = p.scheduler.WaitingIn(i)
 		}
-		for _, u := range d.candidates(p) {
+		for _, u := range d.candidates(now, p) {
 			s.Slots += u.Slots
 			s.Upstreams = append(s.Upstreams, describe(now, u))
 		}
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -151,7 +151,7 @@
 		t.suspectSince = now
 	}
 	var best *upstream.Upstream
-	for _, u := range d.candidates(p) {
+	for _, u := range d.candidates(now, p) {
 		if !u.Usable(now) || u.Avoided(now) || u.Held() || (best != nil && u.Busy() >= best.Busy()) {
 			continue
 		}
@@ -161,6 +161,7 @@
 	}
 	if best != nil {
 		best.Hold(now)
+		d.changed(now, best)
 		t.held = best.ID
 	}
 	return best
@@ -180,8 +181,9 @@
 }
 
 // unhold gives up an upstream that was held for a ticket which is gone.
-func (d *Dispatcher) unhold(t *ticket) {
+func (d *Dispatcher) unhold(now clock.Instant, t *ticket) {
 	if u, ok := d.directory.Get(t.held); ok && t.held != "" {
 		u.Release()
+		d.changed(now, u)
 	}
 }
--- a/entry/demands.go
+++ b/entry/demands.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -74,7 +74,7 @@
 	id := d.entry + "/" + r.Service
 	d.reports[id] = r
 	before, ok := d.sent[id]
-	if ok && slices.Equal(before.items, r.Items) && now-before.at < demandLease/2 {
+	if ok && similar(before.items, r.Items) && now-before.at < demandLease/2 {
 		return
 	}
 	d.sent[id] = sentReport{r.Items, now}
@@ -104,3 +104,25 @@
 		delete(d.reports, r.ID)
 	}
 }
+
+// similarPart is the change of a demand, as a part of it, that isn't worth a
+// message.
+const similarPart = 0.1
+
+// similar reports whether two reports differ by little.
+func similar(a, b []share.Item) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	rates := make(map[share.Key]float64, len(a))
+	for _, i := range a {
+		rates[i.Key] = i.Rate
+	}
+	for _, i := range b {
+		rate, ok := rates[i.Key]
+		if !ok || math.Abs(rate-i.Rate) > similarPart*max(rate, i.Rate) {
+			return false
+		}
+	}
+	return true
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -292,12 +292,9 @@
 // compare sends the digest to one peer.
 func (h *Host) compare() {
 	for _, to := range h.targets(h.options.Clock(), 1) {
-		h.send(to, member.Exchange{
-			From:    h.options.Node.Name,
-			Compare: true,
-			Digest:  h.table.Digest(),
-			Ready:   h.ready(),
-		})
+		m := member.Exchange{From: h.options.Node.Name, Compare: true, Ready: h.ready()}
+		m.Digest, m.Intervals = h.table.IntervalDigest()
+		h.send(to, m)
 	}
 }
 
@@ -337,24 +334,21 @@
 
 func (h *Host) exchange(now clock.Instant, m member.Exchange) member.Answer {
 	h.merge(now, m.Push)
-	answer := member.Answer{Ready: h.ready()}
-	if m.Compare {
-		answer.Push, answer.Want = h.table.Compare(now, m.Digest)
-		answer.Compared = true
-	}
+	answer := h.table.Answer(now, m)
+	answer.Ready = h.ready()
 	return answer
 }
 
 func (h *Host) answered(now clock.Instant, m answered) {
 	h.merge(now, m.answer.Push)
+	missing := h.table.Missing(m.answer.Digest)
+	push := append(h.table.Select(now, m.answer.Want), h.table.Newer(now, m.answer.Digest)...)
 	if m.answer.Compared && m.answer.Ready {
-		h.documents, h.settled = true, true
+		h.settled = true
+		h.documents = h.documents || len(missing) == 0
 	}
-	if len(m.answer.Want) > 0 {
-		h.send(m.from, member.Exchange{
-			From:  h.options.Node.Name,
-			Push:  h.table.Select(now, m.answer.Want),
-			Ready: h.ready(),
-		})
+	if len(push) == 0 && len(missing) == 0 {
+		return
 	}
+	h.send(m.from, member.Exchange{From: h.options.Node.Name, Push: push, Want: missing, Ready: h.ready()})
 }
--- /dev/null
+++ b/measure/nodes_test.go
@@ -0,0 +1,294 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hyssopladder/hyssopladder/claim"
+	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/entry"
+	"github.com/hyssopladder/hyssopladder/examples"
+	"github.com/hyssopladder/hyssopladder/keeper"
+	"github.com/hyssopladder/hyssopladder/kernel"
+	_ "github.com/hyssopladder/hyssopladder/operator"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/standin"
+)
+
+// deployment is three nodes in this process.
+type deployment struct {
+	hosts  []*kernel.Host
+	folder string
+}
+
+func startNode(t testing.TB, d *deployment, i int, seeds []netip.AddrPort) *kernel.Host {
+	t.Helper()
+	s := settings.Default()
+	s.Node.Name = fmt.Sprintf("entry-%d", i)
+	s.Node.Zone = "a"
+	s.Node.Roles = []string{settings.RoleEntry, settings.RoleKeeper}
+	s.Node.DataFolder = filepath.Join(d.folder, s.Node.Name)
+	s.Peer.Seeds = seeds
+	s.Keeper.Bootstrap = i == 0
+	h, err := kernel.New(context.Background(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func newDeployment(t testing.TB) *deployment {
+	t.Helper()
+	d := &deployment{folder: t.TempDir()}
+	for i := range 3 {
+		d.hosts = append(d.hosts, startNode(t, d, i, d.seeds()))
+	}
+	t.Cleanup(func() {
+		for _, h := range d.hosts {
+			h.Close()
+		}
+	})
+	for _, ini := range [][]byte{examples.Assistant, examples.Booking} {
+		doc, err := service.ParseINI(ini)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.client().Apply(context.Background(), document.Change{ID: doc.Name, Any: true, Document: *doc}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d
+}
+
+func (d *deployment) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, h := range d.hosts {
+		p, _ := kernel.Find[*peer.Server](h)
+		seeds = append(seeds, p.Address)
+	}
+	return seeds
+}
+
+func (d *deployment) client() *keeper.Client {
+	c, _ := kernel.Find[*keeper.Client](d.hosts[len(d.hosts)-1])
+	return c
+}
+
+func micros(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func TestClaimsPerSecond(t *testing.T) {
+	d := newDeployment(t)
+	client := d.client()
+	run := 0
+	for _, workers := range []int{1, 16, 256} {
+		run++
+		n := 300 * workers
+		if workers == 256 {
+			n = 40 * workers
+		}
+		rate, h := concurrently(workers, n, func(i int) {
+			key := claim.Key{Caller: "sitters", Service: "booking", Key: fmt.Sprintf("%d-%d", run, i)}
+			if _, err := client.Claim(context.Background(), claim.Claim{Key: key, Sum: 1, Owner: "o"}); err != nil {
+				t.Error(err)
+			}
+		})
+		fmt.Printf("claims: %3d at a time: %6.0f a second, median %v, 99th %v\n", workers, rate, micros(h, 50), micros(h, 99))
+	}
+}
+
+func TestCatchUp(t *testing.T) {
+	d := newDeployment(t)
+	gone := d.hosts[2]
+	seeds := d.seeds()
+	d.hosts = d.hosts[:2]
+	gone.Close()
+	doc, err := service.ParseINI(examples.Booking)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const changes = 1000
+	client := d.client()
+	began := time.Now()
+	concurrently(16, changes, func(i int) {
+		if _, err := client.Apply(context.Background(), document.Change{ID: fmt.Sprint(i), Any: true, Document: *doc}); err != nil {
+			t.Error(err)
+		}
+	})
+	write := time.Since(began)
+	began = time.Now()
+	back := startNode(t, d, 2, seeds)
+	d.hosts = append(d.hosts, back)
+	k, _ := kernel.Find[*keeper.Keeper](back)
+	lead, _ := kernel.Find[*keeper.Keeper](d.hosts[0])
+	for {
+		s := k.Status(context.Background())
+		if s.Applied >= lead.Status(context.Background()).Commit && s.Applied >= changes {
+			fmt.Printf("changes: %d written in %v; a keeper %d behind caught up %v after its start, log %d bytes\n", changes, write.Round(time.Millisecond), changes, time.Since(began).Round(time.Millisecond), s.LogBytes)
+			return
+		}
+		if time.Since(began) > 30*time.Second {
+			t.Fatal("no catch-up")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestSnapshotSize gives the size of the durable state.
+func TestSnapshotSize(t *testing.T) {
+	store := document.New()
+	for i := range 300 {
+		doc := limaDocument()
+		doc.Name = fmt.Sprintf("service-%04d", i)
+		store.Apply(document.Change{ID: fmt.Sprint(i), Any: true, Document: doc})
+	}
+	data, err := store.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	claims := claim.New()
+	const n = 10000
+	for i := range n {
+		k := claim.Key{Caller: "sitters", Service: "booking", Key: fmt.Sprintf("key-%016d", i)}
+		claims.Apply(claim.Command{Claim: &claim.Claim{Key: k, Sum: 1, Owner: "entry-a0/ABCDEFGHIJKLMNOPQRSTUVWXYZ"}})
+		claims.Apply(claim.Command{Settle: &claim.Settle{Key: k, Owner: "entry-a0/ABCDEFGHIJKLMNOPQRSTUVWXYZ", Outcome: claim.Answered, Answer: &claim.Answer{Status: 200, Body: make([]byte, 100)}}})
+	}
+	c, err := claims.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Printf("snapshot: 300 documents with their changes %d bytes (%d each); %d answered claims %d bytes (%d each)\n", len(data), len(data)/300, n, len(c), len(c)/n)
+}
+
+// TestEntryAdds compares calls straight to an upstream with calls through an
+// entry.
+func TestEntryAdds(t *testing.T) {
+	d := newDeployment(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	o := standin.Options{
+		ID: "engine", Zone: "a", Class: "small", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Entries: d.seeds(), Lease: 2 * time.Second,
+		Slots: 64, Names: []string{"rota-7b"}, CacheBlocks: 100,
+	}
+	engine, err := standin.NewEngine(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.ID, o.Names = "booking", []string{"booking"}
+	plain, err := standin.NewPlain(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, _ := kernel.Find[*entry.Entry](d.hosts[0])
+	waitUpstreams(t, e)
+	body := `{"model":"rota-7b","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+	through := "http://" + e.Address.String()
+	chat := func(url string) func(int) { return func(int) { post(t, url+"/v1/chat/completions", body) } }
+	get := func(url string) func(int) { return func(int) { fetch(t, url) } }
+	const n = 2000
+	for _, c := range []struct {
+		name           string
+		direct, around func(int)
+	}{
+		{"plain call", get("http://" + plain.Address.String() + "/look"), get(through + "/services/booking/look")},
+		{"first token", chat("http://" + engine.Address.String()), chat(through)},
+	} {
+		concurrently(4, 200, c.around)
+		concurrently(4, 200, c.direct)
+		_, direct := concurrently(4, n, c.direct)
+		_, around := concurrently(4, n, c.around)
+		fmt.Printf("%-11s direct median %v, 99th %v; through an entry median %v, 99th %v; added %v and %v\n", c.name,
+			micros(direct, 50), micros(direct, 99), micros(around, 50), micros(around, 99), micros(around, 50)-micros(direct, 50), micros(around, 99)-micros(direct, 99))
+	}
+	began, cpu := time.Now(), cpuTime(t)
+	const calls = 4000
+	concurrently(8, calls, chat(through))
+	used := cpuTime(t) - cpu
+	fmt.Printf("whole process (entry, stand-in and client): %.0f us of processor a chat of 4 tokens, %v in all, resident %d MB\n",
+		float64(used.Microseconds())/calls, time.Since(began).Round(time.Millisecond), residentMB(t))
+}
+
+func waitUpstreams(t *testing.T, e *entry.Entry) {
+	t.Helper()
+	for range 1000 {
+		usable := 0
+		for _, s := range e.Services(context.Background()) {
+			usable += len(s.Upstreams)
+		}
+		if usable == 2 && e.Ready(context.Background()) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no upstreams")
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// post sends a chat and returns at its first token; the rest is read without
+// being timed only as far as the connection needs it.
+func post(t *testing.T, url, body string) {
+	r, err := client.Post(url, "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	data, _ := io.ReadAll(r.Body)
+	if !strings.Contains(string(data), "[DONE]") {
+		t.Errorf("not whole: %d %s", r.StatusCode, data)
+	}
+}
+
+func fetch(t *testing.T, url string) {
+	r, err := client.Get(url)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = r.Body.Close() }()
+	var v any
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil || r.StatusCode != http.StatusOK {
+		t.Errorf("%d %v", r.StatusCode, err)
+	}
+}
+
+// cpuTime is the processor time of this process.
+func cpuTime(t *testing.T) time.Duration {
+	t.Helper()
+	data, err := os.ReadFile("/proc/self/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	const tick = 10 * time.Millisecond
+	return time.Duration(user+system) * tick
+}
+
+func residentMB(t *testing.T) int {
+	t.Helper()
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages, _ := strconv.Atoi(strings.Fields(string(data))[1])
+	return pages * os.Getpagesize() >> 20
+}
--- /dev/null
+++ b/measure/speed_test.go
@@ -0,0 +1,112 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/route"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// busyDispatcher has n upstreams, most of their slots taken, and waiting
+// requests.
+func busyDispatcher(n, waiting int) (*dispatch.Dispatcher, *uint64) {
+	d := dispatch.New(dispatch.Options{Zone: "a", Costs: dispatch.DefaultCosts()})
+	doc := limaDocument()
+	doc.Ranks[2].FirstToken = 24 * time.Hour
+	d.SetDocument(0, service.Accepted{Revision: 1, Document: doc})
+	random := rand.New(rand.NewPCG(3, 4))
+	for i := range n {
+		d.Announce(0, upstream.Announcement{
+			ID: fmt.Sprintf("engine-%04d", i), Incarnation: 1, Sequence: 1, Zone: zones[i%len(zones)], Class: "small",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), Kind: service.Model, Models: []string{"rota-7b"},
+			Lease: time.Hour, Slots: slots, Load: upstream.Load{Running: random.IntN(slots)},
+		})
+	}
+	id := new(uint64)
+	for range waiting {
+		*id++
+		d.Submit(0, dispatch.Ticket{ID: *id, Service: "assistant", Rank: draft, Caller: fiveCallers[*id%5], Cost: 1, Repeatable: true})
+	}
+	return d, id
+}
+
+// decide admits, routes and ends one request.
+func decide(d *dispatch.Dispatcher, id *uint64, prefixes []uint64) {
+	*id++
+	d.Submit(0, dispatch.Ticket{
+		ID: *id, Service: "assistant", Rank: urgent, Caller: "agency", Cost: 50, Repeatable: true,
+		Query: route.Query{Prefixes: prefixes, PromptTokens: promptTokens},
+	})
+	d.Finish(time.Millisecond, *id)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{12, 48, 343, 2400} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			d, id := busyDispatcher(n, 0)
+			prefixes := prompt(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				decide(d, id, prefixes)
+			}
+		})
+	}
+	for _, waiting := range []int{100, 10000} {
+		b.Run(fmt.Sprintf("upstreams=48/waiting=%d", waiting), func(b *testing.B) {
+			d, id := busyDispatcher(48, waiting+48*slots)
+			prefixes := prompt(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				decide(d, id, prefixes)
+			}
+		})
+	}
+}
+
+func BenchmarkAnnouncement(b *testing.B) {
+	for _, n := range []int{48, 2400} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			d, _ := busyDispatcher(n, 0)
+			a := upstream.Announcement{
+				ID: "engine-0007", Incarnation: 1, Zone: "d", Class: "small", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+				Kind: service.Model, Models: []string{"rota-7b"}, Lease: time.Hour, Slots: slots,
+			}
+			for sequence := uint64(2); b.Loop(); sequence++ {
+				a.Sequence = sequence
+				d.Announce(0, a)
+			}
+		})
+	}
+}
+
+// concurrently calls f from workers until it was called n times, and returns
+// the rate with the latencies.
+func concurrently(workers, n int, f func(i int)) (float64, *hdrhistogram.Histogram) {
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	began := time.Now()
+	for w := range workers {
+		wait.Go(func() {
+			for i := w; i < n; i += workers {
+				start := time.Now()
+				f(i)
+				took := time.Since(start).Microseconds()
+				mu.Lock()
+				_ = h.RecordValue(took)
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	return float64(n) / time.Since(began).Seconds(), h
+}
--- a/member/record.go
+++ b/member/record.go
@@ -24,6 +24,7 @@
 // Limits of a record.
 const (
 	MaxPayload = 80 << 10
+	MaxDetail  = 256
 	MaxID      = 128
 	MaxLease   = 10 * time.Minute
 )
@@ -64,6 +65,11 @@
 	Remaining time.Duration `json:"r,omitempty"`
 	// Payload is the encoded domain type that Kind names.
 	Payload []byte `json:"p,omitempty"`
+	// Detail is a small part that changes often, such as load.
+	Detail []byte `json:"x,omitempty"`
+	// Renewal says that the payload is that of the version before and was
+	// left out.
+	Renewal bool `json:"w,omitempty"`
 }
 
 // Check verifies a decoded record.
@@ -76,8 +82,8 @@
 	if r.ID == "" || len(r.ID) > MaxID {
 		return errors.Errorf("record ID of %d bytes, want 1 to %d", len(r.ID), MaxID)
 	}
-	if len(r.Payload) > MaxPayload {
-		return errors.Errorf("record payload of %d bytes, want at most %d", len(r.Payload), MaxPayload)
+	if len(r.Payload) > MaxPayload || len(r.Detail) > MaxDetail {
+		return errors.Errorf("record of %d and %d bytes, want at most %d and %d", len(r.Payload), len(r.Detail), MaxPayload, MaxDetail)
 	}
 	if r.Remaining < 0 || r.Remaining > MaxLease {
 		return errors.Errorf("record lease of %v, want 0 to %v", r.Remaining, MaxLease)
@@ -101,6 +107,11 @@
 	// Compare says that Digest is complete.
 	Compare bool          `json:"c,omitempty"`
 	Digest  []DigestEntry `json:"d,omitempty"`
+	// Intervals sum up the records without a lease, which Digest then leaves
+	// out.
+	Intervals []Interval `json:"i,omitempty"`
+	// Want are keys that the sender lacks.
+	Want []Key `json:"w,omitempty"`
 	// Ready says that the sender holds the documents in force.
 	Ready bool `json:"y,omitempty"`
 }
@@ -121,6 +132,9 @@
 	Push []Record `json:"p,omitempty"`
 	// Want are keys of which the asker holds a newer version.
 	Want []Key `json:"w,omitempty"`
+	// Digest lists what the answering node holds in the intervals that
+	// differ.
+	Digest []DigestEntry `json:"d,omitempty"`
 	// Compared says that Push and Want answer a digest.
 	Compared bool `json:"c,omitempty"`
 	// Ready says that the answering node holds the documents in force.
--- a/member/table.go
+++ b/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"sort"
 	"time"
 
@@ -13,7 +14,7 @@
 
 // pushes is how often a changed record is pushed before only the digest
 // carries it on.
-const pushes = 4
+const pushes = 2
 
 // Table holds the newest version of every record. It isn't safe for
 // concurrent use.
@@ -28,6 +29,8 @@
 	expires clock.Instant
 	forget  clock.Instant
 	ended   bool
+	// renewal says that the payload didn't change with the last version.
+	renewal bool
 }
 
 // New returns an empty table.
@@ -35,12 +38,13 @@
 	return &Table{rows: map[Key]*row{}, hot: map[Key]int{}}
 }
 
-// Merge takes in records and returns those that changed the table.
+// Merge takes in records and returns those that changed the table, with their
+// payloads.
 func (t *Table) Merge(now clock.Instant, records []Record) []Record {
 	var changed []Record
 	for _, r := range records {
 		if t.merge(now, r) {
-			changed = append(changed, r)
+			changed = append(changed, t.rows[r.Key].record)
 		}
 	}
 	return changed
@@ -51,7 +55,15 @@
 	if ok && !r.After(held.record.Version) {
 		return false
 	}
-	next := &row{record: r}
+	same := ok && held.record.Incarnation == r.Incarnation
+	if r.Renewal {
+		if !same {
+			// The digest will bring the whole record.
+			return false
+		}
+		r.Payload, r.Renewal = held.record.Payload, false
+	}
+	next := &row{record: r, renewal: same && bytes.Equal(r.Payload, held.record.Payload)}
 	if r.Remaining > 0 {
 		next.expires = now + r.Remaining
 	}
@@ -131,6 +143,9 @@
 	size := 0
 	for _, key := range sortedKeys(t.hot) {
 		record, ok := t.rows[key].wire(now)
+		if t.rows[key].renewal && len(record.Payload) > 0 {
+			record.Payload, record.Renewal = nil, true
+		}
 		if size > 0 && size+len(record.Payload) > limit {
 			break
 		}
--- a/route/hints.go
+++ b/route/hints.go
@@ -1,5 +1,7 @@
 package route
 
+import "slices"
+
 // maxHints bounds the remembered prefixes per upstream.
 const maxHints = 512
 
@@ -8,6 +10,8 @@
 // late and with gaps.
 type Hints struct {
 	upstreams map[string]*hintSet
+	// holders lists for each prefix some upstreams that may have it.
+	holders map[uint64][]string
 }
 
 type hintSet struct {
@@ -17,7 +21,9 @@
 }
 
 // NewHints returns empty hints.
-func NewHints() *Hints { return &Hints{upstreams: map[string]*hintSet{}} }
+func NewHints() *Hints {
+	return &Hints{upstreams: map[string]*hintSet{}, holders: map[uint64][]string{}}
+}
 
 // Add notes that the upstream has computed the prefixes.
 func (h *Hints) Add(id string, prefixes []uint64) {
@@ -31,9 +37,42 @@
 		s.prefixes[p] = s.turn
 		s.order = append(s.order, p)
 	}
+	if len(prefixes) > 0 {
+		h.hold(id, prefixes[len(prefixes)-1])
+	}
 	s.shrink()
 }
 
+// maxHolders bounds the upstreams that are remembered for one prefix, and
+// maxPrefixes the prefixes.
+const (
+	maxHolders  = 8
+	maxPrefixes = 1 << 16
+)
+
+// hold notes that the upstream has the prefix.
+func (h *Hints) hold(id string, prefix uint64) {
+	list := h.holders[prefix]
+	if slices.Contains(list, id) {
+		return
+	}
+	if list == nil && len(h.holders) >= maxPrefixes {
+		clear(h.holders)
+	}
+	if len(list) >= maxHolders {
+		list = list[1:]
+	}
+	h.holders[prefix] = append(list, id)
+}
+
+// Holders returns upstreams that may have the longest of the prefixes cached.
+func (h *Hints) Holders(prefixes []uint64) []string {
+	if len(prefixes) == 0 {
+		return nil
+	}
+	return h.holders[prefixes[len(prefixes)-1]]
+}
+
 // shrink drops the prefixes that were not used for the longest time.
 func (s *hintSet) shrink() {
 	for len(s.prefixes) > maxHints || len(s.order) > 4*maxHints {
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -58,6 +58,14 @@
 	Queued  int `json:"queued"`
 }
 
+// Check verifies a decoded load.
+func (l *Load) Check() error {
+	if l.Running < 0 || l.Queued < 0 {
+		return errors.New("load is never negative")
+	}
+	return nil
+}
+
 // Check verifies a decoded announcement.
 func (a *Announcement) Check() error {
 	switch {
--- a/upstream/record.go
+++ b/upstream/record.go
@@ -6,12 +6,16 @@
 )
 
 // Record returns the announcement as a record of shared state.
+// What changes with each announcement stands beside the payload.
 func (a *Announcement) Record() member.Record {
+	static := *a
+	static.Sequence, static.Load = 0, Load{}
 	return member.Record{
 		Key:       member.Key{Kind: member.Upstream, ID: a.ID},
 		Version:   member.Version{Incarnation: a.Incarnation, Leaving: a.Leaving, Sequence: a.Sequence},
 		Remaining: a.Lease,
-		Payload:   wire.MustEncode(a),
+		Payload:   wire.MustEncode(&static),
+		Detail:    wire.MustEncode(&a.Load),
 	}
 }
 
@@ -22,6 +26,11 @@
 	if err := wire.Decode(r.Payload, &a); err != nil {
 		return a, err
 	}
-	a.Lease = r.Remaining
+	if len(r.Detail) > 0 {
+		if err := wire.Decode(r.Detail, &a.Load); err != nil {
+			return a, err
+		}
+	}
+	a.Lease, a.Sequence = r.Remaining, r.Sequence
 	return a, nil
 }
