member: Refuse a renewal that crosses into leaving

Cause: it missed the record that said leaving and took a renewal of it, which kept the payload that said ready, and every later renewal extended the lease. Ruled out: the order of versions (leaving wins) and the directory (a leaving announcement is final there). A renewal now needs the same state, leaving records are always pushed whole, and the version's leaving counts.

--- a/member/table.go
+++ b/member/table.go
@@ -57,8 +57,8 @@
 	}
 	same := ok && held.record.Incarnation == r.Incarnation
 	if r.Renewal {
-		if !same {
-			// The digest will bring the whole record.
+		if !same || held.record.Leaving != r.Leaving {
+			// The payload changed; the digest will bring the whole record.
 			return false
 		}
 		r.Payload, r.Renewal = held.record.Payload, false
@@ -143,7 +143,7 @@
 	size := 0
 	for _, key := range sortedKeys(t.hot) {
 		record, ok := t.rows[key].wire(now)
-		if t.rows[key].renewal && len(record.Payload) > 0 {
+		if t.rows[key].renewal && len(record.Payload) > 0 && !record.Leaving {
 			record.Payload, record.Renewal = nil, true
 		}
 		if size > 0 && size+len(record.Payload) > limit {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -61,6 +61,56 @@
 	g.Expect(a.Live(time.Second, Upstream)).To(gomega.HaveLen(1))
 }
 
+func TestRenewals(t *testing.T) {
+	ready := record("u", 1, 1, false, time.Second)
+	ready.Payload = []byte("ready")
+	renewal := func(incarnation, sequence uint64, leaving bool) Record {
+		r := record("u", incarnation, sequence, leaving, time.Second)
+		r.Renewal = true
+		return r
+	}
+	cases := []struct {
+		name    string
+		held    []Record
+		renewal Record
+		taken   bool
+	}{
+		{"of the version before", []Record{ready}, renewal(1, 2, false), true},
+		{"of a record that isn't held", nil, renewal(1, 2, false), false},
+		{"of another incarnation", []Record{ready}, renewal(2, 1, false), false},
+		{"of a leaving whose record was missed", []Record{ready}, renewal(1, 3, true), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := New()
+			table.Merge(0, c.held)
+			changed := table.Merge(0, []Record{c.renewal})
+			g.Expect(len(changed) == 1).To(gomega.Equal(c.taken))
+			if c.taken {
+				g.Expect(changed[0].Payload).To(gomega.Equal(ready.Payload))
+			}
+		})
+	}
+}
+
+func TestHotRecordsLeaveOutPayloadsThatStay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := New()
+	for sequence := uint64(1); sequence <= 2; sequence++ {
+		r := record("u", 1, sequence, false, time.Second)
+		r.Payload = []byte("ready")
+		table.Merge(0, []Record{r})
+		hot := table.Hot(0, 1000)
+		g.Expect(hot).To(gomega.HaveLen(1))
+		g.Expect(hot[0].Renewal).To(gomega.Equal(sequence == 2))
+	}
+	leaving := record("u", 1, 3, true, time.Second)
+	leaving.Payload = []byte("ready")
+	table.Merge(0, []Record{leaving})
+	g.Expect(table.Hot(0, 1000)[0].Payload).NotTo(gomega.BeEmpty())
+}
+
 func TestLeaseIsNotExtendedOnTheWay(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := New(), New()
--- a/upstream/record.go
+++ b/upstream/record.go
@@ -31,6 +31,6 @@
 			return a, err
 		}
 	}
-	a.Lease, a.Sequence = r.Remaining, r.Sequence
+	a.Lease, a.Sequence, a.Leaving = r.Remaining, r.Sequence, r.Leaving
 	return a, nil
 }
