--- a/entry/host.go
+++ b/entry/host.go
@@ -23,8 +23,12 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
-// tickInterval is the time between two looks at what waits.
-const tickInterval = 20 * time.Millisecond
+// Times between two looks at what waits: while requests are under way, and
+// while there are none.
+const (
+	tickInterval = 20 * time.Millisecond
+	idleInterval = 250 * time.Millisecond
+)
 
 // host runs the dispatcher on an actor and hands its actions to the requests
 // that wait for them.
@@ -32,6 +36,9 @@
 	ref   *actors.Ref
 	clock clock.Clock
 	ids   atomic.Uint64
+	// open counts the requests under way; wake tells of the first.
+	open atomic.Int64
+	wake chan struct{}
 
 	// documents is replaced whole at each change.
 	documents atomic.Pointer[map[string]service.Accepted]
@@ -87,20 +94,27 @@
 		waiters:    map[uint64]*job{},
 		demands:    newDemands(node.Name, incarnation, g),
 		gossip:     g,
+		wake:       make(chan struct{}, 1),
 	}
 	h.documents.Store(&map[string]service.Accepted{})
 	h.ref = actors.Spawn(ctx, system, "entry", h.receive)
 	g.Subscribe(func(c gossip.Change) { h.ref.Send(changed(c)) })
 	go func() {
-		t := time.NewTicker(tickInterval)
+		t := time.NewTimer(tickInterval)
 		defer t.Stop()
 		for {
 			select {
 			case <-t.C:
-				h.ref.Send(tick{})
+			case <-h.wake:
 			case <-ctx.Done():
 				return
 			}
+			h.ref.Send(tick{})
+			if h.open.Load() > 0 {
+				t.Reset(tickInterval)
+			} else {
+				t.Reset(idleInterval)
+			}
 		}
 	}()
 	return h
@@ -110,6 +124,12 @@
 func (h *host) submit(t dispatch.Ticket) *job {
 	t.ID = h.ids.Add(1)
 	j := &job{ticket: t, outcomes: make(chan outcome, 2*retry.MaxAttempts), leaving: make(chan struct{})}
+	if h.open.Add(1) == 1 {
+		select {
+		case h.wake <- struct{}{}:
+		default:
+		}
+	}
 	h.ref.Send(submit{j})
 	return j
 }
@@ -152,10 +172,10 @@
 		h.waiters[m.job.ticket.ID] = m.job
 		h.act(h.dispatcher.Submit(now, m.job.ticket))
 	case finish:
-		delete(h.waiters, m.id)
+		h.forget(m.id)
 		h.act(h.dispatcher.Finish(now, m.id))
 	case dropped:
-		delete(h.waiters, m.id)
+		h.forget(m.id)
 		h.act(h.dispatcher.Withdraw(now, m.id))
 	case move:
 		h.act(h.dispatcher.Move(now, m.id, m.failure))
@@ -166,6 +186,14 @@
 	}
 }
 
+// forget ends the host's part in a request.
+func (h *host) forget(id uint64) {
+	if _, ok := h.waiters[id]; ok {
+		delete(h.waiters, id)
+		h.open.Add(-1)
+	}
+}
+
 func (h *host) act(actions []dispatch.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -175,7 +203,7 @@
 			}
 		case dispatch.Refuse:
 			if j := h.waiters[a.Ticket]; j != nil {
-				delete(h.waiters, a.Ticket)
+				h.forget(a.Ticket)
 				h.refuse(j, a.Err)
 			}
 		case dispatch.Suspect:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -29,8 +29,8 @@
 
 // Times and sizes of the log.
 const (
-	tickInterval   = 50 * time.Millisecond
-	electionTicks  = 12
+	tickInterval   = 100 * time.Millisecond
+	electionTicks  = 8
 	heartbeatTicks = 2
 	maxAppendBytes = 512 << 10
 	// compactBytes is the length of the log on disk that is compacted.
