--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,6 +25,9 @@
 	fanOut = 2
 	// compareEvery is the number of rounds between two comparisons.
 	compareEvery = 5
+	// renewEvery is the number of rounds between two pushes of renewals
+	// alone.
+	renewEvery = 2
 	// pushBytes bounds the payload of one push.
 	pushBytes = 256 << 10
 	// callTimeout bounds one exchange.
@@ -271,7 +274,9 @@
 	if refreshEvery := max(int(h.options.Lease/h.options.Interval)/3, 1); h.round%refreshEvery == 0 {
 		h.refresh(now)
 	}
-	h.push(now)
+	if h.table.News() || h.round%renewEvery == 0 {
+		h.push(now)
+	}
 	if h.round%compareEvery == 0 {
 		h.compare()
 	}
--- a/measure/gossip_test.go
+++ b/measure/gossip_test.go
@@ -20,6 +20,7 @@
 	gossipInterval = 200 * time.Millisecond
 	gossipFanOut   = 2
 	compareEvery   = 5
+	renewEvery     = 2
 	pushBytes      = 256 << 10
 )
 
@@ -98,6 +99,9 @@
 	}
 	c.refresh()
 	for i, t := range c.tables {
+		if !t.News() && (c.rounds+i)%renewEvery != 0 {
+			continue
+		}
 		if hot := t.Hot(c.now, pushBytes); len(hot) > 0 {
 			for range gossipFanOut {
 				to := c.other(i)
@@ -105,6 +109,8 @@
 				c.tables[to].Merge(c.now, hot)
 			}
 		}
+	}
+	for i, t := range c.tables {
 		if (c.rounds+i)%compareEvery == 0 {
 			c.compare(t, c.tables[c.other(i)], entryName(i))
 		}
--- a/member/table.go
+++ b/member/table.go
@@ -160,6 +160,17 @@
 	return out
 }
 
+// News reports whether anything waits to be pushed that is more than the
+// renewal of a lease.
+func (t *Table) News() bool {
+	for key := range t.hot {
+		if !t.rows[key].renewal || t.rows[key].record.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // Digest returns every key with its version.
 func (t *Table) Digest() []DigestEntry {
 	out := make([]DigestEntry, 0, len(t.rows))
