--- a/measure/nodes_test.go
+++ b/measure/nodes_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -19,16 +20,19 @@
 	"github.com/onsi/gomega"
 
 	"github.com/hyssopladder/hyssopladder/claim"
+	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/entry"
 	"github.com/hyssopladder/hyssopladder/examples"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/member"
 	_ "github.com/hyssopladder/hyssopladder/operator"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/standin"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // deployment is three nodes in this process.
@@ -104,13 +108,16 @@
 		if workers == 256 {
 			n = 40 * workers
 		}
+		cpu := cpuTime(t)
 		rate, h := concurrently(workers, n, func(i int) {
 			key := claim.Key{Caller: "sitters", Service: "booking", Key: fmt.Sprintf("%d-%d", run, i)}
 			if _, err := client.Claim(context.Background(), claim.Claim{Key: key, Sum: 1, Owner: "o"}); err != nil {
 				t.Error(err)
 			}
 		})
-		fmt.Printf("claims: %3d at a time: %6.0f a second, median %v, 99th %v\n", workers, rate, micros(h, 50), micros(h, 99))
+		used := float64((cpuTime(t) - cpu).Microseconds()) / float64(n)
+		fmt.Printf("claims: %3d at a time: %6.0f a second, median %v, 99th %v, %.0f us of processor for client and three keepers\n",
+			workers, rate, micros(h, 50), micros(h, 99), used)
 	}
 }
 
@@ -212,12 +219,50 @@
 		fmt.Printf("%-16s direct median %v, 99th %v; through an entry median %v, 99th %v; added %v and %v\n", c.name,
 			micros(direct, 50), micros(direct, 99), micros(around, 50), micros(around, 99), micros(around, 50)-micros(direct, 50), micros(around, 99)-micros(direct, 99))
 	}
-	began, cpu := time.Now(), cpuTime(t)
-	const calls = 4000
-	concurrently(8, calls, chat(through))
-	used := cpuTime(t) - cpu
-	fmt.Printf("whole process (entry, stand-in and client): %.0f us of processor a chat of 4 tokens, %v in all, resident %d MB\n",
-		float64(used.Microseconds())/calls, time.Since(began).Round(time.Millisecond), residentMB(t))
+	for _, tokens := range []int{4, 64} {
+		long := strings.Replace(body, `"max_tokens":4`, fmt.Sprintf(`"max_tokens":%d`, tokens), 1)
+		cpu := cpuTime(t)
+		const calls = 3000
+		concurrently(8, calls, func(int) { post(t, through+"/v1/chat/completions", long) })
+		used := cpuTime(t) - cpu
+		fmt.Printf("whole process (three nodes, stand-ins and client): %.0f us of processor a chat of %d tokens, resident %d MB\n",
+			float64(used.Microseconds())/calls, tokens, residentMB(t))
+	}
+}
+
+// TestMemorySlopes gives the heap that shared state takes.
+func TestMemorySlopes(t *testing.T) {
+	for _, n := range []int{2400, 24000} {
+		before := heapBytes()
+		table := member.New()
+		d := dispatch.New(dispatch.Options{Zone: "a", Costs: dispatch.DefaultCosts()})
+		d.SetDocument(0, service.Accepted{Revision: 1, Document: limaDocument()})
+		for i := range n {
+			a := upstream.Announcement{
+				ID: fmt.Sprintf("engine-%04d", i), Incarnation: 1, Sequence: 1, Zone: "a", Class: "small", Kind: service.Model,
+				Address: netip.MustParseAddrPort("10.0.0.1:8000"), Models: []string{"rota-7b"}, Lease: time.Minute, Slots: 8,
+			}
+			table.Merge(0, []member.Record{a.Record()})
+			d.Announce(0, a)
+		}
+		upstreams := heapBytes() - before
+		before = heapBytes()
+		for i := range n {
+			table.Merge(0, []member.Record{documentRecord(i, uint64(i+1))})
+		}
+		documents := heapBytes() - before
+		fmt.Printf("memory: %4d upstreams %d bytes each, %4d documents %d bytes each in the table\n", n, upstreams/n, n, documents/n)
+		if table.Len() != 2*n || len(d.State(0)) != 1 {
+			t.Fatal("records are missing")
+		}
+	}
+}
+
+func heapBytes() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
 }
 
 func waitUpstreams(t *testing.T, e *entry.Entry) {
