dispatch: Remember that an earlier attempt may have run

The fuzz of tickets, run for longer, found a false "not run": a repeatable request whose upstream went silent was tried again, the second upstream could not be reached, the retry budget was spent, and the answer spoke of the last attempt only. Cause: the answer was made from the last failure.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -135,6 +135,8 @@
 	// queued says that the upstream had no free slot when the ticket went
 	// there, so that its time doesn't tell the speed of a slot.
 	queued bool
+	// mayHaveRun says that an attempt ended after bytes were sent.
+	mayHaveRun bool
 	// alone says that the ticket has its upstream to itself, as a suspect.
 	alone bool
 	// held is the upstream that is kept for the ticket, as a suspect since
@@ -274,6 +276,7 @@
 	}
 	p := d.pools[t.Service]
 	alone := t.alone
+	t.mayHaveRun = t.mayHaveRun || f.Ran()
 	d.release(now, t, f != retry.Reclaimed)
 	if f == retry.Broken && d.died(now, t, alone) {
 		delete(d.tickets, id)
@@ -287,7 +290,7 @@
 	}
 	if !allowed {
 		delete(d.tickets, id)
-		d.refuse(id, failed(f))
+		d.refuse(id, t.failed())
 		d.pump(now, p)
 		return d.take()
 	}
@@ -297,8 +300,10 @@
 	return d.take()
 }
 
-func failed(f retry.Failure) *result.Error {
-	if f.Ran() {
+// failed is the answer to a ticket that isn't tried again. What an earlier
+// attempt may have done counts too.
+func (t *ticket) failed() *result.Error {
+	if t.mayHaveRun {
 		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream was lost after the request was sent")
 	}
 	return result.New(result.UpstreamFailed, result.RanNo, "no upstream took the request").WithRetry(time.Second)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -94,6 +94,18 @@
 	}
 }
 
+func TestAnEarlierAttemptMayHaveRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDispatcher("x", "y")
+	granted(g, submit(d, 0, 1, true))
+	granted(g, d.Move(0, 1, retry.Silent))
+	for d.pools["s"].budget.Spend(0) {
+		continue
+	}
+	actions := d.Move(0, 1, retry.NotSent)
+	g.Expect(refusedWith(actions)).To(gomega.Equal(result.UpstreamUnknown))
+}
+
 func TestReclaimsSpendNoRetryBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDispatcher("x")
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -110,12 +110,12 @@
 func (p *plainCall) run(ctx context.Context) (*plainAnswer, error) {
 	e := p.entry
 	p.job = e.host.submit(p.ticket)
-	first := true
+	first, ran := true, result.RanNo
 	for {
 		select {
 		case <-ctx.Done():
 			e.host.withdraw(p.job)
-			return nil, result.New(result.Expired, result.RanNo, "the caller closed the connection")
+			return nil, result.New(result.Expired, ran, "the caller closed the connection")
 		case o := <-p.job.outcomes:
 			switch o := o.(type) {
 			case refused:
@@ -131,6 +131,9 @@
 					e.meters.answered.Inc(1)
 					return answer, err
 				}
+				if failure.Ran() {
+					ran = result.RanUnknown
+				}
 				e.host.move(p.job, failure)
 			}
 		}
--- a/measure/trace_test.go
+++ b/measure/trace_test.go
@@ -160,12 +160,6 @@
 	return sorted[len(sorted)/2]
 }
 
-// row prints a line of the table of measures: what, who and the figures as
-// median and, in brackets, worst of the seeds.
-func row(what, who, format string, args ...any) {
-	fmt.Printf("| %s | %s | %s |\n", what, who, fmt.Sprintf(format, args...))
-}
-
 // hold checks a target that is met.
 func hold(t *testing.T, what string, got float64, how string, want float64) {
 	t.Helper()
