--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,6 +77,34 @@
 	}
 }
 
+func TestANewcomerGetsNoCreditForIdleTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(threeRanks())
+	for id := uint64(1); id <= 20; id++ {
+		s.Offer(0, request(id, 0, "a"), busy)
+	}
+	order(s, free, 10)
+	for id := uint64(21); id <= 30; id++ {
+		s.Offer(0, request(id, 0, "b"), busy)
+	}
+	turns := order(s, free, 10)
+	g.Expect(strings.Count(turns, "b")).To(gomega.BeNumerically("~", 5, 1), turns)
+}
+
+func TestADebtIsNotForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New(threeRanks())
+	costly := request(1, 0, "a")
+	costly.Cost = 100
+	s.Offer(0, costly, busy)
+	order(s, free, 1)
+	for id := uint64(2); id <= 6; id++ {
+		s.Offer(0, request(id, 0, "b"), busy)
+	}
+	s.Offer(0, request(7, 0, "a"), busy)
+	g.Expect(order(s, free, 6)).To(gomega.Equal("bbbbba"))
+}
+
 func TestFloorsHoldInAFlood(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New(threeRanks())
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -106,14 +106,15 @@
 	g.Expect(refusedWith(actions)).To(gomega.Equal(result.UpstreamUnknown))
 }
 
-func TestReclaimsSpendNoRetryBudget(t *testing.T) {
+func TestReclaimsNeedNoRetryBudget(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDispatcher("x")
 	granted(g, submit(d, 0, 1, true))
-	for range retry.MaxAttempts - 1 {
-		granted(g, d.Move(0, 1, retry.Reclaimed))
+	for d.pools["s"].budget.Spend(0) {
+		continue
 	}
-	g.Expect(d.pools["s"].budget.Spend(0)).To(gomega.BeTrue())
+	granted(g, d.Move(0, 1, retry.Reclaimed))
+	g.Expect(refusedWith(d.Move(0, 1, retry.Silent))).To(gomega.Equal(result.UpstreamUnknown))
 }
 
 func TestSuspects(t *testing.T) {
@@ -142,13 +143,15 @@
 
 func TestAWaveOfDeathsBlamesNobody(t *testing.T) {
 	g := gomega.NewWithT(t)
-	d := newDispatcher("w", "x", "y", "z")
-	for id := uint64(1); id <= 4; id++ {
-		submit(d, 0, id, true)
-	}
+	d := newDispatcher("v", "w", "x", "y", "z")
 	for id := uint64(1); id <= 3; id++ {
-		d.Move(0, id, retry.Broken)
+		granted(g, submit(d, 0, id, true))
 	}
+	// The first is a suspect that runs alone when the others' upstreams die.
+	granted(g, d.Move(0, 1, retry.Broken))
+	d.Move(0, 2, retry.Broken)
+	d.Move(0, 3, retry.Broken)
+	g.Expect(refusedWith(d.Move(0, 1, retry.Broken))).NotTo(gomega.Equal(result.Quarantined))
 	for id := uint64(1); id <= 3; id++ {
 		g.Expect(d.suspects.quarantined(0, id)).To(gomega.BeFalse())
 	}
