--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -376,9 +376,7 @@
 			continue
 		}
 		if m == nil {
-			for _, x := range c.alive() {
-				c.t.Logf("%+v", x.node.Status())
-			}
+			c.dump()
 			c.t.Fatalf("no leader after the network healed")
 		}
 		if _, done := c.answers["final"]; done && c.converged(m) {
@@ -388,6 +386,7 @@
 			c.propose(m, final)
 		}
 		if i > patience {
+			c.dump()
 			c.t.Fatalf("the voters didn't converge: %+v", m.node.Status())
 		}
 	}
@@ -440,3 +439,10 @@
 		c.settle()
 	})
 }
+
+// dump logs every member's state.
+func (c *cluster) dump() {
+	for _, m := range c.alive() {
+		c.t.Logf("%+v", m.node.Status())
+	}
+}
--- a/consensus/node__replication.go
+++ b/consensus/node__replication.go
@@ -120,6 +120,13 @@
 		n.send(Message{Kind: AppendReply, To: m.From, Index: n.commit})
 		return
 	}
+	if n.log.matches(s.Index, s.Term) {
+		// The log holds what the snapshot sums up. What follows stays, for it
+		// may have been acknowledged.
+		n.commit = s.Index
+		n.send(Message{Kind: AppendReply, To: m.From, Index: s.Index})
+		return
+	}
 	n.log.reset(s)
 	n.snapshot = &s
 	n.commit, n.applied = s.Index, s.Index
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -88,6 +88,26 @@
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
+func TestLateSnapshotDropsNoAcknowledgedEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	three := consensus.Config{Voters: []consensus.ID{1, 2, 3}}
+	n := restarted(t, 1, 1, configEntry(1, 1, three), consensus.Entry{Index: 2, Term: 1}, consensus.Entry{Index: 3, Term: 1})
+	n.Step(consensus.Message{Kind: consensus.Append, From: 2, To: 1, Term: 1, Index: 3, LogTerm: 1, Commit: 1})
+	acknowledged := flush(n)
+	g.Expect(acknowledged[0].Index).To(gomega.Equal(uint64(3)))
+	late := &consensus.Snapshot{Index: 2, Term: 1, Config: three, Data: []byte("state")}
+	n.Step(consensus.Message{Kind: consensus.InstallSnapshot, From: 2, To: 1, Term: 1, Snapshot: late})
+	flush(n)
+	g.Expect(n.Status().Last).To(gomega.Equal(uint64(3)))
+	g.Expect(n.Status().Commit).To(gomega.Equal(uint64(2)))
+	// Where the log holds another entry, the snapshot replaces it.
+	other := restarted(t, 1, 1, configEntry(1, 1, three), consensus.Entry{Index: 2, Term: 1}, consensus.Entry{Index: 3, Term: 1})
+	late.Term = 2
+	other.Step(consensus.Message{Kind: consensus.InstallSnapshot, From: 2, To: 1, Term: 2, Snapshot: late})
+	flush(other)
+	g.Expect(other.Status().Last).To(gomega.Equal(uint64(2)))
+}
+
 func TestFollowerWithLivingLeaderIgnoresVotes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := restarted(t, 1, 1, configEntry(1, 1, consensus.Config{Voters: []consensus.ID{1, 2, 3}}))
