--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -104,16 +104,7 @@
 		e.meters.failed.Inc(1)
 	}
 	klog.V(1).InfoS("request failed", "instance", e.options.Node.Name, "caller", in.caller, "code", int(p.Code), "ran", p.Ran, "detail", p.Detail)
-	writeProblem(w, p)
-}
-
-func writeProblem(w http.ResponseWriter, p *result.Error) {
-	if p.RetrySeconds > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(p.RetrySeconds))
-	}
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p)
+	problem.Write(w, p)
 }
 
 // announce takes in an upstream's announcement and spreads it.
@@ -124,7 +115,7 @@
 		err = a.Check()
 	}
 	if err != nil {
-		writeProblem(w, result.New(result.BadRequest, result.RanNo, "%v", err))
+		problem.Write(w, result.New(result.BadRequest, result.RanNo, "%v", err))
 		return
 	}
 	e.options.Gossip.Publish(a.Record())
--- a/operator/api.go
+++ b/operator/api.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/document"
@@ -74,10 +75,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		v, err := f(r)
 		if err != nil {
-			p := result.From(err)
-			w.Header().Set("Content-Type", "application/problem+json")
-			w.WriteHeader(p.Status)
-			_ = json.NewEncoder(w).Encode(p)
+			problem.Write(w, result.From(err))
 			return
 		}
 		if tag, ok := v.(tagged); ok {
