--- /dev/null
+++ b/e2e/flood_test.go
@@ -0,0 +1,54 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("A flood of drafts", func() {
+	ginkgo.It("is refused or waits, while urgent questions are answered in time", func() {
+		nodes := twoZones()
+		startEngines(nodes, []string{"a", "b"}, "--decode", "10ms", "--slots", "4")
+		var stop atomic.Bool
+		var answered, refused atomic.Int64
+		var wait sync.WaitGroup
+		for w := range 40 {
+			wait.Go(func() {
+				pace := time.NewTicker(20 * time.Millisecond)
+				defer pace.Stop()
+				for i := 0; !stop.Load(); i++ {
+					<-pace.C
+					_, err := ask(nodes[w%len(nodes)], fmt.Sprintf("draft %d of %d", i, w), 40, false,
+						map[string]string{"X-Caller": "cooperative", "X-Call": "rota"})
+					switch {
+					case err == nil:
+						answered.Add(1)
+					case strings.Contains(err.Error(), `"ran":"no"`):
+						refused.Add(1)
+					default:
+						ginkgo.GinkgoWriter.Println(err)
+					}
+				}
+			})
+		}
+		gomega.Eventually(answered.Load, startLimit).Should(gomega.BeNumerically(">", 8))
+		const target = 2 * time.Second
+		const rest = 40 * 10 * time.Millisecond
+		for i := range 20 {
+			content := fmt.Sprintf("medication %d", i)
+			began := time.Now()
+			text, err := ask(nodes[i%len(nodes)], content, 40, false, map[string]string{"X-Caller": "sitters", "X-Call": "medication"})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(text).To(gomega.Equal(expected(content, 40)))
+			gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", target+rest))
+		}
+		stop.Store(true)
+		wait.Wait()
+	})
+})
