--- a/commands/state.go
+++ b/commands/state.go
@@ -20,7 +20,13 @@
 
 	drain := app.Command("drain", "Drain a node: it takes no new callers, finishes what is under way and stops.")
 	drainNode := nodeFlag(drain)
-	c.add(drain, func() error { return operator.NewClient(*drainNode).Drain(c.ctx) })
+	c.add(drain, func() error {
+		if err := operator.NewClient(*drainNode).Drain(c.ctx); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(c.out, "%s drains; it stops when its requests have ended\n", drainNode)
+		return err
+	})
 
 	dump := app.Command("dump", "Print a node's whole state as JSON.")
 	dumpNode := nodeFlag(dump)
--- a/measure/nodes_test.go
+++ b/measure/nodes_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -219,6 +220,10 @@
 		fmt.Printf("%-16s direct median %v, 99th %v; through an entry median %v, 99th %v; added %v and %v\n", c.name,
 			micros(direct, 50), micros(direct, 99), micros(around, 50), micros(around, 99), micros(around, 50)-micros(direct, 50), micros(around, 99)-micros(direct, 99))
 	}
+	_, direct := concurrentlyTimed(4, n, func(int) time.Duration { return firstToken(t, "http://"+engine.Address.String(), body) })
+	_, around := concurrentlyTimed(4, n, func(int) time.Duration { return firstToken(t, through, body) })
+	fmt.Printf("first token      direct median %v, 99th %v; through an entry median %v, 99th %v; added %v and %v\n",
+		micros(direct, 50), micros(direct, 99), micros(around, 50), micros(around, 99), micros(around, 50)-micros(direct, 50), micros(around, 99)-micros(direct, 99))
 	for _, tokens := range []int{4, 64} {
 		long := strings.Replace(body, `"max_tokens":4`, fmt.Sprintf(`"max_tokens":%d`, tokens), 1)
 		cpu := cpuTime(t)
@@ -281,8 +286,27 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// post sends a chat and returns at its first token; the rest is read without
-// being timed only as far as the connection needs it.
+// firstToken sends a chat, reads it whole and returns the time to its first
+// token.
+func firstToken(t *testing.T, url, body string) time.Duration {
+	began := time.Now()
+	r, err := client.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer func() { _ = r.Body.Close() }()
+	first := time.Duration(0)
+	lines := bufio.NewScanner(r.Body)
+	for lines.Scan() {
+		if first == 0 && strings.HasPrefix(lines.Text(), "data:") {
+			first = time.Since(began)
+		}
+	}
+	return first
+}
+
+// post sends a chat and reads it whole.
 func post(t *testing.T, url, body string) {
 	r, err := client.Post(url, "application/json", bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/measure/speed_test.go
+++ b/measure/speed_test.go
@@ -91,6 +91,15 @@
 // concurrently calls f from workers until it was called n times, and returns
 // the rate with the latencies.
 func concurrently(workers, n int, f func(i int)) (float64, *hdrhistogram.Histogram) {
+	return concurrentlyTimed(workers, n, func(i int) time.Duration {
+		start := time.Now()
+		f(i)
+		return time.Since(start)
+	})
+}
+
+// concurrentlyTimed is concurrently, where f says itself how long it took.
+func concurrentlyTimed(workers, n int, f func(i int) time.Duration) (float64, *hdrhistogram.Histogram) {
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	var mu sync.Mutex
 	var wait sync.WaitGroup
@@ -98,9 +107,7 @@
 	for w := range workers {
 		wait.Go(func() {
 			for i := w; i < n; i += workers {
-				start := time.Now()
-				f(i)
-				took := time.Since(start).Microseconds()
+				took := f(i).Microseconds()
 				mu.Lock()
 				_ = h.RecordValue(took)
 				mu.Unlock()
