entry: Tell which rank misses its target, and test bad input by its codes

status prints the part of each rank's answers that came in time lately, and names the ranks below 95%. The dump lists at most 256 upstreams a service.

--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -85,7 +85,7 @@
 	return operator.Status{
 		Instance: "entry-a0", Zone: "a", Ready: true,
 		Services: []dispatch.ServiceState{
-			{Service: "assistant", Revision: 7, Slots: 16, Waiting: map[string]int{"urgent": 2, "draft": 9}, Upstreams: upstreams},
+			{Service: "assistant", Revision: 7, Slots: 16, Waiting: map[string]int{"urgent": 2, "draft": 9}, Upstreams: upstreams, InTime: map[string]float64{"urgent": 0.99, "draft": 0.5}},
 			{Service: "booking", Revision: 3, Slots: 8, Free: 8, Waiting: map[string]int{"urgent": 0}, Upstreams: upstreams[:1]},
 			{Service: "rota", Revision: 1, Waiting: map[string]int{}},
 		},
--- a/commands/live_test.go
+++ b/commands/live_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -92,3 +93,60 @@
 	}
 	golden(t, "live-node", regexp.MustCompile(`:\d+"`).ReplaceAllString(out.String(), `:PORT"`))
 }
+
+// TestBadInput sends what no caller should, and expects numbered errors.
+func TestBadInput(t *testing.T) {
+	h, node := startAlone(t)
+	file := filepath.Join(t.TempDir(), "assistant.ini")
+	g := gomega.NewWithT(t)
+	g.Expect(os.WriteFile(file, examples.Assistant, 0o600)).To(gomega.Succeed())
+	out, code := run("apply", "--node", node, "--wait", file)
+	g.Expect(code).To(gomega.Equal(exitOK), out)
+	callers := "http://" + listening(h).Callers.String()
+	g.Eventually(func() int {
+		r, err := http.Get(callers + "/readyz")
+		if err != nil {
+			return 0
+		}
+		_ = r.Body.Close()
+		return r.StatusCode
+	}, 10*time.Second).Should(gomega.Equal(http.StatusOK))
+	chat := func(model string) string {
+		return `{"model":"` + model + `","messages":[{"role":"user","content":"x"}]}`
+	}
+	cases := []struct {
+		name, url, body, header, value string
+		status, code                   int
+	}{
+		{"not JSON", callers + "/v1/chat/completions", "{", "", "", 400, 1001},
+		{"unknown model", callers + "/v1/chat/completions", chat("other"), "", "", 404, 1002},
+		{"unknown call", callers + "/v1/chat/completions", chat("rota-7b"), "X-Call", "other", 404, 1006},
+		{"caller's name", callers + "/v1/chat/completions", chat("rota-7b"), "X-Caller", "a b", 400, 1001},
+		{"long key", callers + "/services/booking/bookings", "x", "Idempotency-Key", strings.Repeat("k", 200), 400, 1001},
+		{"unknown service", callers + "/services/other/x", "x", "", "", 404, 1002},
+		{"large body", callers + "/v1/chat/completions", strings.Repeat("x", 2<<20), "", "", 413, 1003},
+		{"no upstream", callers + "/v1/chat/completions", chat("rota-7b"), "", "", 503, 2004},
+		{"announcement", "http://" + node + "/upstream/announce", "{}", "", "", 400, 1001},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r, err := http.NewRequest(http.MethodPost, c.url, strings.NewReader(c.body))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			if c.header != "" {
+				r.Header.Set(c.header, c.value)
+			}
+			response, err := http.DefaultClient.Do(r)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = response.Body.Close() }()
+			var p struct {
+				Code int    `json:"code"`
+				Ran  string `json:"ran"`
+			}
+			g.Expect(json.NewDecoder(response.Body).Decode(&p)).To(gomega.Succeed())
+			g.Expect(response.StatusCode).To(gomega.Equal(c.status))
+			g.Expect(p.Code).To(gomega.Equal(c.code))
+			g.Expect(p.Ran).To(gomega.Equal("no"))
+		})
+	}
+}
--- a/commands/state.go
+++ b/commands/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -53,10 +55,10 @@
 	}
 	_, _ = fmt.Fprintf(c.out, "instance %s, zone %s, ready %t, %d nodes alive\n\n", s.Instance, s.Zone, s.Ready, len(s.Nodes))
 	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "SERVICE\tREVISION\tUPSTREAMS\tFREE/SLOTS\tWAITING\tNOTE")
+	_, _ = fmt.Fprintln(w, "SERVICE\tREVISION\tUPSTREAMS\tFREE/SLOTS\tWAITING\tIN TIME\tNOTE")
 	for _, service := range s.Services {
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%d/%d\t%s\t%s\n", service.Service, service.Revision,
-			zoneCounts(service), service.Free, service.Slots, waiting(service), note(service))
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%d/%d\t%s\t%s\t%s\n", service.Service, service.Revision,
+			zoneCounts(service), service.Free, service.Slots, waiting(service), inTime(service), note(service))
 	}
 	return w.Flush()
 }
@@ -86,6 +88,21 @@
 	return strings.Join(parts, " ")
 }
 
+// inTime lists the part of each rank's answers that came in time lately.
+func inTime(s dispatch.ServiceState) string {
+	var parts []string
+	for _, rank := range slices.Sorted(maps.Keys(s.InTime)) {
+		parts = append(parts, fmt.Sprintf("%s:%.0f%%", rank, 100*s.InTime[rank]))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, " ")
+}
+
+// targetPart is the part of a rank's answers that should come in time.
+const targetPart = 0.95
+
 // note says in words why a service may miss its targets.
 func note(s dispatch.ServiceState) string {
 	usable, leaving := 0, 0
@@ -98,6 +115,11 @@
 		}
 	}
 	var notes []string
+	for _, rank := range slices.Sorted(maps.Keys(s.InTime)) {
+		if s.InTime[rank] < targetPart {
+			notes = append(notes, rank+" misses its target")
+		}
+	}
 	if usable == 0 {
 		notes = append(notes, "no upstream: every call is refused")
 	}
--- a/dispatch/dispatch__state.go
+++ b/dispatch/dispatch__state.go
@@ -18,6 +18,9 @@
 	// Rate is the expected work per second, in tokens.
 	Rate      float64         `json:"rate"`
 	Upstreams []UpstreamState `json:"upstreams"`
+	// InTime is the part of each rank's answers that came within the target
+	// lately; the entry fills it in.
+	InTime map[string]float64 `json:"inTime,omitempty"`
 }
 
 // UpstreamState describes one upstream for status and dump.
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -43,6 +43,7 @@
 		entry:   e,
 		request: request,
 		call:    call,
+		target:  accepted.Document.Ranks[accepted.Document.RankIndex(call.Rank)].FirstToken,
 		began:   time.Now(),
 		ticket: dispatch.Ticket{
 			Service:    accepted.Document.Name,
@@ -64,6 +65,7 @@
 	entry   *Entry
 	request *chatRequest
 	call    service.Call
+	target  time.Duration
 	ticket  dispatch.Ticket
 	job     *job
 	out     sink
@@ -189,6 +191,7 @@
 	case relay.Emit:
 		if c.Offset == 0 {
 			a.entry.meters.firstToken.UpdateSince(a.began)
+			a.entry.targets.add(a.entry.host.clock(), a.ticket.Service, a.call.Rank, time.Since(a.began) <= a.target)
 		}
 		a.text.WriteString(c.Text)
 		a.emitted.Store(int64(a.stream.Offset()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,6 +58,7 @@
 	settling sync.WaitGroup
 	streams  streamCounter
 	meters   meters
+	targets  *targets
 }
 
 var _ kernel.Plugin = (*Entry)(nil)
@@ -105,6 +106,7 @@
 		clients: newClients(),
 		streams: streamCounter{limit: o.Settings.MaxStreamsPerCaller, open: map[string]int{}},
 		meters:  newMeters(o.Metrics),
+		targets: newTargets(),
 	}
 	o.Server.Handle("POST /upstream/announce", http.HandlerFunc(e.announce))
 	e.http = &http.Server{
@@ -128,7 +130,13 @@
 }
 
 // Services describes the services as this entry sees them.
-func (e *Entry) Services(ctx context.Context) []dispatch.ServiceState { return e.host.state(ctx) }
+func (e *Entry) Services(ctx context.Context) []dispatch.ServiceState {
+	services := e.host.state(ctx)
+	for i := range services {
+		services[i].InTime = e.targets.inTime(services[i].Service)
+	}
+	return services
+}
 
 // InForce returns the revision of a document that this entry serves by.
 func (e *Entry) InForce(name string) uint64 {
@@ -167,11 +175,17 @@
 func (e *Entry) Dump() any {
 	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
 	defer cancel()
+	const maxUpstreams = 256
+	services := e.Services(ctx)
+	for i := range services {
+		s := &services[i]
+		s.Upstreams = s.Upstreams[:min(len(s.Upstreams), maxUpstreams)]
+	}
 	return map[string]any{
 		"listen":   e.Address.String(),
 		"draining": e.draining.Load(),
 		"open":     e.streams.total(),
-		"services": e.Services(ctx),
+		"services": services,
 	}
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -89,10 +89,12 @@
 	if !call.Repeatable && in.key != "" {
 		run = p.runClaimed
 	}
+	began := time.Now()
 	answer, err := run(ctx)
 	if err != nil {
 		return err
 	}
+	e.targets.add(e.host.clock(), name, call.Rank, time.Since(began) <= d.Ranks[rank].FirstToken)
 	answer.write(w)
 	return nil
 }
