--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,8 @@
 
 func TestCheckReportsAllFaults(t *testing.T) {
 	g := gomega.NewWithT(t)
+	fixtures, err := filepath.Abs("testdata")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Chdir(t.TempDir())
 	g.Expect(os.WriteFile("good.ini", examples.Assistant, 0o600)).To(gomega.Succeed())
 	bad := strings.NewReplacer("kind = model", "kind = modle", "floor = 0.5", "floor = 0.95", "firstToken = 10s", "firstToken = 10",
@@ -71,6 +74,7 @@
 	g.Expect(os.WriteFile("bad.ini", []byte(bad), 0o600)).To(gomega.Succeed())
 	out, code := run("check", "good.ini", "bad.ini")
 	g.Expect(code).To(gomega.Equal(exitFailed))
+	goldie.New(t, goldie.WithFixtureDir(fixtures)).Assert(t, "check", []byte(out))
 	g.Expect(out).To(gomega.ContainSubstring("good.ini: service assistant is valid"))
 	for _, fault := range []string{"kind: found", "floors add up", "firstToken: found \"10\"", "no rank of this document", "zone: unknown key", "zones: at least one"} {
 		g.Expect(out).To(gomega.ContainSubstring(fault))
@@ -149,4 +153,12 @@
 	g.Expect(out).To(gomega.ContainSubstring("the answer is whole"))
 	g.Expect(out).To(gomega.ContainSubstring("replayed true"))
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", demoReady))
+	for _, varying := range []struct{ pattern, fixed string }{
+		{`127\.0\.0\.1:\d+`, "ADDRESS"},
+		{`engine-\d`, "engine-N"},
+		{` +[\d.]+m?s`, " TIME"},
+	} {
+		out = regexp.MustCompile(varying.pattern).ReplaceAllString(out, varying.fixed)
+	}
+	golden(t, "demo", out)
 }
