--- a/e2e/flood_test.go
+++ b/e2e/flood_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -9,6 +10,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/operator"
 )
 
 var _ = ginkgo.Describe("A flood of drafts", func() {
@@ -48,6 +51,17 @@
 			gomega.Expect(text).To(gomega.Equal(expected(content, 40)))
 			gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", target+rest))
 		}
+		// A change is in force everywhere within seconds, flood or not.
+		began := time.Now()
+		stored, err := nodes[3].operator().Apply(context.Background(), operator.Write{Name: "booking", INI: bookingINI, ChangeID: "in the flood", Match: "*"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		const limit = 8 * time.Second
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		behind, err := nodes[0].operator().WaitInForce(ctx, "booking", stored.Revision)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(behind).To(gomega.BeEmpty())
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", limit))
 		stop.Store(true)
 		wait.Wait()
 	})
