--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -131,7 +131,7 @@
 	if !d.suspects.suspected(now, t.Fingerprint) {
 		return d.place(now, p, t, t.Query)
 	}
-	u := d.lonely(now, p, t)
+	u := d.exclusiveUpstream(now, p, t)
 	if u == nil || !u.Idle(now) {
 		return false
 	}
@@ -141,9 +141,9 @@
 	return true
 }
 
-// lonely returns the upstream that is held for the suspect, holding the least
+// exclusiveUpstream returns the upstream that is held for the suspect, holding the least
 // busy one if there is none yet.
-func (d *Dispatcher) lonely(now clock.Instant, p *pool, t *ticket) *upstream.Upstream {
+func (d *Dispatcher) exclusiveUpstream(now clock.Instant, p *pool, t *ticket) *upstream.Upstream {
 	if u, ok := d.directory.Get(t.held); ok && u.Usable(now) && u.Held() {
 		return u
 	}
@@ -155,7 +155,7 @@
 		if !u.Usable(now) || u.Avoided(now) || u.Held() || (best != nil && u.Busy() >= best.Busy()) {
 			continue
 		}
-		if d.mayTry(p, u.ID) || now-t.suspectSince >= tryPatience {
+		if d.ownsTrial(p, u.ID) || now-t.suspectSince >= tryPatience {
 			best = u
 		}
 	}
@@ -167,10 +167,10 @@
 	return best
 }
 
-// mayTry reports whether this entry runs suspects at the upstream. Each
+// ownsTrial reports whether this entry runs suspects at the upstream. Each
 // upstream belongs to one entry for that, so that suspects of two entries
 // don't meet and take the blame for each other.
-func (d *Dispatcher) mayTry(p *pool, upstreamID string) bool {
+func (d *Dispatcher) ownsTrial(p *pool, upstreamID string) bool {
 	owner, highest := "", uint64(0)
 	for _, name := range p.names {
 		if h := xxhash.Sum64String(name + "/" + upstreamID); owner == "" || h > highest {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	silence := a.entry.options.Settings.ProgressTimeout
 	watch := newWatchdog(silence, func() {
-		a.entry.clients.condemn(u.Address)
+		a.entry.clients.dropPool(u.Address)
 		cancel()
 	})
 	defer watch.stop()
@@ -156,7 +156,7 @@
 	}
 	x, err := a.entry.clients.do(ctx, u.Address, r, a.call.Repeatable)
 	if err != nil {
-		return failure(x.connected, watch.bitten()), nil
+		return failure(x.connected, watch.expired()), nil
 	}
 	defer func() { _ = x.response.Body.Close() }()
 	if x.response.StatusCode != http.StatusOK {
@@ -170,7 +170,7 @@
 			switch {
 			case evacuated.Load():
 				return retry.Reclaimed, nil
-			case watch.bitten():
+			case watch.expired():
 				return retry.Silent, nil
 			default:
 				return retry.Broken, nil
--- a/entry/client.go
+++ b/entry/client.go
@@ -20,7 +20,7 @@
 )
 
 // clients holds the HTTP clients to the upstreams. Each address has its own
-// pool, so that a silent connection condemns only the pool it belongs to.
+// pool, so that a silent connection costs only the pool it belongs to.
 type clients struct {
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*http.Transport
@@ -58,8 +58,8 @@
 	return t
 }
 
-// condemn drops the pooled connections to an address.
-func (c *clients) condemn(address netip.AddrPort) {
+// dropPool drops the pooled connections to an address.
+func (c *clients) dropPool(address netip.AddrPort) {
 	c.mu.Lock()
 	t := c.pools[address]
 	delete(c.pools, address)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -154,7 +154,7 @@
 	x, err := p.entry.clients.do(ctx, u.Address, r, p.call.Repeatable)
 	if err != nil {
 		if ctx.Err() != nil {
-			p.entry.clients.condemn(u.Address)
+			p.entry.clients.dropPool(u.Address)
 		}
 		return nil, failure(x.connected, ctx.Err() != nil), nil
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -21,21 +21,21 @@
 type watchdog struct {
 	silence time.Duration
 	timer   *time.Timer
-	bit     atomic.Bool
+	fired   atomic.Bool
 }
 
-func newWatchdog(silence time.Duration, bite func()) *watchdog {
+func newWatchdog(silence time.Duration, expired func()) *watchdog {
 	w := &watchdog{silence: silence}
 	w.timer = time.AfterFunc(silence, func() {
-		w.bit.Store(true)
-		bite()
+		w.fired.Store(true)
+		expired()
 	})
 	return w
 }
 
-func (w *watchdog) progress()    { w.timer.Reset(w.silence) }
-func (w *watchdog) stop()        { w.timer.Stop() }
-func (w *watchdog) bitten() bool { return w.bit.Load() }
+func (w *watchdog) progress()     { w.timer.Reset(w.silence) }
+func (w *watchdog) stop()         { w.timer.Stop() }
+func (w *watchdog) expired() bool { return w.fired.Load() }
 
 // failure says how a request failed that got no answer.
 func failure(connected, silent bool) retry.Failure {
