dispatch: Drop what nothing calls

Two accessors without a caller, a budget's field that always held one constant, and a flag that was used once.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -279,9 +279,6 @@
 	}
 }
 
-// Usage is the decayed work per second, in tokens, accepted in a rank.
-func (s *Scheduler) Usage(rank int) float64 { return s.ranks[rank].usage }
-
 func (s *Scheduler) decay(now clock.Instant) {
 	if now <= s.last {
 		return
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -196,9 +196,7 @@
 
 // Announce takes in what an upstream says about itself.
 func (d *Dispatcher) Announce(now clock.Instant, a upstream.Announcement) []Action {
-	held, known := d.directory.Get(a.ID)
-	restarted := known && a.Incarnation > held.Incarnation
-	if restarted {
+	if held, known := d.directory.Get(a.ID); known && a.Incarnation > held.Incarnation {
 		d.hints.Forget(a.ID)
 	}
 	if d.directory.Apply(now, a) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -45,7 +45,6 @@
 // multiply the load on a failing fleet.
 type Budget struct {
 	ratio  float64
-	floor  float64
 	tokens float64
 	last   clock.Instant
 }
@@ -59,7 +58,7 @@
 
 // NewBudget returns a budget of ratio retries per request.
 func NewBudget(ratio float64) *Budget {
-	return &Budget{ratio: ratio, floor: floorPerSecond, tokens: maxSaved / 2}
+	return &Budget{ratio: ratio, tokens: maxSaved / 2}
 }
 
 // Deposit counts a request.
@@ -69,7 +68,7 @@
 func (b *Budget) Spend(now clock.Instant) bool {
 	elapsed := now - b.last
 	b.last = now
-	b.tokens = min(b.tokens+b.floor*float64(elapsed)/float64(time.Second), maxSaved)
+	b.tokens = min(b.tokens+floorPerSecond*float64(elapsed)/float64(time.Second), maxSaved)
 	if b.tokens < 1 {
 		return false
 	}
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -143,9 +143,6 @@
 // Avoid keeps new work away until the instant.
 func (u *Upstream) Avoid(until clock.Instant) { u.avoidUntil = until }
 
-// Expires is the end of the lease.
-func (u *Upstream) Expires() clock.Instant { return u.expires }
-
 // Start counts a request that was sent to the upstream.
 func (u *Upstream) Start() {
 	u.outstanding++
