--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,7 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
-	"github.com/hyssopladder/hyssopladder/journal"
+	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -46,7 +46,7 @@
 type Options struct {
 	Name     string
 	Settings settings.Keeper
-	Journal  *journal.Journal
+	Journal  *wal.Journal
 	Stored   consensus.Stored
 	Gossip   *gossip.Host
 	Server   *peer.Server
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -7,7 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/consensus"
-	"github.com/hyssopladder/hyssopladder/journal"
+	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/member"
 )
 
@@ -39,7 +39,7 @@
 
 // bootstrap founds the cluster, on the one keeper whose settings say so, when
 // enough keepers are there that belong to no cluster, and none that does.
-func (k *Keeper) bootstrap(own journal.Identity) {
+func (k *Keeper) bootstrap(own wal.Identity) {
 	s := k.options.Settings
 	if k.failed != nil || own.Cluster != 0 || !s.Bootstrap || k.foreign || len(k.fresh) < s.InitialVoters || !slices.Contains(k.fresh, own.ID) {
 		return
--- a/keeper/plugin.go
+++ b/keeper/plugin.go
@@ -9,7 +9,7 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
-	"github.com/hyssopladder/hyssopladder/journal"
+	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/settings"
 )
@@ -32,11 +32,11 @@
 	if err != nil {
 		return nil, err
 	}
-	fs, err := journal.OpenFolder(h.Settings.Node.DataFolder)
+	fs, err := wal.OpenFolder(h.Settings.Node.DataFolder)
 	if err != nil {
 		return nil, err
 	}
-	j, stored, err := journal.Open(fs, func() consensus.ID { return consensus.ID(randomNumber()) })
+	j, stored, err := wal.Open(fs, func() consensus.ID { return consensus.ID(randomNumber()) })
 	if err != nil {
 		_ = fs.Close()
 		return nil, errors.Wrapf(err, "data folder %s", h.Settings.Node.DataFolder)
--- a/journal/frame.go
+++ b/wal/frame.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"bytes"
--- a/journal/fs.go
+++ b/wal/fs.go
@@ -1,4 +1,4 @@
-package journal
+package wal
 
 import (
 	"io"
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 )
 
 // FS is the folder that a journal lives in. A file is durable after its Sync
@@ -56,9 +57,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "lock data folder")
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	switch err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); {
+	case errors.Is(err, syscall.EWOULDBLOCK):
 		_ = lock.Close()
 		return nil, errors.Wrapf(err, "data folder %s is in use by another process", path)
+	case err != nil:
+		// Some file systems have no locks. The lock only guards against a
+		// mistake of the operator.
+		klog.ErrorS(err, "data folder can't be locked; going on without", "path", path)
 	}
 	return &folder{path: path, lock: lock}, nil
 }
--- a/journal/journal.go
+++ b/wal/journal.go
@@ -1,6 +1,6 @@
-// Package journal keeps a voter's state on disk: its identity, term and vote,
+// Package wal keeps a voter's state on disk: its identity, term and vote,
 // log and snapshot. What Save has returned from survives a crash.
-package journal
+package wal
 
 import (
 	"os"
