--- a/commands/node.go
+++ b/commands/node.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -14,7 +16,9 @@
 	"github.com/hyssopladder/hyssopladder/entry"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	// The plug-ins register themselves.
+	_ "github.com/hyssopladder/hyssopladder/control"
 	_ "github.com/hyssopladder/hyssopladder/gossip"
+	_ "github.com/hyssopladder/hyssopladder/ingress"
 	_ "github.com/hyssopladder/hyssopladder/operator"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/settings"
@@ -22,7 +26,7 @@
 
 func (c *cli) addNode(app *kingpin.Application) {
 	node := app.Command("node", "Run a node with the roles that its settings name, until it gets SIGTERM.")
-	path := node.Flag("settings", "Settings file, INI.").Required().String()
+	path := node.Flag("settings", "Settings file, INI.").Envar("HYSSOPLADDER_SETTINGS").Required().String()
 	c.add(node, func() error {
 		s, err := settings.Load(*path)
 		if err != nil {
@@ -40,6 +44,7 @@
 }
 
 func (c *cli) runNode(s settings.Settings) error {
+	limitProcess(s.Node)
 	h, err := kernel.New(context.WithoutCancel(c.ctx), s)
 	if err != nil {
 		return err
@@ -55,6 +60,8 @@
 		select {
 		case <-dumps:
 			c.writeDump(h)
+		case err := <-h.Failed():
+			return err
 		case <-h.StopRequested():
 			return drain(h, s)
 		case <-c.ctx.Done():
@@ -63,6 +70,19 @@
 	}
 }
 
+// limitProcess keeps the process within what its instance has.
+func limitProcess(n settings.Node) {
+	// The rest is for stacks, buffers of the kernel and what the collector
+	// doesn't count.
+	const heapPart = 0.7
+	if n.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(heapPart * float64(n.MemoryMegabytes) * (1 << 20)))
+	}
+	if n.Processors > 0 {
+		runtime.GOMAXPROCS(n.Processors)
+	}
+}
+
 func listening(h *kernel.Host) Listening {
 	l := Listening{Instance: h.Settings.Node.Name}
 	if e, ok := kernel.Find[*entry.Entry](h); ok {
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -10,9 +10,9 @@
 )
 
 // Write answers with the error's status, its body, and Retry-After if a time is
-// known.
+// known. A Retry-After that is set already stays.
 func Write(w http.ResponseWriter, e *result.Error) {
-	if e.RetrySeconds > 0 {
+	if e.RetrySeconds > 0 && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", strconv.Itoa(e.RetrySeconds))
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
--- a/consensus/message.go
+++ b/consensus/message.go
@@ -88,6 +88,9 @@
 	Reject  bool    `json:"r,omitempty"`
 	// Hint is the index at which a rejecting follower may match.
 	Hint uint64 `json:"h,omitempty"`
+	// Round is the leader's newest question whether it still leads; a reply
+	// carries it back.
+	Round uint64 `json:"n,omitempty"`
 	// Force marks a vote that a leader asked for.
 	Force    bool      `json:"x,omitempty"`
 	Snapshot *Snapshot `json:"s,omitempty"`
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -88,6 +88,8 @@
 	timeout  int
 	votes    map[ID]bool
 	progress map[ID]*progress
+	// round counts the leader's questions whether it still leads.
+	round uint64
 	// transfer is the follower that is to become leader.
 	transfer ID
 
@@ -102,6 +104,8 @@
 	next  uint64
 	// active says that the member answered since the last quorum check.
 	active bool
+	// round is the newest question that the member answered.
+	round uint64
 	// installing counts down the ticks for which a snapshot is under way.
 	installing int
 }
--- a/consensus/node__replication.go
+++ b/consensus/node__replication.go
@@ -80,7 +80,7 @@
 	n.follow(m.From)
 	if m.Index < n.commit {
 		// The entries up to commit match already.
-		n.send(Message{Kind: AppendReply, To: m.From, Index: n.commit})
+		n.send(Message{Kind: AppendReply, To: m.From, Index: n.commit, Round: m.Round})
 		return
 	}
 	if !n.log.matches(m.Index, m.LogTerm) {
@@ -91,7 +91,7 @@
 			}
 			hint--
 		}
-		n.send(Message{Kind: AppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint})
+		n.send(Message{Kind: AppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint, Round: m.Round})
 		return
 	}
 	if dropped := n.log.append(m.Entries); dropped > 0 && dropped <= n.commit {
@@ -106,7 +106,7 @@
 		}
 	}
 	n.commit = max(n.commit, min(m.Commit, last))
-	n.send(Message{Kind: AppendReply, To: m.From, Index: last})
+	n.send(Message{Kind: AppendReply, To: m.From, Index: last, Round: m.Round})
 }
 
 func (n *Node) handleSnapshot(m Message) {
@@ -178,7 +178,7 @@
 		term = 0
 		prev = 0
 	}
-	n.send(Message{Kind: Append, To: to, Index: prev, LogTerm: term, Commit: n.commit, Entries: entries})
+	n.send(Message{Kind: Append, To: to, Index: prev, LogTerm: term, Commit: n.commit, Entries: entries, Round: n.round})
 }
 
 func (n *Node) handleAppendReply(m Message) {
@@ -187,6 +187,7 @@
 		return
 	}
 	p.active = true
+	p.round = max(p.round, m.Round)
 	if m.Reject {
 		n.handleReject(m, p)
 		return
--- /dev/null
+++ b/control/account.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pack"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/keeper"
+	"github.com/hyssopladder/hyssopladder/platform"
+	"github.com/hyssopladder/hyssopladder/quota"
+	"github.com/hyssopladder/hyssopladder/usage"
+)
+
+// office is what the leader keeps of the entries' reports. A new leader starts
+// a new one.
+type office struct {
+	term   uint64
+	since  clock.Instant
+	ledger *quota.Ledger
+	// reports are the entries' newest, by name and incarnation.
+	reports map[reporter]*reported
+	// limits are the quotas of the configuration with the number.
+	revision *config.Revision
+	limits   map[string]float64
+}
+
+type reporter struct {
+	entry       string
+	incarnation uint64
+}
+
+type reported struct {
+	AccountRequest
+	at    clock.Instant
+	usage map[uint64]map[string]uint64
+}
+
+func newOffice(now clock.Instant, term uint64) *office {
+	return &office{term: term, since: now, ledger: quota.NewLedger(now), reports: map[reporter]*reported{}}
+}
+
+// reportAge is how long an entry's report counts for load.
+const reportAge = 2 * time.Second
+
+// usageMemory is how long the counts of an entry that is gone are kept: until
+// its last windows are on record.
+const usageMemory = 30 * time.Second
+
+// serveAccount takes in an entry's report and grants quotas, if this keeper
+// leads.
+func (c *Control) serveAccount(_ context.Context, body []byte) (any, error) {
+	var q AccountRequest
+	if err := wire.Decode(body, &q); err != nil {
+		return nil, err
+	}
+	v, _ := c.options.Keeper.View()
+	if !v.Leading {
+		return &AccountReply{}, nil
+	}
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.officeOf(now, v)
+	if err := o.setConfig(v.Config); err != nil {
+		return nil, err
+	}
+	return o.report(now, q), nil
+}
+
+// officeOf returns the office of the term, with the lock held.
+func (c *Control) officeOf(now clock.Instant, v keeper.View) *office {
+	if c.office == nil || c.office.term != v.Term {
+		c.office = newOffice(now, v.Term)
+		klog.InfoS("leader keeps accounts", "instance", c.options.Name, "term", v.Term)
+	}
+	return c.office
+}
+
+func (o *office) setConfig(p config.Put) error {
+	if p.Number == 0 || (o.revision != nil && o.revision.Number == p.Number) {
+		return nil
+	}
+	body, err := pack.Inflate(p.Packed, config.MaxBody)
+	if err != nil {
+		return err
+	}
+	r, err := platform.DecodeConfig(body)
+	if err != nil {
+		return err
+	}
+	o.revision = r
+	o.limits = make(map[string]float64, len(r.Organisations))
+	for _, org := range r.Organisations {
+		if org.Rate > 0 {
+			o.limits[org.Name] = org.Rate
+		}
+	}
+	return nil
+}
+
+func (o *office) report(now clock.Instant, q AccountRequest) *AccountReply {
+	key := reporter{q.Entry, q.Incarnation}
+	r, ok := o.reports[key]
+	if !ok {
+		r = &reported{usage: map[uint64]map[string]uint64{}}
+		o.reports[key] = r
+	}
+	r.AccountRequest, r.at = q, now
+	for _, w := range q.Usage {
+		r.usage[w.Number] = w.Counts
+	}
+	for other, held := range o.reports {
+		if now-held.at > usageMemory {
+			delete(o.reports, other)
+		}
+	}
+	asks := make(map[string]quota.Ask, len(q.Demands))
+	for name, d := range q.Demands {
+		asks[name] = quota.Ask{Asked: d.Asked, Held: d.Rate}
+	}
+	reply := &AccountReply{
+		Leading: true,
+		Rates:   o.ledger.Grant(now, q.Entry, q.Incarnation, asks, o.limits),
+		Lease:   quota.Lease,
+		Busy:    map[string]fleet.Busy{},
+	}
+	if o.revision != nil {
+		reply.Config = o.revision.Number
+	}
+	for other, held := range o.reports {
+		if now-held.at > reportAge {
+			continue
+		}
+		reply.Entries++
+		if other == key {
+			continue
+		}
+		for id, b := range held.Busy {
+			sum := reply.Busy[id]
+			sum.Running += b.Running
+			sum.Backlog += b.Backlog
+			sum.Tokens += b.Tokens
+			reply.Busy[id] = sum
+		}
+	}
+	return reply
+}
+
+// window sums up the entries' counts of one window.
+func (o *office) window(number uint64) usage.Window {
+	w := usage.Window{Number: number, Counts: map[string]uint64{}}
+	for _, r := range o.reports {
+		for name, n := range r.usage[number] {
+			w.Counts[name] += n
+		}
+	}
+	return w
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,7 +64,7 @@
 var _ kernel.Plugin = (*Entry)(nil)
 
 func init() {
-	kernel.Register(kernel.Registration{Name: "entry", Order: 40, Role: settings.RoleEntry, New: newPlugin})
+	kernel.Register(kernel.Registration{Name: "entry", Order: 40, Roles: []string{settings.RoleEntry}, New: newPlugin})
 }
 
 func newPlugin(ctx context.Context, h *kernel.Host) (kernel.Plugin, error) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -124,6 +124,9 @@
 	return h
 }
 
+// Address is where other nodes reach this one.
+func (h *Host) Address() netip.AddrPort { return h.options.Node.Address }
+
 // Publish merges records into the table and so spreads them.
 func (h *Host) Publish(records ...member.Record) { h.ref.Send(inbound{records}) }
 
--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/settings"
 )
 
 // leaveTime is how long a stopping node goes on pushing that it leaves.
@@ -19,7 +20,7 @@
 var _ kernel.Plugin = (*Host)(nil)
 
 func init() {
-	kernel.Register(kernel.Registration{Name: "gossip", Order: 20, New: newPlugin})
+	kernel.Register(kernel.Registration{Name: "gossip", Order: 20, Roles: []string{settings.RoleEntry, settings.RoleKeeper}, New: newPlugin})
 }
 
 func newPlugin(ctx context.Context, host *kernel.Host) (kernel.Plugin, error) {
--- /dev/null
+++ b/ingress/plugin.go
@@ -0,0 +1,32 @@
+package ingress
+
+import (
+	"context"
+
+	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/settings"
+)
+
+var _ kernel.Plugin = (*Ingress)(nil)
+
+func init() {
+	kernel.Register(kernel.Registration{Name: "ingress", Order: 40, Roles: []string{settings.RoleIngress}, New: newPlugin})
+}
+
+func newPlugin(ctx context.Context, h *kernel.Host) (kernel.Plugin, error) {
+	server, err := kernel.Require[*peer.Server](h)
+	if err != nil {
+		return nil, err
+	}
+	return New(ctx, Options{
+		Name:        h.Settings.Node.Name,
+		Zone:        h.Settings.Node.Zone,
+		Incarnation: h.Incarnation,
+		Settings:    h.Settings.Ingress,
+		Peers:       h.Settings.Peer,
+		Client:      server.Client,
+		Clock:       h.Clock,
+		Metrics:     h.Metrics,
+	})
+}
--- /dev/null
+++ b/ingress/request.go
@@ -0,0 +1,230 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/call"
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/problem"
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/platform"
+	"github.com/hyssopladder/hyssopladder/result"
+)
+
+// defaultMaxBody bounds bodies where the configuration states no limit.
+const defaultMaxBody = 4 << 20
+
+// request is one caller's request on its way.
+type request struct {
+	call.Request
+	arrived  clock.Instant
+	deadline clock.Instant
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	hasBody  bool
+	route    *config.Route
+	org      *config.Organisation
+	service  string
+	rank     int
+	revision uint64
+}
+
+// organisation is the name that the upstream is told, "" on public routes.
+func (r *request) organisation() string {
+	if r.org == nil {
+		return ""
+	}
+	return r.org.Name
+}
+
+// serve answers one caller.
+func (in *Ingress) serve(w http.ResponseWriter, h *http.Request) {
+	in.meters.requests.Inc(1)
+	if in.stopping.Load() {
+		// The caller's next request goes to another entry.
+		w.Header().Set("Connection", "close")
+	}
+	r, err := in.accept(w, h)
+	if err != nil {
+		in.refuse(w, r, err)
+		return
+	}
+	in.forward(w, h, r)
+}
+
+// refuse answers a request that has not run, or whose outcome the error tells.
+func (in *Ingress) refuse(w http.ResponseWriter, r *request, cause error) {
+	e := result.From(cause)
+	in.meters.refused(e.Code.String())
+	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "revision", r.revision,
+		"code", int(e.Code), "reason", e.Title, "detail", e.Detail, "ran", e.Ran, "retryAfter", e.RetryAfter, "held", in.options.Clock()-r.arrived)
+	platform.SetRequestID(w.Header(), r.ID)
+	if e.RetryAfter > 0 {
+		platform.SetRetryAfter(w.Header(), e.RetryAfter)
+	}
+	problem.Write(w, e)
+}
+
+func (r *request) routeName() string {
+	if r.route == nil {
+		return ""
+	}
+	return r.route.Name
+}
+
+// accept reads a request and checks whether it may be served. The request is
+// never nil.
+func (in *Ingress) accept(w http.ResponseWriter, h *http.Request) (*request, error) {
+	r := &request{
+		arrived: in.options.Clock(), method: h.Method, target: h.RequestURI, host: h.Host, header: h.Header,
+	}
+	said, err := platform.DecodeRequest(h.Header)
+	r.Request = said
+	if err != nil {
+		return r, result.New(result.BadRequest, result.RanNo, "%v", err)
+	}
+	if !strings.HasPrefix(r.target, "/") {
+		return r, result.New(result.BadRequest, result.RanNo, "the target is not a path")
+	}
+	table := in.link.Table()
+	if table == nil {
+		return r, result.New(result.NotReady, result.RanNo, "there is no configuration yet").WithRetry(time.Second)
+	}
+	r.revision = table.Revision.Number
+	path, _, _ := strings.Cut(r.target, "?")
+	if r.route = table.Route(r.host, path); r.route == nil {
+		return r, result.New(result.NoRoute, result.RanNo, "no route for %s%s", r.host, path)
+	}
+	if err := in.identify(r, table); err != nil {
+		return r, err
+	}
+	if err := r.read(w, h, table.Revision.Limits); err != nil {
+		return r, err
+	}
+	wait := r.route.Timeout
+	if r.Patience > 0 {
+		wait = min(wait, r.Patience)
+	}
+	r.deadline = r.arrived + wait
+	r.service = r.route.Pick(point(r.ID))
+	r.rank = r.route.Rank
+	if r.org != nil && r.org.Rank != nil {
+		r.rank = *r.org.Rank
+	}
+	return r, in.charge(r)
+}
+
+// point spreads requests evenly over a route's backends.
+func point(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+// identify finds the organisation of the caller's key.
+func (in *Ingress) identify(r *request, table *config.Table) error {
+	if !table.Keyed() || r.route.Public {
+		return nil
+	}
+	if !in.fresh() {
+		return in.unconfirmed()
+	}
+	if r.org = table.Owner(r.Key); r.org == nil {
+		return result.New(result.UnknownKey, result.RanNo, "no organisation holds the key")
+	}
+	return nil
+}
+
+// unconfirmed refuses a keyed request: the key may have been taken away.
+func (in *Ingress) unconfirmed() error {
+	const soon = time.Second
+	return result.New(result.ConfigNotConfirmed, result.RanNo, "no majority has confirmed the configuration for %v", in.link.Age()).WithRetry(soon)
+}
+
+// read takes in the body.
+func (r *request) read(w http.ResponseWriter, h *http.Request, limits config.Limits) error {
+	most := int64(limits.MaxBodyBytes)
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	r.hasBody = h.ContentLength != 0
+	if h.ContentLength > most {
+		return result.New(result.BodyTooLarge, result.RanNo, "%d bytes, limit %d", h.ContentLength, most)
+	}
+	if !r.hasBody {
+		return nil
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, most))
+	_ = controller.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return result.New(result.BodyTooLarge, result.RanNo, "more than %d bytes", most)
+	case err != nil:
+		return result.New(result.BadRequest, result.RanNo, "read body: %v", err)
+	}
+	r.body = body
+	return nil
+}
+
+// charge takes the request's cost from its organisation's quota.
+func (in *Ingress) charge(r *request) error {
+	if r.org == nil || r.org.Rate <= 0 {
+		return nil
+	}
+	cost := 1.0
+	if r.org.InTokens {
+		cost = float64(r.org.PlainTokens)
+		if r.Counted {
+			cost = float64(r.PromptTokens + r.MaxTokens)
+		}
+	}
+	now := in.options.Clock()
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	p, ok := in.purses[r.org.Name]
+	if !ok {
+		return result.New(result.QuotaExceeded, result.RanNo, "no quota is granted to this entry yet").WithRetry(time.Second)
+	}
+	if ok, after := p.Spend(now, cost); !ok {
+		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked", cost).WithRetry(after)
+	}
+	return nil
+}
+
+// ticket describes the request to the fleet.
+func (r *request) ticket() fleet.Ticket {
+	t := fleet.Ticket{
+		Service: r.service, Rank: r.rank, Attempts: r.route.Attempts, Repeatable: r.route.Repeatable(),
+		Target: r.route.Target, Deadline: r.deadline, Prompt: r.PromptTokens, Output: r.MaxTokens, Parts: r.Parts,
+	}
+	if r.LengthHint > 0 {
+		t.Output = min(r.LengthHint, r.MaxTokens)
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(r.organisation())
+	_, _ = d.WriteString(r.target)
+	_, _ = d.Write(r.body)
+	t.Fingerprint = d.Sum64()
+	return t
+}
+
+// count adds a request that began to run to the usage of its organisation.
+func (in *Ingress) count(r *request) {
+	if r.org == nil {
+		return
+	}
+	window := in.window()
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.usage.Count(window, r.org.Name)
+}
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/claim"
+	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/gossip"
@@ -50,6 +51,15 @@
 	return *reply.Change, nil
 }
 
+// Put stores a configuration. After an error it may or may not be stored.
+func (c *Client) Put(ctx context.Context, p config.Put) (config.Outcome, error) {
+	reply, err := c.propose(ctx, Command{Put: &p}, applyLimit)
+	if err != nil {
+		return 0, result.New(result.NoQuorum, result.RanUnknown, "no majority of keepers answered: %v", err).WithRetry(time.Second)
+	}
+	return reply.Put, nil
+}
+
 // Claim asks for the right to run a call. After an error the claim may or may
 // not stand.
 func (c *Client) Claim(ctx context.Context, cl claim.Claim) (claim.Reply, error) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	mathrand "math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -17,11 +18,11 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
-	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 // Times and sizes of the log.
@@ -46,13 +47,19 @@
 type Options struct {
 	Name     string
 	Settings settings.Keeper
-	Journal  *wal.Journal
-	Stored   consensus.Stored
-	Gossip   *gossip.Host
-	Server   *peer.Server
-	Clock    clock.Clock
-	Actors   *actor.ActorSystem
-	Metrics  metrics.Registry
+	// Address is the one that other nodes reach this one at, and Seeds are
+	// the first ones to ask; together they tell who founds the cluster.
+	Address netip.AddrPort
+	Seeds   []netip.AddrPort
+	// Fault is called once when the disk fails, if set.
+	Fault   func(error)
+	Journal *wal.Journal
+	Stored  consensus.Stored
+	Gossip  *gossip.Host
+	Server  *peer.Server
+	Clock   clock.Clock
+	Actors  *actor.ActorSystem
+	Metrics metrics.Registry
 }
 
 // Keeper is the role that keeps the durable state.
@@ -67,6 +74,7 @@
 	pending  map[uint64]pending
 	flushing bool
 	failed   *result.Error
+	reads    []read
 	wasReady bool
 	leading  bool
 	watch    *watch
@@ -77,6 +85,10 @@
 	lastAdvance  clock.Instant
 	syncs        metrics.Timer
 	batches      metrics.Histogram
+
+	// asked holds the callers of Confirm that wait for the next round.
+	asked chan chan<- bool
+	view  *view
 }
 
 type pending struct {
@@ -134,7 +146,10 @@
 		k.publishAll()
 	}
 	k.outbox = newOutbox(ctx, o.Server.Client)
+	k.asked = make(chan chan<- bool, maxPending)
+	k.view = newView()
 	k.ref = actors.Spawn(ctx, o.Actors, "keeper", k.receive)
+	o.Server.On(peer.Read, k.serveRead)
 	o.Server.On(peer.Step, k.serveStep)
 	o.Server.On(peer.Propose, k.servePropose)
 	k.run(ctx)
@@ -159,6 +174,7 @@
 			}
 		}
 	}()
+	go k.confirmAll(ctx)
 }
 
 func (k *Keeper) serveStep(_ context.Context, body []byte) (any, error) {
@@ -210,6 +226,11 @@
 	case transfer:
 		k.node.Transfer()
 		m.done <- struct{}{}
+	case read:
+		k.startRead(m)
+	case locate:
+		m.reply <- k.leaderAddress()
+		return
 	case statusQuery:
 		m.reply <- k.status()
 		return
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -81,7 +81,9 @@
 	if k.node.Status().Role != consensus.Leader.String() {
 		k.dropPending()
 	}
+	k.answerReads()
 	s := k.node.Status()
+	k.publishView(s)
 	if !k.wasReady && s.Leader != consensus.None && s.Commit > 0 && s.Applied == s.Commit {
 		k.wasReady = true
 		k.options.Gossip.SetReady()
@@ -93,6 +95,10 @@
 
 // dropPending answers the proposals whose outcome only another leader knows.
 func (k *Keeper) dropPending() {
+	for _, r := range k.reads {
+		r.reply <- readReply{}
+	}
+	k.reads = nil
 	for index, p := range k.pending {
 		delete(k.pending, index)
 		p.reply <- Reply{NotLeader: true, Leader: k.node.Leader()}
@@ -122,6 +128,9 @@
 	k.failed = result.From(err)
 	klog.ErrorS(err, "keeper stopped", "instance", k.options.Name, "code", int(k.failed.Code))
 	k.dropPending()
+	if k.options.Fault != nil {
+		k.options.Fault(err)
+	}
 }
 
 func (k *Keeper) send(messages []consensus.Message) {
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -1,14 +1,15 @@
 package keeper
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/consensus"
-	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/member"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 // look takes in which keepers are alive.
@@ -41,14 +42,12 @@
 // enough keepers are there that belong to no cluster, and none that does.
 func (k *Keeper) bootstrap(own wal.Identity) {
 	s := k.options.Settings
-	if k.failed != nil || own.Cluster != 0 || !s.Bootstrap || k.foreign || len(k.fresh) < s.InitialVoters || !slices.Contains(k.fresh, own.ID) {
+	if k.failed != nil || own.Cluster != 0 || !s.Bootstrap || k.foreign || !slices.Contains(k.fresh, own.ID) {
 		return
 	}
-	voters := []consensus.ID{own.ID}
-	for _, id := range k.fresh {
-		if id != own.ID && len(voters) < s.InitialVoters {
-			voters = append(voters, id)
-		}
+	voters := k.founders(own.ID)
+	if voters == nil {
+		return
 	}
 	if err := k.options.Journal.Join(randomNumber()); err != nil {
 		k.fail(err)
@@ -62,6 +61,37 @@
 	k.joined()
 }
 
+// founders returns the first voters, or nil if this keeper doesn't found the
+// cluster, or not yet. Among seeds it is the one with the lowest address, and
+// it waits for all of them.
+func (k *Keeper) founders(own consensus.ID) []consensus.ID {
+	s := k.options.Settings
+	wanted := k.fresh
+	number := s.InitialVoters
+	if s.FoundBySeeds {
+		seeds := slices.Clone(k.options.Seeds)
+		slices.SortFunc(seeds, netip.AddrPort.Compare)
+		if len(seeds) == 0 || seeds[0] != k.options.Address {
+			return nil
+		}
+		number = len(seeds)
+		wanted = slices.DeleteFunc(slices.Clone(k.fresh), func(id consensus.ID) bool {
+			address, _ := k.outbox.lookUp(id)
+			return !slices.Contains(seeds, address)
+		})
+	}
+	voters := []consensus.ID{own}
+	for _, id := range wanted {
+		if id != own && len(voters) < number {
+			voters = append(voters, id)
+		}
+	}
+	if len(voters) < number {
+		return nil
+	}
+	return voters
+}
+
 // joined tells the other nodes the keeper's cluster.
 func (k *Keeper) joined() {
 	i := k.options.Journal.Identity()
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -7,10 +7,12 @@
 
 	"github.com/hyssopladder/hyssopladder/claim"
 	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/usage"
 )
 
 // Command is one entry of the log. Exactly one part is set. Each part may be
@@ -18,18 +20,29 @@
 type Command struct {
 	Change *document.Change `json:"d,omitempty"`
 	Claim  *claim.Command   `json:"c,omitempty"`
+	Put    *config.Put      `json:"p,omitempty"`
+	Usage  *usage.Window    `json:"u,omitempty"`
 }
 
 // Check verifies a decoded command.
 func (c *Command) Check() error {
-	switch {
-	case c.Change != nil && c.Claim == nil:
-		return c.Change.Check()
-	case c.Claim != nil && c.Change == nil:
-		return c.Claim.Check()
-	default:
+	var parts []wire.Checker
+	if c.Change != nil {
+		parts = append(parts, c.Change)
+	}
+	if c.Claim != nil {
+		parts = append(parts, c.Claim)
+	}
+	if c.Put != nil {
+		parts = append(parts, c.Put)
+	}
+	if c.Usage != nil {
+		parts = append(parts, c.Usage)
+	}
+	if len(parts) != 1 {
 		return errors.New("command: exactly one part is needed")
 	}
+	return parts[0].Check()
 }
 
 // Reply answers a command.
@@ -44,6 +57,9 @@
 	Detail string          `json:"t,omitempty"`
 	Change *document.Reply `json:"d,omitempty"`
 	Claim  *claim.Reply    `json:"c,omitempty"`
+	Put    config.Outcome  `json:"p,omitempty"`
+	// Usage is the window as it is recorded, whichever was asked for.
+	Usage *usage.Window `json:"u,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -73,10 +89,12 @@
 type machine struct {
 	documents *document.Store
 	claims    *claim.Registry
+	configs   *config.Store
+	usage     *usage.Ledger
 }
 
 func newMachine() *machine {
-	return &machine{documents: document.New(), claims: claim.New()}
+	return &machine{documents: document.New(), claims: claim.New(), configs: config.NewStore(), usage: usage.NewLedger()}
 }
 
 // apply carries out an entry. The document that came into force is returned,
@@ -89,18 +107,27 @@
 	if err := wire.Decode(e.Data, &c); err != nil {
 		return Reply{}, nil, errors.Wrapf(err, "entry %d", e.Index)
 	}
-	if c.Change != nil {
+	switch {
+	case c.Change != nil:
 		reply, accepted := m.documents.Apply(*c.Change)
 		return Reply{Change: &reply}, accepted, nil
+	case c.Put != nil:
+		return Reply{Put: m.configs.Apply(*c.Put)}, nil, nil
+	case c.Usage != nil:
+		recorded := m.usage.Apply(*c.Usage)
+		return Reply{Usage: &recorded}, nil, nil
+	default:
+		reply := m.claims.Apply(*c.Claim)
+		return Reply{Claim: &reply}, nil, nil
 	}
-	reply := m.claims.Apply(*c.Claim)
-	return Reply{Claim: &reply}, nil, nil
 }
 
 // savedMachine is the state as snapshots carry it.
 type savedMachine struct {
 	Documents []byte `json:"d"`
 	Claims    []byte `json:"c"`
+	Configs   []byte `json:"f,omitempty"`
+	Usage     []byte `json:"u,omitempty"`
 }
 
 // Check verifies a decoded state.
@@ -115,7 +142,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return wire.Encode(&savedMachine{documents, claims})
+	configs, err := m.configs.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	ledger, err := m.usage.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return wire.Encode(&savedMachine{documents, claims, configs, ledger})
 }
 
 func (m *machine) restore(data []byte) error {
@@ -126,5 +161,16 @@
 	if err := m.documents.Restore(s.Documents); err != nil {
 		return err
 	}
-	return m.claims.Restore(s.Claims)
+	if err := m.claims.Restore(s.Claims); err != nil {
+		return err
+	}
+	if len(s.Configs) > 0 {
+		if err := m.configs.Restore(s.Configs); err != nil {
+			return err
+		}
+	}
+	if len(s.Usage) > 0 {
+		return m.usage.Restore(s.Usage)
+	}
+	return nil
 }
--- a/keeper/plugin.go
+++ b/keeper/plugin.go
@@ -9,9 +9,9 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
-	"github.com/hyssopladder/hyssopladder/wal"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 // transferTime is how long a stopping leader waits for its successor.
@@ -23,8 +23,8 @@
 var _ kernel.Plugin = (*Keeper)(nil)
 
 func init() {
-	kernel.Register(kernel.Registration{Name: "keeper", Order: 30, Role: settings.RoleKeeper, New: newPlugin})
-	kernel.Register(kernel.Registration{Name: "keeperClient", Order: 35, New: newClientPlugin})
+	kernel.Register(kernel.Registration{Name: "keeper", Order: 30, Roles: []string{settings.RoleKeeper}, New: newPlugin})
+	kernel.Register(kernel.Registration{Name: "keeperClient", Order: 35, Roles: []string{settings.RoleEntry, settings.RoleKeeper}, New: newClientPlugin})
 }
 
 func newPlugin(ctx context.Context, h *kernel.Host) (kernel.Plugin, error) {
@@ -42,9 +42,16 @@
 		return nil, errors.Wrapf(err, "data folder %s", h.Settings.Node.DataFolder)
 	}
 	g.SetKeeper(j.Identity().ID.String(), j.Identity().Cluster)
+	var fault func(error)
+	if h.Settings.Keeper.RestartOnFault {
+		fault = h.Fail
+	}
 	k, err := New(ctx, Options{
 		Name:     h.Settings.Node.Name,
 		Settings: h.Settings.Keeper,
+		Address:  g.Address(),
+		Seeds:    h.Settings.Peer.Seeds,
+		Fault:    fault,
 		Journal:  j,
 		Stored:   stored,
 		Gossip:   g,
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -37,9 +38,10 @@
 	Name string
 	// Order places the plug-in among the others; lower ones start first.
 	Order int
-	// Role is the role that turns the plug-in on; "" means always.
-	Role string
-	New  Factory
+	// Roles are those that turn the plug-in on, each by itself; none means
+	// always.
+	Roles []string
+	New   Factory
 }
 
 var (
@@ -70,6 +72,7 @@
 	cancel   context.CancelFunc
 	stop     chan struct{}
 	stopOnce sync.Once
+	failed   chan error
 }
 
 type running struct {
@@ -89,12 +92,13 @@
 		provided:    map[reflect.Type]any{},
 		cancel:      cancel,
 		stop:        make(chan struct{}),
+		failed:      make(chan error, 1),
 	}
 	registryMu.Lock()
 	list := append([]Registration(nil), registry...)
 	registryMu.Unlock()
 	for _, r := range list {
-		if r.Role != "" && !s.HasRole(r.Role) {
+		if len(r.Roles) > 0 && !slices.ContainsFunc(r.Roles, s.HasRole) {
 			continue
 		}
 		p, err := r.New(ctx, h)
@@ -111,6 +115,17 @@
 // RequestStop asks whoever runs the node to drain and stop it.
 func (h *Host) RequestStop() { h.stopOnce.Do(func() { close(h.stop) }) }
 
+// Fail asks whoever runs the node to end it at once.
+func (h *Host) Fail(err error) {
+	select {
+	case h.failed <- err:
+	default:
+	}
+}
+
+// Failed receives the fault after which the node can't go on.
+func (h *Host) Failed() <-chan error { return h.failed }
+
 // StopRequested is closed after RequestStop.
 func (h *Host) StopRequested() <-chan struct{} { return h.stop }
 
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/member"
+	"github.com/hyssopladder/hyssopladder/settings"
 )
 
 // Drainer is called when an operator asks a node to drain.
@@ -18,7 +19,7 @@
 var _ kernel.Plugin = plugin{}
 
 func init() {
-	kernel.Register(kernel.Registration{Name: "operator", Order: 50, New: newPlugin})
+	kernel.Register(kernel.Registration{Name: "operator", Order: 50, Roles: []string{settings.RoleEntry, settings.RoleKeeper}, New: newPlugin})
 }
 
 func newPlugin(_ context.Context, h *kernel.Host) (kernel.Plugin, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -32,6 +32,9 @@
 	Exchange Method = iota
 	Step
 	Propose
+	Read
+	Sync
+	Account
 )
 
 // Client calls peers by address. A call that times out drops every pooled
@@ -97,6 +100,12 @@
 		return r.contract.Step(ctx, f)
 	case Propose:
 		return r.contract.Propose(ctx, f)
+	case Read:
+		return r.contract.Read(ctx, f)
+	case Sync:
+		return r.contract.Sync(ctx, f)
+	case Account:
+		return r.contract.Account(ctx, f)
 	default:
 		return nil, errors.Errorf("method %d", int(m))
 	}
@@ -153,3 +162,15 @@
 func (c *contract) Propose(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
 	return c.serve(ctx, Propose, f)
 }
+
+func (c *contract) Read(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
+	return c.serve(ctx, Read, f)
+}
+
+func (c *contract) Sync(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
+	return c.serve(ctx, Sync, f)
+}
+
+func (c *contract) Account(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
+	return c.serve(ctx, Account, f)
+}
--- a/peer/rpc/peer.twirp.go
+++ b/peer/rpc/peer.twirp.go
@@ -41,6 +41,16 @@
 
 	// Propose asks the leader to apply a command: keeper.Command, keeper.Reply.
 	Propose(context.Context, *Frame) (*Frame, error)
+
+	// Read asks the leader to confirm the commit index with a majority.
+	Read(context.Context, *Frame) (*Frame, error)
+
+	// Sync brings an entry up to date: control.SyncRequest, control.SyncReply.
+	Sync(context.Context, *Frame) (*Frame, error)
+
+	// Account reports an entry's usage and demand to the leader, and grants it
+	// quotas: control.AccountRequest, control.AccountReply.
+	Account(context.Context, *Frame) (*Frame, error)
 }
 
 // ====================
@@ -49,7 +59,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,10 +87,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hyssopladder.peer", "Peer")
-	urls := [3]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "Step",
 		serviceURL + "Propose",
+		serviceURL + "Read",
+		serviceURL + "Sync",
+		serviceURL + "Account",
 	}
 
 	return &peerProtobufClient{
@@ -229,13 +242,151 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Read(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callRead(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Sync(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	caller := c.callSync
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callSync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callSync(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Account(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Account")
+	caller := c.callAccount
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callAccount(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callAccount(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -263,10 +414,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hyssopladder.peer", "Peer")
-	urls := [3]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "Step",
 		serviceURL + "Propose",
+		serviceURL + "Read",
+		serviceURL + "Sync",
+		serviceURL + "Account",
 	}
 
 	return &peerJSONClient{
@@ -415,6 +569,144 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Read(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callRead(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Sync(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	caller := c.callSync
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callSync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callSync(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Account(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Account")
+	caller := c.callAccount
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callAccount(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callAccount(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -521,6 +813,15 @@
 	case "Propose":
 		s.servePropose(ctx, resp, req)
 		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Sync":
+		s.serveSync(ctx, resp, req)
+		return
+	case "Account":
+		s.serveAccount(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1068,6 +1369,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReadJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReadProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Frame)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Frame)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSync(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSyncJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSyncProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveSyncJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Frame)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Frame)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAccount(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAccountJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAccountProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveAccountJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Account")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Frame)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Account
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Account(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Account. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveAccountProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Account")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Frame)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Account
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Account(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Account. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1649,16 +2490,17 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 167 bytes of a gzipped FileDescriptorProto
+	// 188 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0x12, 0x2e, 0x48, 0x4d, 0x2d,
 	0xd2, 0x2f, 0x2a, 0x48, 0xd6, 0x07, 0x31, 0xf4, 0x0a, 0x8a, 0xf2, 0x4b, 0xf2, 0x85, 0x04, 0x33,
 	0x2a, 0x8b, 0x8b, 0xf3, 0x0b, 0x72, 0x12, 0x53, 0x52, 0x40, 0x62, 0xa9, 0xa9, 0x45, 0x4a, 0xd2,
 	0x5c, 0xac, 0x6e, 0x45, 0x89, 0xb9, 0xa9, 0x42, 0x42, 0x5c, 0x2c, 0x49, 0xf9, 0x29, 0x95, 0x12,
-	0x8c, 0x0a, 0x8c, 0x1a, 0x3c, 0x41, 0x60, 0xb6, 0xd1, 0x41, 0x46, 0x2e, 0x96, 0x80, 0xd4, 0xd4,
+	0x8c, 0x0a, 0x8c, 0x1a, 0x3c, 0x41, 0x60, 0xb6, 0xd1, 0x0f, 0x26, 0x2e, 0x96, 0x80, 0xd4, 0xd4,
 	0x22, 0x21, 0x3b, 0x2e, 0x0e, 0xd7, 0x8a, 0xe4, 0x8c, 0xc4, 0xbc, 0xf4, 0x54, 0x21, 0x09, 0x3d,
 	0x0c, 0x53, 0xf4, 0xc0, 0x46, 0x48, 0xe1, 0x94, 0x11, 0xb2, 0xe2, 0x62, 0x09, 0x2e, 0x49, 0x2d,
-	0x20, 0x4b, 0xaf, 0x2d, 0x17, 0x7b, 0x40, 0x51, 0x7e, 0x41, 0x7e, 0x31, 0x59, 0x56, 0x3b, 0xe9,
-	0x47, 0xe9, 0xa6, 0x67, 0x96, 0x64, 0x94, 0x26, 0xe9, 0x25, 0xe7, 0xe7, 0xea, 0x23, 0xab, 0x42,
-	0xe5, 0xc0, 0xc2, 0x2b, 0x89, 0x0d, 0x1c, 0x56, 0xc6, 0x80, 0x00, 0x00, 0x00, 0xff, 0xff, 0x15,
-	0x75, 0x3a, 0xd0, 0x42, 0x01, 0x00, 0x00,
+	0x20, 0x4b, 0xaf, 0x2d, 0x17, 0x7b, 0x40, 0x51, 0x7e, 0x41, 0x7e, 0x31, 0xd9, 0x56, 0x07, 0xa5,
+	0x26, 0xa6, 0x90, 0xed, 0xec, 0xca, 0xbc, 0x64, 0x72, 0x9d, 0xed, 0x98, 0x9c, 0x9c, 0x5f, 0x9a,
+	0x57, 0x42, 0x8e, 0x76, 0x27, 0xfd, 0x28, 0xdd, 0xf4, 0xcc, 0x92, 0x8c, 0xd2, 0x24, 0xbd, 0xe4,
+	0xfc, 0x5c, 0x7d, 0x64, 0x55, 0xa8, 0x1c, 0x58, 0x34, 0x27, 0xb1, 0x81, 0xa3, 0xd8, 0x18, 0x10,
+	0x00, 0x00, 0xff, 0xff, 0xd3, 0x2d, 0x1a, 0x7d, 0xf9, 0x01, 0x00, 0x00,
 }
--- a/result/code.go
+++ b/result/code.go
@@ -13,16 +13,22 @@
 	KeyRequired         Code = 1004
 	KeyReused           Code = 1005
 	UnknownCall         Code = 1006
+	NoRoute             Code = 1007
+	UnknownKey          Code = 1008
 	Overloaded          Code = 2001
 	NotReady            Code = 2002
 	Draining            Code = 2003
 	NoUpstream          Code = 2004
 	CallerStreams       Code = 2005
 	Expired             Code = 2006
+	QuotaExceeded       Code = 2007
+	ConfigNotConfirmed  Code = 2008
+	Saturated           Code = 2009
 	UpstreamFailed      Code = 3001
 	UpstreamUnknown     Code = 3002
 	Quarantined         Code = 3003
 	UpstreamRefused     Code = 3004
+	TimedOut            Code = 3005
 	ClaimNoQuorum       Code = 4001
 	ClaimPending        Code = 4002
 	ClaimUnknown        Code = 4003
@@ -34,6 +40,9 @@
 	NoQuorum            Code = 5004
 	DocumentNotFound    Code = 5005
 	AlreadyBootstrapped Code = 5006
+	ConfigInvalid       Code = 5007
+	ConfigConflict      Code = 5008
+	AnnouncementInvalid Code = 5009
 	SettingsInvalid     Code = 6001
 	JournalDamaged      Code = 7001
 	JournalSyncFailed   Code = 7002
@@ -58,16 +67,22 @@
 	KeyRequired:         {"keyRequired", 400, false},
 	KeyReused:           {"keyReused", 422, false},
 	UnknownCall:         {"unknownCall", 404, false},
+	NoRoute:             {"noRoute", 404, false},
+	UnknownKey:          {"unknownKey", 401, false},
 	Overloaded:          {"overloaded", 429, true},
 	NotReady:            {"notReady", 503, true},
 	Draining:            {"draining", 503, true},
 	NoUpstream:          {"noUpstream", 503, true},
 	CallerStreams:       {"callerStreams", 429, true},
 	Expired:             {"expired", 504, true},
+	QuotaExceeded:       {"quotaExceeded", 429, true},
+	ConfigNotConfirmed:  {"configNotConfirmed", 503, true},
+	Saturated:           {"saturated", 503, true},
 	UpstreamFailed:      {"upstreamFailed", 502, true},
 	UpstreamUnknown:     {"upstreamUnknown", 502, false},
 	Quarantined:         {"quarantined", 422, false},
 	UpstreamRefused:     {"upstreamRefused", 503, true},
+	TimedOut:            {"timedOut", 504, false},
 	ClaimNoQuorum:       {"claimNoQuorum", 503, true},
 	ClaimPending:        {"claimPending", 409, true},
 	ClaimUnknown:        {"claimUnknown", 409, false},
@@ -79,6 +94,9 @@
 	NoQuorum:            {"noQuorum", 503, true},
 	DocumentNotFound:    {"documentNotFound", 404, false},
 	AlreadyBootstrapped: {"alreadyBootstrapped", 409, false},
+	ConfigInvalid:       {"configInvalid", 400, false},
+	ConfigConflict:      {"configConflict", 409, false},
+	AnnouncementInvalid: {"announcementInvalid", 400, false},
 	SettingsInvalid:     {"settingsInvalid", 400, false},
 	JournalDamaged:      {"journalDamaged", 500, false},
 	JournalSyncFailed:   {"journalSyncFailed", 500, false},
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -24,10 +24,12 @@
 	// Silent means that nothing more came after bytes were sent: the request
 	// may have run.
 	Silent
+	// Errored means that the upstream answered with a failure of its own.
+	Errored
 )
 
 // Ran reports what is known about the request's execution after f.
-func (f Failure) Ran() bool { return f == Reclaimed || f == Broken || f == Silent }
+func (f Failure) Ran() bool { return f == Reclaimed || f == Broken || f == Silent || f == Errored }
 
 // MaxAttempts bounds the attempts of one request.
 const MaxAttempts = 8
@@ -46,7 +48,11 @@
 type Budget struct {
 	ratio  float64
 	tokens float64
-	last   clock.Instant
+	// floor is the number of retries per second whatever the traffic, and
+	// saved the largest number that can be saved up.
+	floor float64
+	saved float64
+	last  clock.Instant
 }
 
 // Retries that a service has per second whatever its traffic, and the
@@ -58,17 +64,33 @@
 
 // NewBudget returns a budget of ratio retries per request.
 func NewBudget(ratio float64) *Budget {
-	return &Budget{ratio: ratio, tokens: maxSaved / 2}
+	return &Budget{ratio: ratio, tokens: maxSaved / 2, floor: floorPerSecond, saved: maxSaved}
 }
 
+// NewPart returns one process's part of a budget that many share: ratio
+// retries per request, of which saved may be saved up. The sum over all parts
+// stays within the shared budget however the requests are spread.
+func NewPart(ratio, saved float64) *Budget {
+	return &Budget{ratio: ratio, tokens: saved, saved: saved}
+}
+
+// SetSaved changes how many retries may be saved up.
+func (b *Budget) SetSaved(saved float64) {
+	b.saved = saved
+	b.tokens = min(b.tokens, saved)
+}
+
+// Left is the number of retries that may be made now.
+func (b *Budget) Left() float64 { return b.tokens }
+
 // Deposit counts a request.
-func (b *Budget) Deposit() { b.tokens = min(b.tokens+b.ratio, maxSaved) }
+func (b *Budget) Deposit() { b.tokens = min(b.tokens+b.ratio, b.saved) }
 
 // Spend takes one retry from the budget and reports whether there was one.
 func (b *Budget) Spend(now clock.Instant) bool {
 	elapsed := now - b.last
 	b.last = now
-	b.tokens = min(b.tokens+floorPerSecond*float64(elapsed)/float64(time.Second), maxSaved)
+	b.tokens = min(b.tokens+b.floor*float64(elapsed)/float64(time.Second), b.saved)
 	if b.tokens < 1 {
 		return false
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 	Entry  Entry
 	Peer   Peer
 	Keeper Keeper
+	// Ingress and Cloud are used by the roles that serve a platform.
+	Ingress Ingress
+	Cloud   Cloud
 }
 
 // Node says who and where the node is.
@@ -33,6 +37,10 @@
 	DataFolder string
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
+	// MemoryMegabytes is what the process may use; 0 means no limit.
+	MemoryMegabytes int
+	// Processors is the number of processors to use; 0 means all.
+	Processors int
 }
 
 // Entry holds the settings of the entry role.
@@ -53,6 +61,35 @@
 	ProgressTimeout time.Duration
 }
 
+// Ingress holds the settings of the ingress role.
+type Ingress struct {
+	// Listen is where callers connect, and Ready where the balancer asks.
+	Listen, Ready netip.AddrPort
+	// RevokeWithin is the time within which a key that was taken away stops
+	// working everywhere.
+	RevokeWithin time.Duration
+	// RetryRatio and RetrySlack bound the arrivals of requests at upstreams
+	// beyond the first, over all entries: a part of the requests, and a
+	// number.
+	RetryRatio, RetrySlack float64
+	// AssumedEntries is the number of entries that share the budget, until
+	// the keepers tell it.
+	AssumedEntries int
+	// UsageWindow is the length of the windows in which requests are counted.
+	UsageWindow time.Duration
+}
+
+// Cloud holds the settings of the duties towards a platform.
+type Cloud struct {
+	// Address is that of the platform's API; none turns the duties off.
+	Address netip.AddrPort
+	// UsageWindow is the length of one report, and UsageWithin the time after
+	// its end within which it is due.
+	UsageWindow, UsageWithin time.Duration
+	// Duties are those that the platform expects: usage, scale.
+	Duties []string
+}
+
 // Peer holds the settings of the traffic between nodes.
 type Peer struct {
 	// Listen is where peers, upstreams and operators connect.
@@ -72,6 +109,13 @@
 	// Bootstrap says that this keeper founds the cluster. It stands in the
 	// settings of one keeper only.
 	Bootstrap bool
+	// FoundBySeeds says that the keepers at the seeds' addresses found the
+	// cluster together, whichever starts first; Bootstrap then stands in the
+	// settings of all.
+	FoundBySeeds bool
+	// RestartOnFault says that the process ends when its disk fails, so that
+	// whoever runs it starts it anew.
+	RestartOnFault bool
 	// InitialVoters is the number of keepers that vote from the start.
 	InitialVoters int
 	// ReplaceAfter is how long a voter may be gone before another keeper
@@ -83,8 +127,14 @@
 const (
 	RoleEntry  = "entry"
 	RoleKeeper = "keeper"
+	// RoleControl serves operators and upstreams of a platform on a keeper's
+	// instance; RoleIngress serves its callers.
+	RoleControl = "control"
+	RoleIngress = "ingress"
 )
 
+var allRoles = []string{RoleEntry, RoleKeeper, RoleControl, RoleIngress}
+
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
@@ -101,6 +151,11 @@
 		},
 		Keeper: Keeper{InitialVoters: 3, ReplaceAfter: 30 * time.Second},
 		Peer:   Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
+		Ingress: Ingress{
+			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
+			AssumedEntries: 16, UsageWindow: 5 * time.Second,
+		},
+		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second},
 	}
 }
 
@@ -132,7 +187,7 @@
 		}
 		read, ok := sections[section.Name()]
 		if !ok {
-			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry, peer or keeper")
+			faults = append(faults, "["+section.Name()+"]: unknown section; want node, entry, peer, keeper, ingress or cloud")
 			continue
 		}
 		r := &reader{inifile.NewReader(section)}
@@ -149,10 +204,12 @@
 // sections are the readers of a file's sections.
 func (s *Settings) sections() map[string]func(*reader) {
 	return map[string]func(*reader){
-		"node":   s.Node.read,
-		"entry":  s.Entry.read,
-		"peer":   s.Peer.read,
-		"keeper": s.Keeper.read,
+		"node":    s.Node.read,
+		"entry":   s.Entry.read,
+		"peer":    s.Peer.read,
+		"keeper":  s.Keeper.read,
+		"ingress": s.Ingress.read,
+		"cloud":   s.Cloud.read,
 	}
 }
 
@@ -187,10 +244,13 @@
 		faults = append(faults, "[node] zone: a name is needed: a letter followed by letters, digits or '-'")
 	}
 	for _, role := range s.Node.Roles {
-		if role != RoleEntry && role != RoleKeeper {
-			faults = append(faults, "[node] roles: found "+role+", want "+strings.Join([]string{RoleEntry, RoleKeeper}, " or "))
+		if !slices.Contains(allRoles, role) {
+			faults = append(faults, "[node] roles: found "+role+", want "+strings.Join(allRoles, " or "))
 		}
 	}
+	if s.HasRole(RoleControl) && !s.HasRole(RoleKeeper) {
+		faults = append(faults, "[node] roles: the role control needs the role keeper beside it")
+	}
 	if s.HasRole(RoleKeeper) && s.Node.DataFolder == "" {
 		faults = append(faults, "[node] dataFolder: the role keeper needs one")
 	}
@@ -223,6 +283,18 @@
 	}
 }
 
+// ratio reads a number of 0 or more into to, if the key is present.
+func (r *reader) ratio(key string, to *float64) {
+	if !r.Has(key) {
+		return
+	}
+	if f := r.Float(key); f >= 0 {
+		*to = f
+	} else {
+		r.Fault(key, "found %v, want 0 or more", f)
+	}
+}
+
 // text reads a string into to, if the key is present.
 func (r *reader) text(key string, to *string) {
 	if r.Has(key) {
@@ -243,6 +315,8 @@
 	r.text("zone", &n.Zone)
 	r.text("dataFolder", &n.DataFolder)
 	r.span("stopLimit", &n.StopLimit)
+	r.positive("memoryMegabytes", &n.MemoryMegabytes)
+	r.positive("processors", &n.Processors)
 	if r.Has("roles") {
 		n.Roles = r.List("roles")
 	}
@@ -258,8 +332,29 @@
 	r.span("progressTimeout", &e.ProgressTimeout)
 }
 
+func (i *Ingress) read(r *reader) {
+	r.address("listen", &i.Listen)
+	r.address("ready", &i.Ready)
+	r.span("revokeWithin", &i.RevokeWithin)
+	r.ratio("retryRatio", &i.RetryRatio)
+	r.ratio("retrySlack", &i.RetrySlack)
+	r.positive("assumedEntries", &i.AssumedEntries)
+	r.span("usageWindow", &i.UsageWindow)
+}
+
+func (c *Cloud) read(r *reader) {
+	r.address("address", &c.Address)
+	r.span("usageWindow", &c.UsageWindow)
+	r.span("usageWithin", &c.UsageWithin)
+	if r.Has("duties") {
+		c.Duties = r.List("duties")
+	}
+}
+
 func (k *Keeper) read(r *reader) {
 	k.Bootstrap = r.Bool("bootstrap")
+	k.FoundBySeeds = r.Bool("foundBySeeds")
+	k.RestartOnFault = r.Bool("restartOnFault")
 	r.positive("initialVoters", &k.InitialVoters)
 	r.span("replaceAfter", &k.ReplaceAfter)
 }
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -43,6 +43,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Notice is the time until a leaving upstream stops.
 	Notice time.Duration `json:"notice,omitempty"`
+	// Cold is how much longer the upstream is slow after its start.
+	Cold time.Duration `json:"cold,omitempty"`
 	// Slots is how many requests run at once.
 	Slots int  `json:"slots"`
 	Load  Load `json:"load"`
@@ -52,6 +54,29 @@
 	ExportsCache bool `json:"exportsCache,omitempty"`
 }
 
+// Member is an upstream in a directory, with what the directory's owner has
+// seen of it.
+type Member struct {
+	Announcement
+	// Silent says that announcements have stopped coming.
+	Silent bool `json:"silent,omitempty"`
+	// Ended says that the announcement's lease ran out.
+	Ended bool `json:"ended,omitempty"`
+}
+
+// Newer reports whether a replaces b, of the same upstream: by the start of
+// the upstream, then by leaving, which is final, then by number.
+func (a *Announcement) Newer(b *Announcement) bool {
+	switch {
+	case a.Incarnation != b.Incarnation:
+		return a.Incarnation > b.Incarnation
+	case a.Leaving != b.Leaving:
+		return a.Leaving
+	default:
+		return a.Sequence > b.Sequence
+	}
+}
+
 // Load is the work that an upstream reports, with a lag.
 type Load struct {
 	Running int `json:"running"`
