control: Report usage and order upstreams by plan

The leader records a window's counts in the log before it first sends them, with the log's term as the token. Upstreams are ordered by demand: reclaimable ones spread over the zones so that the loss of one leaves enough, fixed ones only for what the reclaimable ones leave open.

--- a/control/account.go
+++ b/control/account.go
@@ -28,6 +28,8 @@
 	// limits are the quotas of the configuration with the number.
 	revision *config.Revision
 	limits   map[string]float64
+	// busy is when a service last had requests.
+	busy map[string]clock.Instant
 }
 
 type reporter struct {
@@ -42,7 +44,7 @@
 }
 
 func newOffice(now clock.Instant, term uint64) *office {
-	return &office{term: term, since: now, ledger: quota.NewLedger(now), reports: map[reporter]*reported{}}
+	return &office{term: term, since: now, ledger: quota.NewLedger(now), reports: map[reporter]*reported{}, busy: map[string]clock.Instant{}}
 }
 
 // reportAge is how long an entry's report counts for load.
@@ -152,6 +154,40 @@
 	return reply
 }
 
+// loads sums up the entries' work by service.
+func (o *office) loads(now clock.Instant) map[string]Load {
+	sums := map[string]Load{}
+	for _, r := range o.reports {
+		if now-r.at > reportAge {
+			continue
+		}
+		for name, l := range r.Loads {
+			sum := sums[name]
+			sum.Arrivals += l.Arrivals
+			sum.Urgent += l.Urgent
+			sum.Prompt += l.Prompt
+			sum.Output += l.Output
+			sum.Waiting += l.Waiting
+			sum.Running += l.Running
+			sums[name] = sum
+		}
+	}
+	for name, l := range sums {
+		if l.Arrivals > 0 {
+			o.busy[name] = now
+		}
+	}
+	return sums
+}
+
+// quietSince reports whether a service has had no requests for a while, so
+// that its demand isn't known.
+func (o *office) quietSince(now clock.Instant, service string) bool {
+	const demandMemory = 10 * time.Second
+	at, ok := o.busy[service]
+	return !ok || now-at > demandMemory
+}
+
 // window sums up the entries' counts of one window.
 func (o *office) window(number uint64) usage.Window {
 	w := usage.Window{Number: number, Counts: map[string]uint64{}}
--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -53,6 +54,7 @@
 	Client      *keeper.Client
 	Server      *peer.Server
 	Clock       clock.Clock
+	Cloud       settings.Cloud
 }
 
 // Control serves operators, upstreams and entries on a keeper's instance.
@@ -75,6 +77,9 @@
 	o.Server.Handle(platform.DeregisterPattern, http.HandlerFunc(c.deregister))
 	o.Server.Handle(platform.PutConfigPattern, http.HandlerFunc(c.putConfig))
 	o.Server.Handle(platform.GetConfigPattern, http.HandlerFunc(c.getConfig))
+	if o.Cloud.Address.IsValid() {
+		go newDuties(c, platform.NewCloud(o.Cloud.Address)).run(ctx)
+	}
 	go func() {
 		t := time.NewTicker(watchInterval)
 		defer t.Stop()
--- a/control/plugin.go
+++ b/control/plugin.go
@@ -36,6 +36,7 @@
 		Client:      client,
 		Server:      server,
 		Clock:       h.Clock,
+		Cloud:       h.Settings.Cloud,
 	}), nil
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -383,6 +383,7 @@
 	t.ahead = n.backlog
 	t.tokens = t.Prompt + t.Output
 	n.start(now, t)
+	s.load.prompt += t.pending
 	f.actions = append(f.actions, Grant{
 		Ticket: t.ID, Upstream: n.Announcement, Attempt: t.sends, Cached: c.cached, Waits: c.wait,
 	})
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -22,7 +22,6 @@
 	if t.Rank == 0 {
 		l.urgent++
 	}
-	l.prompt += t.Prompt
 	l.output += t.Output
 }
 
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/usage"
 )
 
 // Times of a client's tries.
@@ -60,6 +61,19 @@
 	return reply.Put, nil
 }
 
+// RecordUsage puts a window's final counts on record, and returns what is on
+// record then.
+func (c *Client) RecordUsage(ctx context.Context, w usage.Window) (usage.Window, error) {
+	reply, err := c.propose(ctx, Command{Usage: &w}, applyLimit)
+	if err != nil {
+		return w, err
+	}
+	if reply.Usage == nil {
+		return w, result.New(result.NoQuorum, result.RanUnknown, "a keeper of another version answered")
+	}
+	return *reply.Usage, nil
+}
+
 // Claim asks for the right to run a call. After an error the claim may or may
 // not stand.
 func (c *Client) Claim(ctx context.Context, cl claim.Claim) (claim.Reply, error) {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -61,7 +61,7 @@
 	zones := byZone(offers)
 	best := Plan{lackAll: math.Inf(1)}
 	for _, bound := range bounds(n, offers) {
-		p := fill(n, zones, bound)
+		p := mixture(n, zones, bound)
 		if better(p, best) {
 			best = p
 		}
@@ -123,9 +123,9 @@
 	return list
 }
 
-// fill takes instances from the cheapest zones on, each up to the bound, until
+// mixture takes instances from the cheapest zones on, each up to the bound, until
 // the need is met.
-func fill(n Need, zones []zone, bound int) Plan {
+func mixture(n Need, zones []zone, bound int) Plan {
 	p := Plan{}
 	total, largest, instances := 0, 0, 0
 	enough := func() bool {
