commands: Take in changed settings, and log without ever waiting

It now reads its settings again, also when the file changes without a signal, and hands changed seeds to gossip and to the entries' link. The log goes to standard output through a bounded queue with a bounded rate.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/common/logs"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -102,6 +103,17 @@
 	_ = flags.Set("logtostderr", "true")
 }
 
+// logTo sends the log of a node to the writer instead of standard error.
+func (c *cli) logTo(w *logs.Writer) *logs.Writer {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"v": strconv.Itoa(c.level), "logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
+		_ = flags.Set(name, value)
+	}
+	klog.SetOutput(w)
+	return w
+}
+
 func (c *cli) exitCode(err error) int {
 	if err == nil {
 		return exitOK
--- a/commands/node.go
+++ b/commands/node.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"k8s.io/klog/v2"
@@ -16,6 +18,7 @@
 	"github.com/hyssopladder/hyssopladder/entry"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	// The plug-ins register themselves.
+	"github.com/hyssopladder/hyssopladder/common/logs"
 	_ "github.com/hyssopladder/hyssopladder/control"
 	_ "github.com/hyssopladder/hyssopladder/gossip"
 	_ "github.com/hyssopladder/hyssopladder/ingress"
@@ -32,7 +35,7 @@
 		if err != nil {
 			return err
 		}
-		return c.runNode(s)
+		return c.runNode(s, *path)
 	})
 }
 
@@ -43,8 +46,14 @@
 	Peers    netip.AddrPort `json:"peers,omitzero"`
 }
 
-func (c *cli) runNode(s settings.Settings) error {
+func (c *cli) runNode(s settings.Settings, path string) error {
 	limitProcess(s.Node)
+	logsDone, stopLogs := context.WithCancel(context.Background())
+	lines := c.logTo(logs.New())
+	defer func() {
+		stopLogs()
+		lines.Wait(logsLimit)
+	}()
 	h, err := kernel.New(context.WithoutCancel(c.ctx), s)
 	if err != nil {
 		return err
@@ -53,6 +62,12 @@
 	if err := json.NewEncoder(c.out).Encode(listening(h)); err != nil {
 		return err
 	}
+	lines.Start(logsDone, c.out)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	watch := time.NewTicker(watchInterval)
+	defer watch.Stop()
 	dumps := make(chan os.Signal, 1)
 	signal.Notify(dumps, syscall.SIGUSR1)
 	defer signal.Stop(dumps)
@@ -60,6 +75,10 @@
 		select {
 		case <-dumps:
 			c.writeDump(h)
+		case <-reloads:
+			s = reload(h, path, s)
+		case <-watch.C:
+			s = reload(h, path, s)
 		case err := <-h.Failed():
 			return err
 		case <-h.StopRequested():
@@ -70,6 +89,29 @@
 	}
 }
 
+const (
+	// watchInterval is the time between two looks at the settings file, which
+	// may change without a signal.
+	watchInterval = 2 * time.Second
+	// logsLimit bounds the wait for the last log lines at the end.
+	logsLimit = 200 * time.Millisecond
+)
+
+// reload hands settings that have changed to the node and returns those that
+// hold. Settings that can't be read change nothing.
+func reload(h *kernel.Host, path string, old settings.Settings) settings.Settings {
+	s, err := settings.Load(path)
+	switch {
+	case err != nil:
+		klog.ErrorS(err, "changed settings can't be read; the old ones hold", "instance", old.Node.Name)
+		return old
+	case reflect.DeepEqual(s, old):
+		return old
+	}
+	h.Reload(s)
+	return s
+}
+
 // limitProcess keeps the process within what its instance has.
 func limitProcess(n settings.Node) {
 	// The rest is for stacks, buffers of the kernel and what the collector
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -82,6 +82,7 @@
 		id      string
 		cluster uint64
 	}
+	setSeeds  struct{ seeds []netip.AddrPort }
 	leave     struct{}
 	exchanged struct {
 		message member.Exchange
@@ -226,6 +227,8 @@
 	case setKeeper:
 		h.options.Node.KeeperID, h.options.Node.Cluster = m.id, m.cluster
 		h.refresh(now)
+	case setSeeds:
+		h.options.Seeds = m.seeds
 	case leave:
 		h.leaving = true
 		h.refresh(now)
--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -17,7 +17,10 @@
 // dumpTimeout bounds the wait for the actor.
 const dumpTimeout = time.Second
 
-var _ kernel.Plugin = (*Host)(nil)
+var (
+	_ kernel.Plugin   = (*Host)(nil)
+	_ kernel.Reloader = (*Host)(nil)
+)
 
 func init() {
 	kernel.Register(kernel.Registration{Name: "gossip", Order: 20, Roles: []string{settings.RoleEntry, settings.RoleKeeper}, New: newPlugin})
@@ -53,6 +56,9 @@
 	return h, nil
 }
 
+// Reload implements kernel.Reloader: the seeds may have changed.
+func (h *Host) Reload(s settings.Settings) { h.ref.Send(setSeeds{s.Peer.Seeds}) }
+
 // Drain implements kernel.Plugin.
 func (h *Host) Drain(ctx context.Context) error {
 	h.Leave()
--- a/ingress/plugin.go
+++ b/ingress/plugin.go
@@ -8,12 +8,18 @@
 	"github.com/hyssopladder/hyssopladder/settings"
 )
 
-var _ kernel.Plugin = (*Ingress)(nil)
+var (
+	_ kernel.Plugin   = (*Ingress)(nil)
+	_ kernel.Reloader = (*Ingress)(nil)
+)
 
 func init() {
 	kernel.Register(kernel.Registration{Name: "ingress", Order: 40, Roles: []string{settings.RoleIngress}, New: newPlugin})
 }
 
+// Reload implements kernel.Reloader: the seeds may have changed.
+func (in *Ingress) Reload(s settings.Settings) { in.link.SetSeeds(s.Peer.Seeds) }
+
 func newPlugin(ctx context.Context, h *kernel.Host) (kernel.Plugin, error) {
 	server, err := kernel.Require[*peer.Server](h)
 	if err != nil {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -30,6 +30,11 @@
 	Dump() any
 }
 
+// Reloader is a plug-in that takes in changed settings while it runs.
+type Reloader interface {
+	Reload(s settings.Settings)
+}
+
 // Factory starts a plug-in. Its goroutines end with ctx.
 type Factory func(ctx context.Context, host *Host) (Plugin, error)
 
@@ -112,6 +117,17 @@
 	return h, nil
 }
 
+// Reload hands changed settings to the plug-ins that take them in. What only a
+// new start can change stays as it is.
+func (h *Host) Reload(s settings.Settings) {
+	for _, p := range h.plugins {
+		if r, ok := p.plugin.(Reloader); ok {
+			r.Reload(s)
+		}
+	}
+	klog.InfoS("settings reloaded", "instance", h.Settings.Node.Name, "seeds", s.Peer.Seeds)
+}
+
 // RequestStop asks whoever runs the node to drain and stop it.
 func (h *Host) RequestStop() { h.stopOnce.Do(func() { close(h.stop) }) }
 
--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,7 @@
 	synced    atomic.Bool
 
 	mu     sync.Mutex
+	seeds  []netip.AddrPort
 	peers  []control.Peer
 	inUse  [lines]netip.AddrPort
 	leader netip.AddrPort
@@ -78,7 +80,7 @@
 
 // New starts the link; it ends with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, failed: map[netip.AddrPort]clock.Instant{}, walls: map[netip.AddrPort]time.Duration{}}
+	l := &Link{options: o, seeds: o.Seeds, failed: map[netip.AddrPort]clock.Instant{}, walls: map[netip.AddrPort]time.Duration{}}
 	for _, seed := range o.Seeds {
 		l.peers = append(l.peers, control.Peer{Address: seed})
 	}
@@ -89,6 +91,18 @@
 	return l
 }
 
+// SetSeeds changes the keepers to ask when no other is known.
+func (l *Link) SetSeeds(seeds []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seeds = seeds
+	for _, seed := range seeds {
+		if !slices.ContainsFunc(l.peers, func(p control.Peer) bool { return p.Address == seed }) {
+			l.peers = append(l.peers, control.Peer{Address: seed})
+		}
+	}
+}
+
 // Table returns the configuration in force, or nil before the first.
 func (l *Link) Table() *config.Table { return l.table.Load() }
 
@@ -228,7 +242,7 @@
 // nothing else answers.
 func (l *Link) known(peers []control.Peer) []control.Peer {
 	list := append([]control.Peer(nil), peers...)
-	for _, seed := range l.options.Seeds {
+	for _, seed := range l.seeds {
 		listed := false
 		for _, p := range peers {
 			listed = listed || p.Address == seed
