ingress: Close only connections from which no request was taken

The library's shutdown counts a connection as idle until the head of its next request is parsed. Connections are now tracked where bytes are handed out.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -42,6 +42,9 @@
 	// stopNotice is how long a stopping entry goes on taking requests: the
 	// balancer asks every second and acts on the second miss.
 	stopNotice = 2300 * time.Millisecond
+	// drainInterval is the time between two looks at the connections that are
+	// left at a stop.
+	drainInterval = 20 * time.Millisecond
 	// sweepInterval is the time between two looks at idle connections.
 	sweepInterval = 2 * time.Second
 )
@@ -64,9 +67,8 @@
 	link     *link.Link
 	desk     *desk
 	client   *exchange.Client
-	servers  []*http.Server
+	callers  *connections
 	stopping atomic.Bool
-	open     sync.WaitGroup
 	meters   meters
 
 	mu     sync.Mutex
@@ -107,7 +109,11 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		in.servers = append(in.servers, s.server)
+		if s.server == callers {
+			in.callers = newConnections(l)
+			callers.ConnState = in.callers.changed
+			l = in.callers
+		}
 		go func() { _ = s.server.Serve(l) }()
 		context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	}
@@ -230,13 +236,18 @@
 	case <-time.After(stopNotice):
 	case <-ctx.Done():
 	}
-	for _, s := range in.servers[:1] {
-		s.SetKeepAlivesEnabled(false)
-		if err := s.Shutdown(ctx); err != nil {
-			return errors.Wrap(err, "requests were still under way")
+	_ = in.callers.Listener.Close()
+	for {
+		left := in.callers.closeIdle()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(drainInterval):
+		case <-ctx.Done():
+			return errors.Errorf("%d requests were still under way", left)
 		}
 	}
-	return nil
 }
 
 // Dump implements kernel.Plugin.
