quota: Keep a pool at the leader for what an entry's part doesn't cover

Quotas were split among entries as rates alone. Requests of 12,000 tokens meet an entry's part of a few thousand a second, so that one in ten was refused within its organisation's quota; after a full restart nothing was granted for three seconds. Now entries get 0.65 of a quota as rates, and the leader hands out the rest by request; tokens saved up outlast the lease. Fixed upstreams are ordered below 0.65 of the need only.

--- a/control/account.go
+++ b/control/account.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -43,8 +44,8 @@
 	usage map[uint64]map[string]uint64
 }
 
-func newOffice(now clock.Instant, term uint64) *office {
-	return &office{term: term, since: now, ledger: quota.NewLedger(now), reports: map[reporter]*reported{}, busy: map[string]clock.Instant{}}
+func newOffice(now clock.Instant, term uint64, slack float64) *office {
+	return &office{term: term, since: now, ledger: quota.NewLedger(now, slack), reports: map[reporter]*reported{}, busy: map[string]clock.Instant{}}
 }
 
 // reportAge is how long an entry's report counts for load.
@@ -75,10 +76,36 @@
 	return o.report(now, q), nil
 }
 
+// serveReserve takes a request's cost from the pool, if this keeper leads.
+func (c *Control) serveReserve(_ context.Context, body []byte) (any, error) {
+	var q ReserveRequest
+	if err := wire.Decode(body, &q); err != nil {
+		return nil, err
+	}
+	v, _ := c.options.Keeper.View()
+	if !v.Leading {
+		return nil, errors.New("this keeper doesn't lead")
+	}
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.officeOf(now, v)
+	if err := o.setConfig(v.Config); err != nil {
+		return nil, err
+	}
+	limit, ok := o.limits[q.Organisation]
+	if !ok {
+		return &ReserveReply{OK: true}, nil
+	}
+	r := &ReserveReply{}
+	r.OK, r.After = o.ledger.Reserve(now, q.Organisation, limit, q.Cost)
+	return r, nil
+}
+
 // officeOf returns the office of the term, with the lock held.
 func (c *Control) officeOf(now clock.Instant, v keeper.View) *office {
 	if c.office == nil || c.office.term != v.Term {
-		c.office = newOffice(now, v.Term)
+		c.office = newOffice(now, v.Term, c.options.QuotaSlack)
 		klog.InfoS("leader keeps accounts", "instance", c.options.Name, "term", v.Term)
 	}
 	return c.office
--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,9 @@
 	Server      *peer.Server
 	Clock       clock.Clock
 	Cloud       settings.Cloud
+	// QuotaSlack is the number of units by which all entries together may
+	// exceed an organisation's quota.
+	QuotaSlack float64
 }
 
 // Control serves operators, upstreams and entries on a keeper's instance.
@@ -73,6 +76,7 @@
 	o.Gossip.Subscribe(c.learn)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
+	o.Server.On(peer.Reserve, c.serveReserve)
 	o.Server.Handle(platform.HeartbeatPattern, http.HandlerFunc(c.heartbeat))
 	o.Server.Handle(platform.DeregisterPattern, http.HandlerFunc(c.deregister))
 	o.Server.Handle(platform.PutConfigPattern, http.HandlerFunc(c.putConfig))
--- a/control/duty.go
+++ b/control/duty.go
@@ -179,7 +179,7 @@
 	c.mu.Lock()
 	if c.office == nil || c.office.term != d.term {
 		// No entry has reported to this leader yet.
-		c.office = newOffice(now, d.term)
+		c.office = newOffice(now, d.term, c.options.QuotaSlack)
 	}
 	if err := c.office.setConfig(v.Config); err != nil {
 		klog.ErrorS(err, "stored configuration can't be read", "revision", v.Config.Number)
--- a/control/message.go
+++ b/control/message.go
@@ -158,6 +158,35 @@
 	return nil
 }
 
+// ReserveRequest asks for the cost of one request from the leader's pool.
+type ReserveRequest struct {
+	Organisation string  `json:"o"`
+	Cost         float64 `json:"c"`
+}
+
+// Check verifies a decoded request.
+func (r *ReserveRequest) Check() error {
+	if r.Organisation == "" || !(r.Cost >= 0) {
+		return errors.New("reservation without an organisation or cost")
+	}
+	return nil
+}
+
+// ReserveReply answers a reservation.
+type ReserveReply struct {
+	OK bool `json:"k"`
+	// After is when enough will be there, if OK isn't set.
+	After time.Duration `json:"a,omitempty"`
+}
+
+// Check verifies a decoded reply.
+func (r *ReserveReply) Check() error {
+	if r.After < 0 {
+		return errors.New("reservation with a negative wait")
+	}
+	return nil
+}
+
 var (
 	_ wire.Checker = (*SyncRequest)(nil)
 	_ wire.Checker = (*AccountRequest)(nil)
--- a/control/plugin.go
+++ b/control/plugin.go
@@ -37,6 +37,7 @@
 		Server:      server,
 		Clock:       h.Clock,
 		Cloud:       h.Settings.Cloud,
+		QuotaSlack:  h.Settings.Keeper.QuotaSlack,
 	}), nil
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/platform"
+	"github.com/hyssopladder/hyssopladder/quota"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -122,7 +124,7 @@
 	if r.org != nil && r.org.Rank != nil {
 		r.rank = *r.org.Rank
 	}
-	return r, in.charge(r)
+	return r, in.charge(h.Context(), r)
 }
 
 // point spreads requests evenly over a route's backends.
@@ -177,7 +179,7 @@
 }
 
 // charge takes the request's cost from its organisation's quota.
-func (in *Ingress) charge(r *request) error {
+func (in *Ingress) charge(ctx context.Context, r *request) error {
 	if r.org == nil || r.org.Rate <= 0 {
 		return nil
 	}
@@ -190,13 +192,22 @@
 	}
 	now := in.options.Clock()
 	in.mu.Lock()
-	defer in.mu.Unlock()
 	p, ok := in.purses[r.org.Name]
 	if !ok {
-		return result.New(result.QuotaExceeded, result.RanNo, "no quota is granted to this entry yet").WithRetry(time.Second)
+		p = quota.NewPurse(now)
+		in.purses[r.org.Name] = p
+	}
+	spent := p.Spend(now, cost)
+	in.mu.Unlock()
+	if spent {
+		return nil
 	}
-	if ok, after := p.Spend(now, cost); !ok {
-		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked", cost).WithRetry(after)
+	reply, err := in.link.Reserve(ctx, r.org.Name, cost)
+	switch {
+	case err != nil:
+		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked, and the pool is out of reach: %v", cost, err).WithRetry(time.Second)
+	case !reply.OK:
+		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked", cost).WithRetry(reply.After)
 	}
 	return nil
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -27,8 +27,8 @@
 
 // Times and sizes of the log.
 const (
-	tickInterval   = 100 * time.Millisecond
-	electionTicks  = 8
+	tickInterval   = 50 * time.Millisecond
+	electionTicks  = 10
 	heartbeatTicks = 2
 	maxAppendBytes = 512 << 10
 	// compactBytes is the length of the log on disk that is compacted.
@@ -40,7 +40,7 @@
 	// advanceInterval is the time between two steps of the claims' time.
 	advanceInterval = 10 * time.Second
 	// watchInterval is the time between two looks at the members.
-	watchInterval = 500 * time.Millisecond
+	watchInterval = 200 * time.Millisecond
 )
 
 // Options are what a Keeper needs.
--- a/link/link.go
+++ b/link/link.go
@@ -36,6 +36,10 @@
 	// accountInterval is the time between two reports to the leader.
 	accountInterval = 300 * time.Millisecond
 	accountTimeout  = 700 * time.Millisecond
+	// firstInterval is that until the first answer.
+	firstInterval = 50 * time.Millisecond
+	// reserveTimeout bounds a request's wait for the leader's pool.
+	reserveTimeout = 300 * time.Millisecond
 	// lines is the number of keepers that are asked side by side, so that one
 	// which is frozen costs nothing.
 	lines = 2
@@ -299,26 +303,45 @@
 	}
 }
 
+// Reserve asks the leader's pool for the cost of one request.
+func (l *Link) Reserve(ctx context.Context, organisation string, cost float64) (control.ReserveReply, error) {
+	l.mu.Lock()
+	leader := l.leader
+	l.mu.Unlock()
+	if !leader.IsValid() {
+		return control.ReserveReply{}, errors.New("no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	var r control.ReserveReply
+	err := l.options.Client.Call(ctx, leader, peer.Reserve, &control.ReserveRequest{Organisation: organisation, Cost: cost}, &r)
+	return r, err
+}
+
 // account reports to the leader, whoever that is.
 func (l *Link) account(ctx context.Context) {
-	t := time.NewTicker(accountInterval)
+	t := time.NewTicker(firstInterval)
 	defer t.Stop()
+	first := true
 	for {
 		select {
 		case <-t.C:
-			l.report(ctx)
+			if l.report(ctx) && first {
+				first = false
+				t.Reset(accountInterval)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (l *Link) report(ctx context.Context) {
+func (l *Link) report(ctx context.Context) bool {
 	l.mu.Lock()
 	leader := l.leader
 	l.mu.Unlock()
 	if !leader.IsValid() {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, accountTimeout)
 	defer cancel()
@@ -327,9 +350,10 @@
 	var r control.AccountReply
 	if err := l.options.Client.Call(ctx, leader, peer.Account, &q, &r); err != nil {
 		klog.InfoS("leader not reached", "leader", leader, "err", err)
-		return
+		return false
 	}
 	if r.Leading {
 		l.options.Granted(asked, r)
 	}
+	return r.Leading
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -35,6 +35,7 @@
 	Read
 	Sync
 	Account
+	Reserve
 )
 
 // Client calls peers by address. A call that times out drops every pooled
@@ -106,6 +107,8 @@
 		return r.contract.Sync(ctx, f)
 	case Account:
 		return r.contract.Account(ctx, f)
+	case Reserve:
+		return r.contract.Reserve(ctx, f)
 	default:
 		return nil, errors.Errorf("method %d", int(m))
 	}
@@ -174,3 +177,7 @@
 func (c *contract) Account(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
 	return c.serve(ctx, Account, f)
 }
+
+func (c *contract) Reserve(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
+	return c.serve(ctx, Reserve, f)
+}
--- a/plan/steer.go
+++ b/plan/steer.go
@@ -67,6 +67,10 @@
 	return need
 }
 
+// fixedPart is the part of the need below which fixed upstreams are ordered:
+// a higher load is borne until reclaimable ones can be had again.
+const fixedPart = 0.65
+
 // Carries is the work that a number of upstreams carries.
 func Carries(n float64, c Capacity) Work {
 	return Work{Prompt: n * c.Prompt * promptPart, Running: n * c.Slots * slotPart}
@@ -98,7 +102,7 @@
 		}
 	}
 	share(max(total, 0), order, wants, b.Max)
-	open := wanted - serving
+	open := int(math.Ceil(need*fixedPart)) - serving
 	for _, w := range wants {
 		open -= w.Fixed
 	}
@@ -156,9 +160,9 @@
 // Times of a trend.
 const (
 	// riseTime smooths the noise of single requests.
-	riseTime = 1500 * time.Millisecond
+	riseTime = 4 * time.Second
 	// fallTime is several times the time that a new upstream takes to start.
-	fallTime = 15 * time.Second
+	fallTime = 10 * time.Second
 )
 
 // Begin sets the trend where nothing is known yet.
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,8 @@
-// Package quota splits organisations' quotas among entries. The leader grants
-// rates that last for a lease, so that the sum over all entries never exceeds
-// the quota, whoever is cut off, restarted or replaced. It is pure.
+// Package quota splits organisations' quotas among entries. Most of a quota is
+// granted to entries as rates that last for a lease, so that the sum over all
+// entries never exceeds it, whoever is cut off, restarted or replaced. The rest
+// is a pool at the leader, for requests that an entry's part doesn't cover. It
+// is pure.
 package quota
 
 import (
@@ -9,16 +11,29 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
-// Lease is how long a grant may be used after the entry asked for it. It
-// outlasts the change to another leader, which takes about two seconds.
-const Lease = 3 * time.Second
+// Lease is how long a rate may be used after the entry asked for it. It
+// outlasts an ordinary change of the leader.
+const Lease = 2 * time.Second
 
 // leaseMargin is added to the lease before the leader counts a grant as ended.
 const leaseMargin = 200 * time.Millisecond
 
-// askWeight smooths the demand over about ten reports: single requests may
-// ask for a second's quota.
-const askWeight = 0.1
+// Parts of an organisation's rate. What all entries and the pool hand out in a
+// window, with what they may have saved up, stays below the rate over the
+// window, the burst of a second, and the excess that is allowed.
+const (
+	// entryPart is granted to entries, poolPart handed out by the leader.
+	entryPart = 0.65
+	poolPart  = 0.4
+	// saveTime is how much of its rate an entry may save up.
+	saveTime = 800 * time.Millisecond
+	// poolTime is how much of the organisation's whole rate the pool may save
+	// up, beside a part of the slack.
+	poolTime = 500 * time.Millisecond
+	// slackPart is the part of the deployment's slack that the pool may save
+	// up; the rest covers requests that are under way between two windows.
+	slackPart = 0.7
+)
 
 // Ask is an entry's demand for one organisation's quota.
 type Ask struct {
@@ -28,13 +43,19 @@
 	Held float64
 }
 
+// askWeight smooths the demand over about ten reports: single requests may
+// ask for a second's quota.
+const askWeight = 0.1
+
 // Ledger is the leader's record of what it granted. It isn't safe for
 // concurrent use.
 type Ledger struct {
 	// since is when this ledger began; grants of an earlier leader may last
 	// for a lease from then.
 	since   clock.Instant
+	slack   float64
 	holders map[holder]*held
+	pools   map[string]*bucket
 }
 
 type holder struct {
@@ -49,14 +70,28 @@
 	before map[string]float64
 }
 
-// NewLedger returns a ledger that begins at the instant.
-func NewLedger(now clock.Instant) *Ledger {
-	return &Ledger{since: now, holders: map[holder]*held{}}
+// NewLedger returns a ledger that begins at the instant. slack is the number
+// of units that the sum may exceed a quota by.
+func NewLedger(now clock.Instant, slack float64) *Ledger {
+	return &Ledger{since: now, slack: slack, holders: map[holder]*held{}, pools: map[string]*bucket{}}
 }
 
 // Entries is the number of entries that hold grants.
 func (l *Ledger) Entries() int { return len(l.holders) }
 
+// Reserve takes the cost of one request from the pool of an organisation with
+// the limit. If it refuses, after tells when enough is there.
+func (l *Ledger) Reserve(now clock.Instant, organisation string, limit, cost float64) (ok bool, after time.Duration) {
+	p, known := l.pools[organisation]
+	if !known {
+		// What an earlier leader's pool has handed out isn't known.
+		p = &bucket{last: now}
+		l.pools[organisation] = p
+	}
+	p.refill(now, poolPart*limit, limit*poolTime.Seconds()+slackPart*l.slack)
+	return p.spend(cost)
+}
+
 // Grant returns the rates that the entry may use for Lease, counted from its
 // asking; limits are the quotas per second.
 func (l *Ledger) Grant(now clock.Instant, entry string, incarnation uint64, asks map[string]Ask, limits map[string]float64) map[string]float64 {
@@ -83,7 +118,7 @@
 	rates := make(map[string]float64, len(limits))
 	warm := now-l.since > Lease+leaseMargin
 	for name, limit := range limits {
-		rates[name] = l.grant(key, name, limit, warm)
+		rates[name] = l.grant(key, name, entryPart*limit, warm)
 	}
 	h.rates = rates
 	return rates
@@ -113,59 +148,73 @@
 	return max(min(share, limit-others), 0)
 }
 
+// bucket fills at a rate up to a capacity.
+type bucket struct {
+	tokens, rate, capacity float64
+	last                   clock.Instant
+}
+
+func (b *bucket) refill(now clock.Instant, rate, capacity float64) {
+	b.rate, b.capacity = rate, capacity
+	if now > b.last {
+		b.tokens += rate * (now - b.last).Seconds()
+		b.last = now
+	}
+	b.tokens = min(b.tokens, capacity)
+}
+
+// spend takes the cost, or tells when it is there; a cost above the capacity
+// needs a full bucket, which it then leaves empty.
+func (b *bucket) spend(cost float64) (ok bool, after time.Duration) {
+	need := min(cost, b.capacity)
+	switch {
+	case b.rate <= 0:
+		return false, time.Second
+	case b.tokens < need:
+		return false, time.Duration((need - b.tokens) / b.rate * float64(time.Second))
+	}
+	b.tokens -= cost
+	return true, 0
+}
+
 // Purse is an entry's side: what it may hand out of one organisation's quota.
 type Purse struct {
-	rate   float64
-	until  clock.Instant
-	tokens float64
-	last   clock.Instant
+	bucket
+	until clock.Instant
 	// asked is the demand since the last report.
 	asked float64
 	since clock.Instant
 }
 
-// saveTime is how much of its rate an entry may save up. The quota allows the
-// burst of a second beyond the rate, and some slack.
-const saveTime = 1400 * time.Millisecond
-
 // NewPurse returns an empty purse.
-func NewPurse(now clock.Instant) *Purse { return &Purse{last: now, since: now} }
+func NewPurse(now clock.Instant) *Purse {
+	return &Purse{bucket: bucket{last: now}, since: now}
+}
 
 // Set takes in a grant that was asked for at the instant.
 func (p *Purse) Set(now, asked clock.Instant, rate float64) {
-	p.refill(now)
-	if rate > p.rate && p.rate == 0 {
-		// The first grant may be used at once.
-		p.tokens = max(p.tokens, rate*saveTime.Seconds()/2)
-	}
-	p.rate, p.until = rate, asked+Lease
-	p.tokens = min(p.tokens, p.capacity())
+	p.advance(now)
+	p.until = asked + Lease
+	p.refill(now, rate, rate*saveTime.Seconds())
 }
 
-func (p *Purse) capacity() float64 { return p.rate * saveTime.Seconds() }
-
-func (p *Purse) refill(now clock.Instant) {
-	if to := min(now, p.until); to > p.last {
-		p.tokens = min(p.tokens+p.rate*(to-p.last).Seconds(), p.capacity())
-	}
-	p.last = now
+// advance fills the purse up to the instant, or to the end of the lease. What
+// was saved up by then stays.
+func (p *Purse) advance(now clock.Instant) {
+	p.refill(min(now, p.until), p.rate, p.capacity)
+	p.last = max(p.last, now)
 }
 
-// Spend takes the cost of a request. A request that costs more than can be
-// saved up needs a full purse, which then has to fill up again. If it refuses,
-// after tells when enough is there.
-func (p *Purse) Spend(now clock.Instant, cost float64) (ok bool, after time.Duration) {
+// Spend takes the cost of a request. One that costs more than can be saved up
+// is the pool's.
+func (p *Purse) Spend(now clock.Instant, cost float64) bool {
 	p.asked += cost
-	p.refill(now)
-	need := min(cost, p.capacity())
-	if now >= p.until || p.rate <= 0 {
-		return false, time.Second
-	}
-	if p.tokens < need {
-		return false, time.Duration((need - p.tokens) / p.rate * float64(time.Second))
+	p.advance(now)
+	if p.tokens < cost {
+		return false
 	}
 	p.tokens -= cost
-	return true, 0
+	return true
 }
 
 // Ask reports the demand since the last report.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -113,6 +113,9 @@
 	// cluster together, whichever starts first; Bootstrap then stands in the
 	// settings of all.
 	FoundBySeeds bool
+	// QuotaSlack is the number of units by which all entries together may
+	// exceed an organisation's quota.
+	QuotaSlack float64
 	// RestartOnFault says that the process ends when its disk fails, so that
 	// whoever runs it starts it anew.
 	RestartOnFault bool
@@ -354,6 +357,7 @@
 func (k *Keeper) read(r *reader) {
 	k.Bootstrap = r.Bool("bootstrap")
 	k.FoundBySeeds = r.Bool("foundBySeeds")
+	r.ratio("quotaSlack", &k.QuotaSlack)
 	k.RestartOnFault = r.Bool("restartOnFault")
 	r.positive("initialVoters", &k.InitialVoters)
 	r.span("replaceAfter", &k.ReplaceAfter)
