--- a/control/duty.go
+++ b/control/duty.go
@@ -28,6 +28,9 @@
 	// scaleInterval is the time between two looks at the number of
 	// upstreams.
 	scaleInterval = time.Second
+	// scaleDelay is how long a new leader listens before it orders: about two
+	// announcements of every upstream.
+	scaleDelay = 2500 * time.Millisecond
 	// orderPatience is how long an order may take to show: orders may be
 	// carried out seconds late.
 	orderPatience = 6 * time.Second
@@ -107,7 +110,7 @@
 	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyUsage) {
 		d.reportUsage(ctx, now, v)
 	}
-	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyScale) && now-d.scaled >= scaleInterval {
+	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyScale) && now-d.scaled >= scaleInterval && now-d.since >= scaleDelay {
 		d.scaled = now
 		d.scale(ctx, now, v)
 	}
@@ -213,7 +216,7 @@
 			z.Refused = now < d.refused[orderKey{s.Name, name, true}]
 			zones = append(zones, z)
 		}
-		need := d.need(now, s.Name, s.Engine.Slots, total, loads[s.Name])
+		need := d.need(now, s.Name, s.Engine.Slots, len(zones), total, loads[s.Name])
 		wants := plan.Spread(need, zones, plan.Bounds{Min: s.Autoscale.Min, Max: s.Autoscale.Max, ReclaimablePrice: s.Autoscale.ReclaimablePrice})
 		for _, w := range wants {
 			d.want(ctx, now, s.Name, w, zones, need)
@@ -225,18 +228,17 @@
 // published sheets, less what decoding beside it costs.
 const promptSpeed = 45_000
 
-// startPart is the part of the upstreams at the beginning that is kept before
-// there is any demand to go by.
-const startPart = 0.6
-
-func (d *duties) need(now clock.Instant, service string, slots, total int, l Load) float64 {
+func (d *duties) need(now clock.Instant, service string, slots, zones, total int, l Load) float64 {
 	capacity := plan.Capacity{Prompt: promptSpeed, Slots: float64(slots)}
-	if d.prompt[service] == nil {
+	first := d.prompt[service] == nil
+	if first {
 		d.prompt[service], d.running[service] = &plan.Trend{}, &plan.Trend{}
 	}
-	if d.control.office.quietSince(now, service) {
-		d.first[service] = max(d.first[service], total)
-		need := startPart * float64(d.first[service])
+	d.first[service] = max(d.first[service], total)
+	if quiet := d.control.office.quietSince(now, service); first || quiet {
+		// Without a demand to go by, what serves now is taken as needed: at
+		// the beginning, and by a leader that follows another.
+		need := float64(d.first[service]) * float64(zones-1) / float64(max(zones, 1))
 		w := plan.Carries(need, capacity)
 		d.prompt[service].Begin(now, w.Prompt)
 		d.running[service].Begin(now, w.Running)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,6 +115,8 @@
 	// pending is the part of the prompt that was still to be read when the
 	// ticket was sent, ahead what was before it, and tokens its memory.
 	pending, ahead, tokens int
+	// expected is the time to the first token that was expected at the node.
+	expected time.Duration
 }
 
 type state int
@@ -363,7 +365,7 @@
 func (f *Fleet) pump(now clock.Instant, s *service) {
 	left := s.queue[:0]
 	for _, t := range s.queue {
-		if n, c := s.choose(now, f.options.Zone, t, f.entries); n != nil {
+		if n, c := s.choose(now, f.options.Zone, t, f.entries); n != nil && s.inTime(now, t, c) {
 			f.grant(now, s, t, n, c)
 			continue
 		}
@@ -375,6 +377,19 @@
 	s.queue = left
 }
 
+// inTime reports whether the ticket would still be served in time; one that
+// moves goes anyway.
+func (s *service) inTime(now clock.Instant, t *ticket, c cost) bool {
+	if s.shape.Engine == nil || t.sends > 0 || t.Target <= 0 {
+		return true
+	}
+	return now-t.arrived+c.ready <= time.Duration(lateFactor*float64(t.Target))
+}
+
+// lateFactor is how far above its target the expected time to the first token
+// may lie: the expectation is rough.
+const lateFactor = 1.3
+
 func (f *Fleet) grant(now clock.Instant, s *service, t *ticket, n *node, c cost) {
 	t.state, t.node, t.started, t.began = running, n, now, false
 	t.sends++
@@ -382,6 +397,7 @@
 	t.pending = max(t.Prompt-c.cached, 0)
 	t.ahead = n.backlog
 	t.tokens = t.Prompt + t.Output
+	t.expected = c.ready
 	n.start(now, t)
 	s.load.prompt += t.pending
 	f.actions = append(f.actions, Grant{
@@ -402,6 +418,7 @@
 	t.began = true
 	s := f.service(t.Service)
 	t.node.began(t)
+	t.node.measure(now-t.started, t.expected)
 	s.learnPrefill(now, t)
 	f.pump(now, s)
 	return f.take()
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -25,6 +25,8 @@
 	// strikes counts the failures in a row; avoidUntil keeps work away.
 	strikes    int
 	avoidUntil clock.Instant
+	// slow is the measured time to the first token over the expected one.
+	slow float64
 	// failures is the share of failed answers lately.
 	failures float64
 	// replaced says that another upstream has the address now.
@@ -40,7 +42,7 @@
 }
 
 func newNode(now clock.Instant, m upstream.Member) *node {
-	return &node{Member: m, progress: now, cache: map[uint64]clock.Instant{}}
+	return &node{Member: m, progress: now, slow: 1, cache: map[uint64]clock.Instant{}}
 }
 
 // Times for which a failed upstream gets no work.
@@ -60,6 +62,9 @@
 func (n *node) serves() bool { return !n.Leaving && !n.Ended && !n.replaced }
 
 func (n *node) start(now clock.Instant, t *ticket) {
+	if n.running == 0 {
+		n.progress = now
+	}
 	n.running++
 	n.backlog += t.pending
 	n.tokens += t.tokens
@@ -156,8 +161,10 @@
 
 // cost is what a choice expects.
 type cost struct {
-	wait   time.Duration
-	cached int
+	// wait is the expected time to the first token with what speaks against
+	// the node, ready that time alone.
+	wait, ready time.Duration
+	cached      int
 }
 
 // Prices of a choice.
@@ -178,6 +185,28 @@
 	failureMargin = 0.3
 )
 
+// stallTime is how long a node with requests may send nothing: engines send
+// events several times a second, and plain services answer in less.
+const stallTime = 800 * time.Millisecond
+
+// stalled reports whether the node has requests but sends nothing.
+func (n *node) stalled(now clock.Instant) bool { return n.running > 0 && now-n.progress > stallTime }
+
+// Bounds of a node's measured slowness, and the weight of one measurement.
+const (
+	leastSlow  = 0.7
+	mostSlow   = 8
+	slowWeight = 0.15
+	// slowBase is added to both times: small ones are noise.
+	slowBase = 60 * time.Millisecond
+)
+
+// measure compares the time to the first token with the expected one.
+func (n *node) measure(took, expected time.Duration) {
+	ratio := float64(took+slowBase) / float64(time.Duration(float64(expected)/n.slow)+slowBase)
+	n.slow += slowWeight * (min(max(ratio, leastSlow), mostSlow) - n.slow)
+}
+
 // memoryPart is the part of an engine's memory that is filled on purpose:
 // answers may grow longer than expected.
 const memoryPart = 0.85
@@ -244,6 +273,8 @@
 	} else {
 		c.wait = s.hold * time.Duration(busy) / time.Duration(max(n.Slots, 1))
 	}
+	c.wait = time.Duration(float64(c.wait) * n.slow)
+	c.ready = c.wait
 	if n.Zone != zone {
 		c.wait += hopPrice
 	}
@@ -253,7 +284,7 @@
 	if n.Cold > 0 {
 		c.wait += coldPrice
 	}
-	if n.strikes > 0 || n.failures > s.failures+failureMargin {
+	if n.strikes > 0 || n.failures > s.failures+failureMargin || n.stalled(now) {
 		c.wait += suspectPrice
 	}
 	return c
--- a/ingress/desk.go
+++ b/ingress/desk.go
@@ -82,6 +82,13 @@
 	return t.ID, w
 }
 
+// stalled reports whether the ticket's upstream has sent nothing to anyone.
+func (d *desk) stalled(id uint64, patience time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.Stalled(d.clock(), id, patience)
+}
+
 // leave forgets a ticket that is still open, as withdrawn.
 func (d *desk) leave(id uint64) {
 	d.mu.Lock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,8 @@
 	// headSent says that the caller has the status and headers, counted that
 	// the request counts as begun in usage.
 	headSent, counted bool
-	buffer            []byte
+	// stalled says that the attempt was ended since its upstream fell silent.
+	stalled atomic.Bool
 }
 
 // copyBuffer is the size of one read of an answer.
@@ -137,6 +139,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if r.route.Repeatable() {
+		go d.watch(ctx, cancel)
+	}
 	last, resumes := d.events.position()
 	response, err := in.client.Do(ctx, g.Upstream.Address, &exchange.Request{
 		Method: r.method, Target: r.target, Host: r.host, Body: r.body, HasBody: r.hasBody,
@@ -149,6 +154,11 @@
 			return a.RequestID == r.ID || (a.RequestID == "" && a.NotRun)
 		},
 	})
+	defer func() {
+		if !o.done && d.stalled.Load() {
+			o.failure = retry.Silent
+		}
+	}()
 	if err != nil {
 		failure := retry.NotSent
 		var e *exchange.Error
@@ -179,6 +189,33 @@
 	return d.plain(response)
 }
 
+// stallPatience is how long an upstream may send nothing to anyone before a
+// request that may be repeated is taken elsewhere: twice the longest pause
+// between events that published deployments allow.
+const (
+	stallPatience = time.Second
+	stallInterval = 100 * time.Millisecond
+)
+
+// watch ends the attempt when its upstream has fallen silent.
+func (d *delivery) watch(ctx context.Context, cancel context.CancelFunc) {
+	d.stalled.Store(false)
+	t := time.NewTicker(stallInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			if d.in.desk.stalled(d.ticket, stallPatience) {
+				d.stalled.Store(true)
+				cancel()
+				return
+			}
+		}
+	}
+}
+
 // progress notes that the upstream sent something.
 func (d *delivery) progress() {
 	d.in.desk.do(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Progress(now, d.ticket) })
--- a/plan/steer.go
+++ b/plan/steer.go
@@ -67,9 +67,13 @@
 	return need
 }
 
-// fixedPart is the part of the need below which fixed upstreams are ordered:
-// a higher load is borne until reclaimable ones can be had again.
-const fixedPart = 0.65
+// Parts of the need below which fixed upstreams are ordered: a higher load is
+// borne until reclaimable ones can be had again. While some are refused others
+// are often taken away too, and more is held.
+const (
+	fixedPart   = 0.65
+	refusedPart = 0.85
+)
 
 // Carries is the work that a number of upstreams carries.
 func Carries(n float64, c Capacity) Work {
@@ -84,8 +88,7 @@
 	if len(zones) == 0 {
 		return nil
 	}
-	wanted := int(math.Ceil(need))
-	total := wanted
+	total := int(math.Ceil(need))
 	if n := len(zones); n > 1 {
 		total = max(total, int(math.Ceil(need*float64(n)/float64(n-1))))
 	}
@@ -102,7 +105,13 @@
 		}
 	}
 	share(max(total, 0), order, wants, b.Max)
-	open := int(math.Ceil(need*fixedPart)) - serving
+	part := fixedPart
+	for _, z := range zones {
+		if z.Refused {
+			part = refusedPart
+		}
+	}
+	open := int(math.Ceil(need*part)) - serving
 	for _, w := range wants {
 		open -= w.Fixed
 	}
