--- a/consensus/node.go
+++ b/consensus/node.go
@@ -127,6 +127,11 @@
 		return nil, err
 	}
 	n.resetTimeout()
+	if n.log.last() > 0 {
+		// After a restart of all members nobody leads; if somebody does, the
+		// pre-vote finds out without harm.
+		n.timeout = n.options.HeartbeatTicks + n.options.Random(n.options.ElectionTicks/2+1)
+	}
 	return n, nil
 }
 
--- a/consensus/node__election.go
+++ b/consensus/node__election.go
@@ -15,6 +15,14 @@
 	}
 }
 
+// Expedite lets a node that follows nobody campaign soon: the other members
+// have only now come into reach.
+func (n *Node) Expedite() {
+	if n.role == Follower && n.leader == None {
+		n.elapsed = max(n.elapsed, n.timeout-n.options.Random(n.options.HeartbeatTicks+1))
+	}
+}
+
 // mayCampaign reports whether the node is a voter, or was one before a
 // configuration that may not be committed: only a node that is being removed
 // may hold the entry that removes it.
--- a/control/account.go
+++ b/control/account.go
@@ -42,6 +42,9 @@
 	AccountRequest
 	at    clock.Instant
 	usage map[uint64]map[string]uint64
+	// prompts are the smoothed prompt tokens per second by service: one
+	// report covers a few requests only.
+	prompts map[string]float64
 }
 
 func newOffice(now clock.Instant, term uint64, slack float64) *office {
@@ -51,6 +54,9 @@
 // reportAge is how long an entry's report counts for load.
 const reportAge = 2 * time.Second
 
+// promptWeight smooths the prompt tokens over about ten reports, three seconds.
+const promptWeight = 0.1
+
 // usageMemory is how long the counts of an entry that is gone are kept: until
 // its last windows are on record.
 const usageMemory = 30 * time.Second
@@ -137,13 +143,16 @@
 	key := reporter{q.Entry, q.Incarnation}
 	r, ok := o.reports[key]
 	if !ok {
-		r = &reported{usage: map[uint64]map[string]uint64{}}
+		r = &reported{usage: map[uint64]map[string]uint64{}, prompts: map[string]float64{}}
 		o.reports[key] = r
 	}
 	r.AccountRequest, r.at = q, now
 	for _, w := range q.Usage {
 		r.usage[w.Number] = w.Counts
 	}
+	for name, l := range q.Loads {
+		r.prompts[name] += promptWeight * (l.Prompt - r.prompts[name])
+	}
 	for other, held := range o.reports {
 		if now-held.at > usageMemory {
 			delete(o.reports, other)
@@ -192,7 +201,7 @@
 			sum := sums[name]
 			sum.Arrivals += l.Arrivals
 			sum.Urgent += l.Urgent
-			sum.Prompt += l.Prompt
+			sum.Prompt += r.prompts[name]
 			sum.Output += l.Output
 			sum.Waiting += l.Waiting
 			sum.Running += l.Running
--- a/control/duty.go
+++ b/control/duty.go
@@ -17,7 +17,7 @@
 
 // Times of the duties towards the platform.
 const (
-	dutyInterval = 250 * time.Millisecond
+	dutyInterval = 200 * time.Millisecond
 	// settleTime is the part of the time allowed for a usage report after
 	// which a window's counts are final: entries report three times a
 	// second, and the clocks of keepers may be off by seconds.
@@ -27,7 +27,7 @@
 	resendWindows = 3
 	// scaleInterval is the time between two looks at the number of
 	// upstreams.
-	scaleInterval = time.Second
+	scaleInterval = 400 * time.Millisecond
 	// scaleDelay is how long a new leader listens before it orders: about two
 	// announcements of every upstream.
 	scaleDelay = 2500 * time.Millisecond
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -143,8 +143,11 @@
 const (
 	// suspectDeaths is the number of upstreams that may die of one request
 	// before it is refused.
-	suspectDeaths = 2
+	suspectDeaths = 3
 	suspectTime   = 2 * time.Minute
+	// deathTime is how soon after a broken answer a refused connection tells
+	// that the upstream died.
+	deathTime = 2 * time.Second
 	// maxWaiting bounds one service's queue.
 	maxWaiting = 512
 )
@@ -516,8 +519,17 @@
 	if !how.Ran() {
 		t.runs--
 	}
-	if how == retry.Broken && !t.began {
-		f.died(now, t)
+	switch {
+	case how == retry.Broken && !t.began:
+		n.broken = append(n.broken, breakage{t.Fingerprint, now})
+	case how == retry.NotSent:
+		// The upstream is gone, and with it what broke off there just before.
+		for _, b := range n.broken {
+			if now-b.at < deathTime {
+				f.died(now, b.fingerprint)
+			}
+		}
+		n.broken = nil
 	}
 	t.state, t.node = waiting, nil
 	if !f.mayMove(now, s, t, how) {
@@ -578,12 +590,12 @@
 	return result.New(result.Saturated, result.RanNo, "no upstream took the request").WithRetry(soon)
 }
 
-// died notes that an upstream was lost while it ran the ticket.
-func (f *Fleet) died(now clock.Instant, t *ticket) {
-	k, ok := f.suspects[t.Fingerprint]
+// died notes that an upstream was lost while it ran the request.
+func (f *Fleet) died(now clock.Instant, fingerprint uint64) {
+	k, ok := f.suspects[fingerprint]
 	if !ok {
 		k = &suspect{}
-		f.suspects[t.Fingerprint] = k
+		f.suspects[fingerprint] = k
 	}
 	k.deaths++
 	k.last = now
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -32,6 +32,13 @@
 	// replaced says that another upstream has the address now.
 	replaced bool
 	cache    map[uint64]clock.Instant
+	// broken are the requests whose connection broke before they began.
+	broken []breakage
+}
+
+type breakage struct {
+	fingerprint uint64
+	at          clock.Instant
 }
 
 // Busy is the work at one upstream.
@@ -177,6 +184,10 @@
 	silentPrice  = time.Second
 	suspectPrice = 2 * time.Second
 	coldPrice    = 50 * time.Millisecond
+	// slowPrice is that of an upstream that takes twice the expected time, in
+	// addition to that time: its events come slowly too.
+	slowPrice  = 150 * time.Millisecond
+	slowMargin = 1.6
 	// slotPrice is the longer step of a batch with one more request, summed
 	// over the steps to the first event.
 	slotPrice = 2 * time.Millisecond
@@ -281,6 +292,9 @@
 	if n.Silent {
 		c.wait += silentPrice
 	}
+	if n.slow > slowMargin {
+		c.wait += time.Duration((n.slow - 1) * float64(slowPrice))
+	}
 	if n.Cold > 0 {
 		c.wait += coldPrice
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -110,6 +110,8 @@
 	h.ref = actors.Spawn(ctx, o.Actors, "gossip", h.receive)
 	o.Server.On(peer.Exchange, h.serveExchange)
 	h.ref.Send(refresh{})
+	// The seeds hear of the node at once.
+	h.ref.Send(tick{})
 	go func() {
 		t := time.NewTicker(o.Interval)
 		defer t.Stop()
@@ -283,8 +285,13 @@
 	if h.table.News() || h.round%renewEvery == 0 {
 		h.push(now)
 	}
-	if h.round%compareEvery == 0 {
-		h.compare()
+	switch {
+	case !h.settled:
+		// A node that has just started asks every seed until it knows the
+		// others: after a restart of all it can't wait to be told.
+		h.compare(max(len(h.options.Seeds), 1))
+	case h.round%compareEvery == 0:
+		h.compare(1)
 	}
 }
 
@@ -300,9 +307,9 @@
 	}
 }
 
-// compare sends the digest to one peer.
-func (h *Host) compare() {
-	for _, to := range h.targets(h.options.Clock(), 1) {
+// compare sends the digest to some peers.
+func (h *Host) compare(peers int) {
+	for _, to := range h.targets(h.options.Clock(), peers) {
 		m := member.Exchange{From: h.options.Node.Name, Compare: true, Ready: h.ready()}
 		m.Digest, m.Intervals = h.table.IntervalDigest()
 		h.send(to, m)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -164,6 +164,10 @@
 		var e *exchange.Error
 		if errors.As(err, &e) && e.Sent {
 			failure = retry.Broken
+			if !r.streams() {
+				// A plain request runs from its arrival on.
+				d.countOnce()
+			}
 		}
 		in.client.Drop(g.Upstream.Address)
 		return outcome{failure: failure, cause: err}
@@ -176,6 +180,7 @@
 		response.Close()
 		return outcome{failure: retry.Refused, cause: errors.Errorf("status %d, not run", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
+		d.countOnce()
 		return outcome{failure: retry.Errored, answer: response, cause: errors.Errorf("status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
 		response.Close()
@@ -220,8 +225,15 @@
 func (d *delivery) progress() {
 	d.in.desk.do(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Progress(now, d.ticket) })
 	if !d.counted {
-		d.counted = true
 		d.in.meters.began(d.in.options.Clock() - d.r.arrived)
+	}
+	d.countOnce()
+}
+
+// countOnce adds the request to its organisation's usage.
+func (d *delivery) countOnce() {
+	if !d.counted {
+		d.counted = true
 		d.in.count(d.r)
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -40,7 +40,7 @@
 	// advanceInterval is the time between two steps of the claims' time.
 	advanceInterval = 10 * time.Second
 	// watchInterval is the time between two looks at the members.
-	watchInterval = 200 * time.Millisecond
+	watchInterval = 100 * time.Millisecond
 )
 
 // Options are what a Keeper needs.
@@ -82,9 +82,11 @@
 	// belong to no cluster yet.
 	alive, fresh []consensus.ID
 	foreign      bool
-	lastAdvance  clock.Instant
-	syncs        metrics.Timer
-	batches      metrics.Histogram
+	// expedited says that a majority was in reach since the start.
+	expedited   bool
+	lastAdvance clock.Instant
+	syncs       metrics.Timer
+	batches     metrics.Histogram
 
 	// asked holds the callers of Confirm that wait for the next round.
 	asked chan chan<- bool
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -35,9 +35,25 @@
 	slices.Sort(k.alive)
 	slices.Sort(k.fresh)
 	k.bootstrap(own)
+	k.expedite()
 	k.changeMembers()
 }
 
+// expedite has the node campaign once a majority is in reach after a start.
+func (k *Keeper) expedite() {
+	c := k.node.Config()
+	reached := 0
+	for _, id := range c.Voters {
+		if slices.Contains(k.alive, id) {
+			reached++
+		}
+	}
+	if !k.expedited && reached > len(c.Voters)/2 {
+		k.expedited = true
+		k.node.Expedite()
+	}
+}
+
 // bootstrap founds the cluster, on the one keeper whose settings say so, when
 // enough keepers are there that belong to no cluster, and none that does.
 func (k *Keeper) bootstrap(own wal.Identity) {
--- a/keeper/keeper__read.go
+++ b/keeper/keeper__read.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
@@ -83,6 +85,10 @@
 		now.Term == next.Term && now.Leader == next.Leader && now.Usage == next.Usage {
 		return
 	}
+	if now.Leading != next.Leading || now.Term != next.Term || now.Leader != next.Leader {
+		klog.InfoS("leadership changed", "instance", k.options.Name, "role", s.Role, "term", next.Term, "leader", next.Leader,
+			"leading", next.Leading, "applied", next.Applied, "last", s.Last, "voters", s.Config.Voters)
+	}
 	k.view.now = next
 	close(k.view.changed)
 	k.view.changed = make(chan struct{})
--- a/peer/client.go
+++ b/peer/client.go
@@ -18,7 +18,9 @@
 
 // Limits of the connections to one peer.
 const (
-	dialTimeout     = time.Second
+	// dialTimeout is many round trips between regions; an instance without
+	// power answers nothing, and the caller has others to ask.
+	dialTimeout     = 300 * time.Millisecond
 	maxIdlePerPeer  = 4
 	idleTimeout     = 30 * time.Second
 	maxMessageBytes = 64 << 20
--- a/plan/steer.go
+++ b/plan/steer.go
@@ -50,7 +50,7 @@
 const (
 	// promptPart leaves room for prompts that arrive together: with more, the
 	// first token of short prompts waits behind long ones.
-	promptPart = 0.35
+	promptPart = 0.37
 	// slotPart leaves a batch that decodes at a good pace.
 	slotPart = 0.4
 )
@@ -72,7 +72,7 @@
 // are often taken away too, and more is held.
 const (
 	fixedPart   = 0.65
-	refusedPart = 0.85
+	refusedPart = 0.8
 )
 
 // Carries is the work that a number of upstreams carries.
@@ -169,7 +169,7 @@
 // Times of a trend.
 const (
 	// riseTime smooths the noise of single requests.
-	riseTime = 4 * time.Second
+	riseTime = 2 * time.Second
 	// fallTime is several times the time that a new upstream takes to start.
 	fallTime = 10 * time.Second
 )
