--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func revision() *Revision {
+	route := func(name, host, prefix string) Route {
+		return Route{Name: name, Host: host, Prefix: prefix, Kind: Idempotent, Timeout: time.Second, Backends: []Backend{{"s", 1}}}
+	}
+	return &Revision{
+		Number:   1,
+		Services: []Service{{Name: "s"}},
+		Routes:   []Route{route("a", "mill.example", "/a/"), route("ab", "mill.example", "/a/b/"), route("other", "farm.example", "/a/")},
+	}
+}
+
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	table := NewTable(revision())
+	cases := []struct{ host, path, route string }{
+		{"mill.example", "/a/x", "a"},
+		{"mill.example", "/a/b/x", "ab"},
+		{"MILL.example", "/a/b/", "ab"},
+		{"mill.example:8080", "/a/bx", "a"},
+		{"farm.example", "/a/b/x", "other"},
+		{"mill.example", "/a", ""},
+		{"mill.example", "/b/", ""},
+		{"other.example", "/a/x", ""},
+	}
+	for _, c := range cases {
+		name := ""
+		if r := table.Route(c.host, c.path); r != nil {
+			name = r.Name
+		}
+		gomega.NewWithT(t).Expect(name).To(gomega.Equal(c.route), "%+v", c)
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := Route{Backends: []Backend{{"a", 1}, {"b", 0}, {"c", 3}}}
+	counts := map[string]int{}
+	const points = 1000
+	for i := range points {
+		counts[r.Pick(float64(i)/points)]++
+	}
+	g.Expect(counts).To(gomega.Equal(map[string]int{"a": 250, "c": 750}))
+}
+
+// TestStoreAgainstAnOracle sends puts in any order, again and again, through
+// snapshots: what was accepted is acknowledged for ever, another content under
+// its number is refused for ever, and the newest never goes back.
+func TestStoreAgainstAnOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore()
+		accepted := map[uint64]string{}
+		newest := uint64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "puts") {
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				data, err := s.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s = NewStore()
+				if err := s.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			number := uint64(rapid.IntRange(1, 30).Draw(t, "number"))
+			content := strings.Repeat("x", rapid.IntRange(1, 3).Draw(t, "content"))
+			want := Stored
+			switch held, ok := accepted[number]; {
+			case ok && held != content:
+				want = Conflict
+			case ok || number < newest:
+				want = Held
+			default:
+				accepted[number] = content
+				newest = number
+			}
+			p := Put{Number: number, Digest: DigestOf([]byte(content)), Packed: []byte(content)}
+			if got := s.Apply(p); got != want {
+				t.Fatalf("number %d with %q: outcome %d, want %d", number, content, got, want)
+			}
+			if s.Newest().Number != newest || string(s.Newest().Packed) != accepted[newest] {
+				t.Fatalf("newest is %d, want %d", s.Newest().Number, newest)
+			}
+		}
+	})
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -197,12 +197,17 @@
 		p = quota.NewPurse(now)
 		in.purses[r.org.Name] = p
 	}
-	spent := p.Spend(now, cost)
+	missing := p.Take(now, cost)
 	in.mu.Unlock()
-	if spent {
+	if missing <= 0 {
 		return nil
 	}
-	reply, err := in.link.Reserve(ctx, r.org.Name, cost)
+	reply, err := in.link.Reserve(ctx, r.org.Name, missing)
+	if err != nil || !reply.OK {
+		in.mu.Lock()
+		p.Return(in.options.Clock(), cost-missing)
+		in.mu.Unlock()
+	}
 	switch {
 	case err != nil:
 		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked, and the pool is out of reach: %v", cost, err).WithRetry(time.Second)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -84,8 +84,9 @@
 func (l *Ledger) Reserve(now clock.Instant, organisation string, limit, cost float64) (ok bool, after time.Duration) {
 	p, known := l.pools[organisation]
 	if !known {
-		// What an earlier leader's pool has handed out isn't known.
-		p = &bucket{last: now}
+		// What an earlier leader's pool has handed out isn't known, so that
+		// this one begins empty.
+		p = &bucket{last: l.since}
 		l.pools[organisation] = p
 	}
 	p.refill(now, poolPart*limit, limit*poolTime.Seconds()+slackPart*l.slack)
@@ -205,16 +206,20 @@
 	p.last = max(p.last, now)
 }
 
-// Spend takes the cost of a request. One that costs more than can be saved up
-// is the pool's.
-func (p *Purse) Spend(now clock.Instant, cost float64) bool {
+// Take takes the cost of a request as far as the purse covers it, and returns
+// what is missing, for the pool.
+func (p *Purse) Take(now clock.Instant, cost float64) (missing float64) {
 	p.asked += cost
 	p.advance(now)
-	if p.tokens < cost {
-		return false
-	}
-	p.tokens -= cost
-	return true
+	taken := min(cost, max(p.tokens, 0))
+	p.tokens -= taken
+	return cost - taken
+}
+
+// Return gives back what was taken for a request that the pool refused.
+func (p *Purse) Return(now clock.Instant, taken float64) {
+	p.advance(now)
+	p.tokens = min(p.tokens+taken, p.capacity)
 }
 
 // Ask reports the demand since the last report.
