--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,8 +80,10 @@
 	services  map[string]*service
 	tickets   map[uint64]*ticket
 	suspects  map[uint64]*suspect
-	entries   int
-	actions   []Action
+	// entries share the upstreams; counted says that their number is known.
+	entries int
+	counted bool
+	actions []Action
 }
 
 type service struct {
@@ -176,12 +178,13 @@
 
 // SetEntries tells how many entries share the upstreams.
 func (f *Fleet) SetEntries(n int) {
-	if n < 1 || n == f.entries {
+	if n < 1 || (n == f.entries && f.counted) {
 		return
 	}
-	f.entries = n
+	first := !f.counted
+	f.entries, f.counted = n, true
 	for _, s := range f.services {
-		s.budget.SetSaved(f.savedRetries())
+		s.budget.SetSaved(f.savedRetries(), first)
 	}
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -74,8 +74,12 @@
 	return &Budget{ratio: ratio, tokens: saved, saved: saved}
 }
 
-// SetSaved changes how many retries may be saved up.
-func (b *Budget) SetSaved(saved float64) {
+// SetSaved changes how many retries may be saved up; with fill what that adds
+// is there at once.
+func (b *Budget) SetSaved(saved float64, fill bool) {
+	if fill && saved > b.saved {
+		b.tokens += saved - b.saved
+	}
 	b.saved = saved
 	b.tokens = min(b.tokens, saved)
 }
