--- a/commands/commands.go
+++ b/commands/commands.go
@@ -81,6 +81,7 @@
 	app.Flag("output", "Form of the output: text or json.").Default("text").EnumVar(&c.output, "text", "json")
 	app.Flag("logLevel", "Verbosity of the log on standard error, 0 to 4.").Default("0").IntVar(&c.level)
 	c.addNode(app)
+	c.addExplain(app)
 	c.addDocuments(app)
 	c.addState(app)
 	c.addStandin(app)
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -162,3 +162,13 @@
 	}
 	golden(t, "demo", out)
 }
+
+func TestExplainTellsARequestsStory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	out, code := run("explain", "r17", "testdata/logs/entry-a", "testdata/logs/entry-b")
+	g.Expect(code).To(gomega.Equal(exitOK), out)
+	golden(t, "explain", out)
+	out, code = run("explain", "r99", "testdata/logs/entry-a")
+	g.Expect(code).To(gomega.Equal(exitFailed))
+	golden(t, "explain-unknown", out)
+}
--- a/commands/node.go
+++ b/commands/node.go
@@ -25,6 +25,7 @@
 	_ "github.com/hyssopladder/hyssopladder/operator"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/settings"
+	_ "github.com/hyssopladder/hyssopladder/status"
 )
 
 func (c *cli) addNode(app *kingpin.Application) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -77,7 +77,7 @@
 					return
 				}
 				if ctx.Err() == nil {
-					in.meters.moved.Inc(1)
+					in.meters.failed(last.failure)
 					in.desk.do(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Failed(now, d.ticket, last.failure) })
 					continue
 				}
@@ -127,10 +127,14 @@
 	in, r := d.in, d.r
 	began := in.options.Clock()
 	defer func() {
+		failure := "none"
+		if !o.done {
+			failure = o.failure.String()
+		}
 		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 			"revision", r.revision, "confirmed", in.link.Age(), "upstream", g.Upstream.ID, "address", g.Upstream.Address, "zone", g.Upstream.Zone, "number", g.Attempt,
 			"waited", began-r.arrived, "expected", g.Waits, "cached", g.Cached, "prompt", r.PromptTokens, "took", in.options.Clock()-began,
-			"done", o.done, "failure", int(o.failure), "events", d.events.passed, "err", o.cause)
+			"done", o.done, "failure", failure, "events", d.events.passed, "err", o.cause)
 	}()
 	if r.org != nil && !in.fresh() {
 		// The instance may have been suspended since the first look.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -92,6 +92,7 @@
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, Client: o.Client, Clock: o.Clock,
 		Members: in.learnMembers, Table: in.adopt, Report: in.report, Granted: in.granted,
 	})
+	in.gauges(o.Metrics)
 	callers := &http.Server{
 		Handler:           http.HandlerFunc(in.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/operator/api.go
+++ b/operator/api.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/meters"
 	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/dispatch"
@@ -241,22 +241,8 @@
 	_, _ = w.Write(data)
 }
 
-// writeMetrics writes every metric as text: one line with name and value.
+// writeMetrics writes every metric as text.
 func (a *API) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	a.metrics.Each(func(name string, m any) {
-		name = "hyssopladder_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-		switch m := m.(type) {
-		case metrics.Counter:
-			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
-		case metrics.Gauge:
-			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
-		case metrics.Timer:
-			s := m.Snapshot()
-			for _, q := range []float64{0.5, 0.95, 0.99} {
-				_, _ = fmt.Fprintf(w, "%s_seconds{quantile=\"%v\"} %g\n", name, q, s.Percentile(q)/1e9)
-			}
-			_, _ = fmt.Fprintf(w, "%s_seconds_count %d\n", name, s.Count())
-		}
-	})
+	meters.WriteText(w, a.metrics)
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -28,6 +28,11 @@
 	Errored
 )
 
+// String returns the failure's name.
+func (f Failure) String() string {
+	return [...]string{"notSent", "refused", "reclaimed", "broken", "silent", "errored"}[f]
+}
+
 // Ran reports what is known about the request's execution after f.
 func (f Failure) Ran() bool { return f == Reclaimed || f == Broken || f == Silent || f == Errored }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,8 @@
 	DataFolder string
 	// StopLimit bounds a graceful stop.
 	StopLimit time.Duration
+	// Metrics is where metrics and dump are served; none turns that off.
+	Metrics netip.AddrPort
 	// MemoryMegabytes is what the process may use; 0 means no limit.
 	MemoryMegabytes int
 	// Processors is the number of processors to use; 0 means all.
@@ -318,6 +320,7 @@
 	r.text("zone", &n.Zone)
 	r.text("dataFolder", &n.DataFolder)
 	r.span("stopLimit", &n.StopLimit)
+	r.address("metrics", &n.Metrics)
 	r.positive("memoryMegabytes", &n.MemoryMegabytes)
 	r.positive("processors", &n.Processors)
 	if r.Has("roles") {
