--- a/fleet/node.go
+++ b/fleet/node.go
@@ -222,6 +222,10 @@
 // answers may grow longer than expected.
 const memoryPart = 0.85
 
+// preferredPart is the part of a prompt's shared tokens that the upstream on
+// which all entries agree is thought to hold.
+const preferredPart = 0.9
+
 // choose returns the usable upstream with the lowest expected time to the
 // first token that has room, or nil.
 func (s *service) choose(now clock.Instant, zone string, t *ticket, entries int) (*node, cost) {
@@ -233,9 +237,10 @@
 			continue
 		}
 		c := s.expected(now, zone, n, t)
-		if n == preferred && c.cached < shared/2 {
-			// Entries that know nothing agree on one upstream a prefix.
-			c.wait -= s.readTime(shared / 2)
+		if likely := int(preferredPart * float64(shared)); n == preferred && c.cached < likely {
+			// Entries that know nothing agree on one upstream a prefix, so
+			// that others have probably sent it there before.
+			c.wait -= s.readTime(likely - c.cached)
 		}
 		if best == nil || c.wait < bestCost.wait {
 			best, bestCost = n, c
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,8 +23,8 @@
 // window, the burst of a second, and the excess that is allowed.
 const (
 	// entryPart is granted to entries, poolPart handed out by the leader.
-	entryPart = 0.65
-	poolPart  = 0.4
+	entryPart = 0.5
+	poolPart  = 0.6
 	// saveTime is how much of its rate an entry may save up.
 	saveTime = 800 * time.Millisecond
 	// poolTime is how much of the organisation's whole rate the pool may save
