--- a/plan/steer.go
+++ b/plan/steer.go
@@ -50,9 +50,9 @@
 const (
 	// promptPart leaves room for prompts that arrive together: with more, the
 	// first token of short prompts waits behind long ones.
-	promptPart = 0.37
+	promptPart = 0.28
 	// slotPart leaves a batch that decodes at a good pace.
-	slotPart = 0.4
+	slotPart = 0.3
 )
 
 // Upstreams is the number of upstreams that carry the work.
@@ -71,8 +71,8 @@
 // borne until reclaimable ones can be had again. While some are refused others
 // are often taken away too, and more is held.
 const (
-	fixedPart   = 0.65
-	refusedPart = 0.8
+	fixedPart   = 0.5
+	refusedPart = 0.6
 )
 
 // Carries is the work that a number of upstreams carries.
