ingress: Tell routes apart within an organisation's rank

An organisation's rank replaced the route's, so that within one organisation short urgent chats and long summaries had the same rank at the engines. Both now count, the organisation's first.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -120,13 +120,23 @@
 	}
 	r.deadline = r.arrived + wait
 	r.service = r.route.Pick(point(r.ID))
-	r.rank = r.route.Rank
-	if r.org != nil && r.org.Rank != nil {
-		r.rank = *r.org.Rank
-	}
+	r.rank = rank(r.route, r.org)
 	return r, in.charge(h.Context(), r)
 }
 
+// routeRanks is the number of ranks of routes that are told apart within one
+// rank of organisations; engines know ten ranks in all.
+const routeRanks = 3
+
+// rank orders requests by the rank of their organisation, and those of equal
+// organisations by the rank of their route.
+func rank(route *config.Route, org *config.Organisation) int {
+	if org == nil || org.Rank == nil {
+		return min(route.Rank, routeRanks-1)
+	}
+	return routeRanks*(*org.Rank) + min(route.Rank, routeRanks-1)
+}
+
 // point spreads requests evenly over a route's backends.
 func point(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
