--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -639,14 +639,22 @@
 	return actions
 }
 
-// Stalled reports whether the upstream of a running ticket has sent nothing to
-// any of its callers here for the time.
+// Stalled reports whether a running ticket should be taken elsewhere: its
+// upstream has sent nothing to any of its callers here for the time, and
+// another upstream may run it. Without one a late answer is better than none.
 func (f *Fleet) Stalled(now clock.Instant, id uint64, patience time.Duration) bool {
 	t, ok := f.tickets[id]
-	if !ok || t.state != running {
+	if !ok || t.state != running || now-max(t.node.progress, t.started) <= patience {
 		return false
 	}
-	return now-max(t.node.progress, t.started) > patience
+	s := f.service(t.Service)
+	others := 0
+	for _, n := range s.nodes {
+		if n != t.node && n.usable(now) && !t.hasTried(n.ID) {
+			others++
+		}
+	}
+	return others > 0 && t.Repeatable && t.runs < t.Attempts && s.budget.Left() >= 1
 }
 
 // Usable reports whether any service has a usable upstream.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -300,6 +300,21 @@
 	g.Expect(where(f.Submit(now, newTicket(101)))).NotTo(gomega.Equal(at))
 }
 
+// TestSilentUpstreamIsKeptWithoutAnother never takes a request from its silent
+// upstream when no other may run it: a late answer is better than none.
+func TestSilentUpstreamIsKeptWithoutAnother(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("u1", 1, 1))
+	f.Submit(0, newTicket(1))
+	g.Expect(f.Stalled(5*second, 1, second)).To(gomega.BeFalse(), "there is no other upstream")
+	f.Merge(0, []upstream.Member{member("u2", 2, 1)})
+	g.Expect(f.Stalled(5*second, 1, second)).To(gomega.BeTrue())
+	once := newTicket(2)
+	once.Attempts = 1
+	f.Submit(0, once)
+	g.Expect(f.Stalled(5*second, 2, second)).To(gomega.BeFalse(), "it may run once")
+}
+
 // TestCrashingRequestIsRefused has each upstream that runs a request die; its
 // neighbours on those upstreams are served.
 func TestCrashingRequestIsRefused(t *testing.T) {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -71,6 +71,12 @@
 	in.meters.refused(e.Code.String())
 	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "revision", r.revision,
 		"code", int(e.Code), "reason", e.Title, "detail", e.Detail, "ran", e.Ran, "retryAfter", e.RetryAfter, "held", in.options.Clock()-r.arrived)
+	switch e.Code {
+	case result.ConfigNotConfirmed, result.NotReady:
+		// Another entry may serve the caller, and a new connection finds it.
+		w.Header().Set("Connection", "close")
+	default:
+	}
 	platform.SetRequestID(w.Header(), r.ID)
 	if e.RetryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), e.RetryAfter)
@@ -101,7 +107,7 @@
 	}
 	table := in.link.Table()
 	if table == nil {
-		return r, result.New(result.NotReady, result.RanNo, "there is no configuration yet").WithRetry(time.Second)
+		return r, result.New(result.NotReady, result.RanNo, "there is no configuration yet").WithRetry(notReadyRetry)
 	}
 	r.revision = table.Revision.Number
 	path, _, _ := strings.Cut(r.target, "?")
@@ -137,6 +143,10 @@
 	return routeRanks*(*org.Rank) + min(route.Rank, routeRanks-1)
 }
 
+// notReadyRetry is when to come back to an entry that has just started: it
+// takes a few hundred milliseconds to hear from a keeper.
+const notReadyRetry = 300 * time.Millisecond
+
 // point spreads requests evenly over a route's backends.
 func point(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
@@ -156,7 +166,7 @@
 
 // unconfirmed refuses a keyed request: the key may have been taken away.
 func (in *Ingress) unconfirmed() error {
-	const soon = time.Second
+	const soon = 100 * time.Millisecond
 	return result.New(result.ConfigNotConfirmed, result.RanNo, "no majority has confirmed the configuration for %v", in.link.Age()).WithRetry(soon)
 }
 
