--- a/ingress/request.go
+++ b/ingress/request.go
@@ -143,6 +143,9 @@
 	return routeRanks*(*org.Rank) + min(route.Rank, routeRanks-1)
 }
 
+// poolRetry is when to come back while no leader answers: after an election.
+const poolRetry = 500 * time.Millisecond
+
 // notReadyRetry is when to come back to an entry that has just started: it
 // takes a few hundred milliseconds to hear from a keeper.
 const notReadyRetry = 300 * time.Millisecond
@@ -230,7 +233,7 @@
 	}
 	switch {
 	case err != nil:
-		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked, and the pool is out of reach: %v", cost, err).WithRetry(time.Second)
+		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked, and the pool is out of reach: %v", cost, err).WithRetry(poolRetry)
 	case !reply.OK:
 		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked", cost).WithRetry(reply.After)
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -39,7 +39,8 @@
 	// firstInterval is that until the first answer.
 	firstInterval = 50 * time.Millisecond
 	// reserveTimeout bounds a request's wait for the leader's pool.
-	reserveTimeout = 300 * time.Millisecond
+	reserveTimeout = 400 * time.Millisecond
+	reservePause   = 40 * time.Millisecond
 	// lines is the number of keepers that are asked side by side, so that one
 	// which is frozen costs nothing.
 	lines = 2
@@ -303,19 +304,30 @@
 	}
 }
 
-// Reserve asks the leader's pool for the cost of one request.
+// Reserve asks the leader's pool for the cost of one request. While no leader
+// answers it tries again for a moment: an election is shorter than that.
 func (l *Link) Reserve(ctx context.Context, organisation string, cost float64) (control.ReserveReply, error) {
-	l.mu.Lock()
-	leader := l.leader
-	l.mu.Unlock()
-	if !leader.IsValid() {
-		return control.ReserveReply{}, errors.New("no leader is known")
-	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	var r control.ReserveReply
-	err := l.options.Client.Call(ctx, leader, peer.Reserve, &control.ReserveRequest{Organisation: organisation, Cost: cost}, &r)
-	return r, err
+	q := &control.ReserveRequest{Organisation: organisation, Cost: cost}
+	for {
+		l.mu.Lock()
+		leader := l.leader
+		l.mu.Unlock()
+		var r control.ReserveReply
+		err := errors.New("no leader is known")
+		if leader.IsValid() {
+			err = l.options.Client.Call(ctx, leader, peer.Reserve, q, &r)
+		}
+		if err == nil {
+			return r, nil
+		}
+		select {
+		case <-time.After(reservePause):
+		case <-ctx.Done():
+			return r, err
+		}
+	}
 }
 
 // account reports to the leader, whoever that is.
