--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -123,12 +123,17 @@
 }
 
 // attempt sends the request to one upstream and relays its answer.
-func (d *delivery) attempt(ctx context.Context, g fleet.Grant) (o outcome) {
+func (d *delivery) attempt(whole context.Context, g fleet.Grant) (o outcome) {
 	in, r := d.in, d.r
 	began := in.options.Clock()
 	defer func() {
 		failure := "none"
-		if !o.done {
+		switch {
+		case o.done:
+		case whole.Err() != nil:
+			// Not the upstream's failure: the caller left, or the time is over.
+			failure = "abandoned"
+		default:
 			failure = o.failure.String()
 		}
 		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
@@ -141,7 +146,7 @@
 		d.giveUp(outcome{}, result.From(in.unconfirmed()))
 		return outcome{done: true}
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
 	if r.route.Repeatable() {
 		go d.watch(ctx, cancel)
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -1,11 +1,16 @@
 package ingress
 
 import (
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
 // TestRankOfTheOrganisationComesFirst orders requests of organisations with
@@ -22,6 +27,22 @@
 	g.Expect(rank(&config.Route{Rank: 7}, urgent)).To(gomega.BeNumerically("<", rank(chat, patient)))
 }
 
+// TestRefusalThatOthersCanServeEndsTheConnection refuses for reasons that
+// other entries may not have, and for others.
+func TestRefusalThatOthersCanServeEndsTheConnection(t *testing.T) {
+	in := &Ingress{options: Options{Clock: func() clock.Instant { return 0 }}, meters: newMeters(metrics.NewRegistry())}
+	for code, ends := range map[result.Code]string{
+		result.ConfigNotConfirmed: "close", result.NotReady: "close", result.QuotaExceeded: "", result.Saturated: "", result.UnknownKey: "",
+	} {
+		g := gomega.NewWithT(t)
+		w := httptest.NewRecorder()
+		in.refuse(w, &request{}, result.New(code, result.RanNo, "x").WithRetry(250*time.Millisecond))
+		g.Expect(w.Code).To(gomega.Equal(code.Info().Status))
+		g.Expect(w.Header().Get("Connection")).To(gomega.Equal(ends), code.String())
+		g.Expect(w.Header().Get("Retry-After")).To(gomega.Equal("0.25"))
+	}
+}
+
 func TestEventsPassOnceInOrder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var e events
