--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -31,6 +31,13 @@
 	store *document.Store
 	// proposals are those that this member's clients wait for, by index.
 	proposals map[uint64]proposal
+	reads     []read
+}
+
+// read is a question whether the member still leads, with what clients knew
+// when it was asked.
+type read struct {
+	term, round, index, acknowledged uint64
 }
 
 type proposal struct {
@@ -113,6 +120,7 @@
 	}
 	m.node = node
 	m.store = document.New()
+	m.reads = nil
 	m.proposals = map[uint64]proposal{}
 	if m.disk.Snapshot.Index > 0 {
 		if err := m.store.Restore(m.disk.Snapshot.Data); err != nil {
@@ -174,6 +182,23 @@
 	}
 	m.node.Advance(r)
 	c.checkLeader(m)
+	c.checkReads(m)
+}
+
+// checkReads holds that a confirmed question covers all that was acknowledged
+// before it.
+func (c *cluster) checkReads(m *member) {
+	left := m.reads[:0]
+	for _, r := range m.reads {
+		switch {
+		case m.node.Term() != r.term || !m.node.IsLeader():
+		case m.node.ConfirmedRound() < r.round:
+			left = append(left, r)
+		case r.index < r.acknowledged:
+			c.t.Fatalf("node %v confirmed index %d in term %d, and %d was acknowledged before", m.id, r.index, r.term, r.acknowledged)
+		}
+	}
+	m.reads = left
 }
 
 func (c *cluster) checkLeader(m *member) {
@@ -218,11 +243,19 @@
 		for range c.random.IntN(3) {
 			m.node.Tick()
 		}
+		c.ask(m)
 		c.flush(m, false)
 	}
 	c.deliver()
 }
 
+// ask starts a question at a member that thinks it leads.
+func (c *cluster) ask(m *member) {
+	if round, index, ok := m.node.AskRound(); ok {
+		m.reads = append(m.reads, read{m.node.Term(), round, index, c.acknowledged})
+	}
+}
+
 // chaos is a round in which members crash and come back, links are cut and
 // healed, and clients propose.
 func (c *cluster) chaos() {
--- a/consensus/node_test.go
+++ b/consensus/node_test.go
@@ -130,3 +130,37 @@
 		flush(n)
 	})
 }
+
+// TestRoundNeedsAMajorityThatAnsweredIt asks whether the node still leads:
+// only answers to this very question count, from a majority of each side of a
+// change of members.
+func TestRoundNeedsAMajorityThatAnsweredIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := restarted(t, 1, 1, configEntry(1, 1, consensus.Config{Voters: []consensus.ID{1, 2, 3}}))
+	_, _, ok := n.AskRound()
+	g.Expect(ok).To(gomega.BeFalse(), "it doesn't lead")
+	elect(n)
+	_, _, ok = n.AskRound()
+	g.Expect(ok).To(gomega.BeFalse(), "it has committed nothing of its term")
+	answer := func(from consensus.ID, index, round uint64) {
+		n.Step(consensus.Message{Kind: consensus.AppendReply, From: from, To: 1, Term: n.Term(), Index: index, Round: round})
+		flush(n)
+	}
+	answer(2, 2, 0)
+	first, index, ok := n.AskRound()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(index).To(gomega.Equal(uint64(2)))
+	second, _, _ := n.AskRound()
+	g.Expect(n.ConfirmedRound()).To(gomega.BeNumerically("<", first), "nobody has answered")
+	answer(3, 2, first)
+	g.Expect(n.ConfirmedRound()).To(gomega.Equal(first))
+	answer(2, 2, second)
+	g.Expect(n.ConfirmedRound()).To(gomega.Equal(second))
+
+	g.Expect(n.ProposeConfig([]consensus.ID{1, 4, 5}, nil)).To(gomega.Succeed())
+	third, _, _ := n.AskRound()
+	answer(2, 2, third)
+	g.Expect(n.ConfirmedRound()).To(gomega.BeNumerically("<", third), "the new voters haven't answered")
+	answer(4, 0, third)
+	g.Expect(n.ConfirmedRound()).To(gomega.Equal(third))
+}
