clock: Follow the time of day without its steps

With the clocks of half of the instances stepped by four seconds usage windows were off by up to half: the median of three clocks was a stepped one, and the leader closed windows by its own. Each clock is now followed on the boot clock by 5 ms a second at most, and the leader takes the median of what entries know.

--- a/control/account.go
+++ b/control/account.go
@@ -216,6 +216,18 @@
 	return sums
 }
 
+// wall is true time, as the entries know it, or the given time of day without
+// any.
+func (o *office) wall(now clock.Instant, own time.Time) time.Time {
+	offsets := []time.Duration{time.Duration(own.UnixNano()) - now}
+	for _, r := range o.reports {
+		if now-r.at <= reportAge {
+			offsets = append(offsets, time.Duration(r.Wall.UnixNano())-r.at)
+		}
+	}
+	return clock.Median(now, offsets)
+}
+
 // quietSince reports whether a service has had no requests for a while, so
 // that its demand isn't known.
 func (o *office) quietSince(now clock.Instant, service string) bool {
--- a/control/duty.go
+++ b/control/duty.go
@@ -129,7 +129,13 @@
 		// The entries have to report to a new leader first.
 		return
 	}
-	final := uint64(time.Now().Add(-settle).UnixNano()/int64(s.UsageWindow)) - 1
+	wall := time.Now()
+	d.control.mu.Lock()
+	if o := d.control.office; o != nil && o.term == d.term {
+		wall = o.wall(now, wall)
+	}
+	d.control.mu.Unlock()
+	final := uint64(wall.Add(-settle).UnixNano()/int64(s.UsageWindow)) - 1
 	if d.sent == 0 {
 		d.sent = min(final-resendWindows, v.Usage)
 		if v.Usage == 0 {
--- a/control/message.go
+++ b/control/message.go
@@ -115,6 +115,8 @@
 	Entry       string `json:"e"`
 	Zone        string `json:"z"`
 	Incarnation uint64 `json:"i"`
+	// Wall is true time when the entry asked, as it knows it.
+	Wall time.Time `json:"w"`
 	// Usage are the entry's counts of the newest windows, each from its
 	// start.
 	Usage []usage.Window `json:"u,omitempty"`
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -182,6 +182,7 @@
 		Entry: in.options.Name, Zone: in.options.Zone, Incarnation: in.options.Incarnation,
 		Demands: map[string]control.Demand{}, Loads: map[string]control.Load{},
 	}
+	q.Wall = in.link.Wall()
 	window := in.window()
 	in.mu.Lock()
 	q.Usage = in.usage.Since(window - min(window, usageWindows))
--- a/link/link.go
+++ b/link/link.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,12 +79,14 @@
 	leader netip.AddrPort
 	// failed is when a keeper failed to answer last.
 	failed map[netip.AddrPort]clock.Instant
-	walls  map[netip.AddrPort]time.Duration
+	// own and walls follow the time of day of this instance and of keepers.
+	own   clock.Wall
+	walls map[netip.AddrPort]*clock.Wall
 }
 
 // New starts the link; it ends with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, seeds: o.Seeds, failed: map[netip.AddrPort]clock.Instant{}, walls: map[netip.AddrPort]time.Duration{}}
+	l := &Link{options: o, seeds: o.Seeds, failed: map[netip.AddrPort]clock.Instant{}, walls: map[netip.AddrPort]*clock.Wall{}}
 	for _, seed := range o.Seeds {
 		l.peers = append(l.peers, control.Peer{Address: seed})
 	}
@@ -124,18 +125,20 @@
 func (l *Link) Synced() bool { return l.synced.Load() && l.Table() != nil }
 
 // Wall is true time, as the median of the time of day of this instance and of
-// the keepers tells it.
+// the keepers tells it, without their steps.
 func (l *Link) Wall() time.Time {
 	now := l.options.Clock()
 	l.mu.Lock()
-	offsets := make([]time.Duration, 0, len(l.walls)+1)
-	for _, o := range l.walls {
-		offsets = append(offsets, o)
+	defer l.mu.Unlock()
+	l.own.Observe(now, time.Now())
+	own, _ := l.own.Offset()
+	offsets := []time.Duration{own}
+	for _, w := range l.walls {
+		if o, ok := w.Offset(); ok {
+			offsets = append(offsets, o)
+		}
 	}
-	l.mu.Unlock()
-	offsets = append(offsets, time.Duration(time.Now().UnixNano())-now)
-	sort.Slice(offsets, func(i, j int) bool { return offsets[i] < offsets[j] })
-	return time.Unix(0, int64(now+offsets[len(offsets)/2]))
+	return clock.Median(now, offsets)
 }
 
 // position is what the entry holds of one keeper's directory.
@@ -239,7 +242,12 @@
 	if len(r.Peers) > 0 {
 		l.peers = l.known(r.Peers)
 	}
-	l.walls[at.address] = time.Duration(r.Wall.UnixNano()) - l.options.Clock()
+	w, ok := l.walls[at.address]
+	if !ok {
+		w = &clock.Wall{}
+		l.walls[at.address] = w
+	}
+	w.Observe(l.options.Clock(), r.Wall)
 	return nil
 }
 
