--- a/control/control.go
+++ b/control/control.go
@@ -64,15 +64,17 @@
 type Control struct {
 	options Options
 
-	mu      sync.Mutex
-	roster  *roster
+	mu     sync.Mutex
+	roster *roster
+	// began is when this keeper started.
+	began   clock.Instant
 	office  *office
 	changed chan struct{}
 }
 
 // New starts to serve; it ends with ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, roster: newRoster(), changed: make(chan struct{})}
+	c := &Control{options: o, began: o.Clock(), roster: newRoster(), changed: make(chan struct{})}
 	o.Gossip.Subscribe(c.learn)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
--- a/control/duty.go
+++ b/control/duty.go
@@ -28,9 +28,11 @@
 	// scaleInterval is the time between two looks at the number of
 	// upstreams.
 	scaleInterval = 400 * time.Millisecond
-	// scaleDelay is how long a new leader listens before it orders: about two
-	// announcements of every upstream.
-	scaleDelay = 2500 * time.Millisecond
+	// rosterDelay is how long a keeper that has just started listens before it
+	// orders: about two announcements of every upstream. A new leader that
+	// has run for longer needs only the entries' reports.
+	rosterDelay = 2500 * time.Millisecond
+	scaleDelay  = 800 * time.Millisecond
 	// orderPatience is how long an order may take to show: orders may be
 	// carried out seconds late.
 	orderPatience = 6 * time.Second
@@ -110,7 +112,7 @@
 	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyUsage) {
 		d.reportUsage(ctx, now, v)
 	}
-	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyScale) && now-d.scaled >= scaleInterval && now-d.since >= scaleDelay {
+	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyScale) && now-d.scaled >= scaleInterval && now-d.since >= scaleDelay && now-d.control.began >= rosterDelay {
 		d.scaled = now
 		d.scale(ctx, now, v)
 	}
@@ -244,7 +246,11 @@
 	if quiet := d.control.office.quietSince(now, service); first || quiet {
 		// Without a demand to go by, what serves now is taken as needed: at
 		// the beginning, and by a leader that follows another.
-		need := float64(d.first[service]) * float64(zones-1) / float64(max(zones, 1))
+		need := float64(d.first[service])
+		if !quiet {
+			// What serves includes what is held for the loss of a zone.
+			need *= float64(zones-1) / float64(max(zones, 1))
+		}
 		w := plan.Carries(need, capacity)
 		d.prompt[service].Begin(now, w.Prompt)
 		d.running[service].Begin(now, w.Running)
