--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -196,10 +196,11 @@
 		return outcome{failure: retry.Broken, cause: errors.Errorf("status %d without a signature", response.StatusCode)}
 	}
 	defer response.Close()
-	d.progress()
 	if d.r.streams() && response.StatusCode < http.StatusMultipleChoices {
+		// The head may come before the request begins to run.
 		return d.stream(response)
 	}
+	d.progress()
 	return d.plain(response)
 }
 
