--- a/config/revision.go
+++ b/config/revision.go
@@ -70,10 +70,7 @@
 
 // Service is a group of upstreams that serve the same.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConns is the number of connections that one upstream accepts.
-	MaxConns int
+	Name string
 	// Engine is set for model engines.
 	Engine *Engine
 	// Autoscale is set where the number of upstreams is ours to order.
@@ -99,7 +96,8 @@
 	ZonePrices map[string]float64
 }
 
-// Limits bound what a caller may send.
+// Limits bound what a caller may send. Entries hold MaxBodyBytes; their listener
+// has bounds of its own above every published value of the others.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int
--- a/config/table.go
+++ b/config/table.go
@@ -9,20 +9,16 @@
 type Table struct {
 	Revision *Revision
 	// hosts holds each host's routes, the longest prefix first.
-	hosts         map[string][]*Route
-	keys          map[string]*Organisation
-	services      map[string]*Service
-	organisations map[string]*Organisation
+	hosts map[string][]*Route
+	keys  map[string]*Organisation
 }
 
 // NewTable returns the table of a checked revision.
 func NewTable(r *Revision) *Table {
 	t := &Table{
-		Revision:      r,
-		hosts:         map[string][]*Route{},
-		keys:          map[string]*Organisation{},
-		services:      map[string]*Service{},
-		organisations: map[string]*Organisation{},
+		Revision: r,
+		hosts:    map[string][]*Route{},
+		keys:     map[string]*Organisation{},
 	}
 	for i := range r.Routes {
 		route := &r.Routes[i]
@@ -32,12 +28,8 @@
 	for _, routes := range t.hosts {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	}
-	for i := range r.Services {
-		t.services[r.Services[i].Name] = &r.Services[i]
-	}
 	for i := range r.Organisations {
 		o := &r.Organisations[i]
-		t.organisations[o.Name] = o
 		for _, key := range o.Keys {
 			t.keys[key] = o
 		}
@@ -73,12 +65,6 @@
 	return t.keys[key]
 }
 
-// Service returns the service with the name, or nil.
-func (t *Table) Service(name string) *Service { return t.services[name] }
-
-// Organisation returns the organisation with the name, or nil.
-func (t *Table) Organisation(name string) *Organisation { return t.organisations[name] }
-
 // Pick returns the backend at the point, from 0 to 1, of the route's weights.
 func (r *Route) Pick(point float64) string {
 	total := 0.0
--- a/control/control.go
+++ b/control/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -310,6 +309,3 @@
 	}
 	return list
 }
-
-// Address is where other nodes reach this keeper.
-func (c *Control) Address() netip.AddrPort { return c.options.Gossip.Address() }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -444,16 +444,6 @@
 	return others > 0 && t.Repeatable && t.runs < t.Attempts && s.budget.Left() >= 1
 }
 
-// Usable reports whether any service has a usable upstream.
-func (f *Fleet) Usable(now clock.Instant) bool {
-	for _, s := range f.services {
-		if s.anyUsable(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // anyKnown reports whether any upstream serves, even if work is kept from it
 // for a moment.
 func (s *service) anyKnown() bool {
@@ -465,14 +455,5 @@
 	return false
 }
 
-func (s *service) anyUsable(now clock.Instant) bool {
-	for _, n := range s.nodes {
-		if n.usable(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // Open is the number of tickets.
 func (f *Fleet) Open() int { return len(f.tickets) }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -76,9 +76,6 @@
 	return &Ledger{since: now, slack: slack, holders: map[holder]*held{}, pools: map[string]*bucket{}}
 }
 
-// Entries is the number of entries that hold grants.
-func (l *Ledger) Entries() int { return len(l.holders) }
-
 // Reserve takes the cost of one request from the pool of an organisation with
 // the limit. If it refuses, after tells when enough is there.
 func (l *Ledger) Reserve(now clock.Instant, organisation string, limit, cost float64) (ok bool, after time.Duration) {
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -61,12 +61,6 @@
 // Newest is the number of the newest window on record, or 0.
 func (l *Ledger) Newest() uint64 { return l.newest }
 
-// Get returns a window on record.
-func (l *Ledger) Get(number uint64) (Window, bool) {
-	w, ok := l.windows[number]
-	return w, ok
-}
-
 type saved struct {
 	Windows map[uint64]Window `json:"w"`
 	Newest  uint64            `json:"n"`
--- a/usage/ledger_test.go
+++ b/usage/ledger_test.go
@@ -26,10 +26,8 @@
 	for n := uint64(1); n <= keepWindows+10; n++ {
 		l.Apply(Window{Number: n})
 	}
-	_, ok := l.Get(5)
-	g.Expect(ok).To(gomega.BeFalse())
-	_, ok = l.Get(keepWindows + 9)
-	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(l.windows).NotTo(gomega.HaveKey(uint64(5)))
+	g.Expect(l.windows).To(gomega.HaveKey(uint64(keepWindows + 9)))
 }
 
 func TestMeterReportsFromTheStartOfAWindow(t *testing.T) {
