ingress: Say that a request didn't run only if no attempt may have run it

A repeatable request whose first attempt broke off was answered 503 with 'not run' when the configuration could no longer be confirmed before the second.

--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -1,5 +1,5 @@
 // Package clock gives time as a duration since the process began, on a clock
-// that steps of the time of day can't move and that goes on while the machine
+// that steps of the time of day can't move and that goes on while the instance
 // is suspended.
 package clock
 
@@ -21,7 +21,7 @@
 func System() Clock {
 	origin, ok := bootTime()
 	if !ok {
-		klog.ErrorS(nil, "the kernel has no boot clock; leases may outlast a suspended machine")
+		klog.ErrorS(nil, "the kernel has no boot clock; leases may outlast a suspended instance")
 		start := time.Now()
 		return func() Instant { return time.Since(start) }
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -177,7 +177,7 @@
 // Prices of a choice.
 const (
 	// hopPrice keeps work within the zone: bytes between zones are dear, and
-	// a replica next door must be this much faster to be chosen.
+	// an upstream elsewhere must be this much faster to be chosen.
 	hopPrice = 15 * time.Millisecond
 	// silentPrice is that of an upstream without news, suspectPrice that of
 	// one whose answers fail more often than others'.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -30,6 +30,8 @@
 	// headSent says that the caller has the status and headers, counted that
 	// the request counts as begun in usage.
 	headSent, counted bool
+	// mayHaveRun says that an earlier attempt may have run the request.
+	mayHaveRun bool
 	// stalled says that the attempt was ended since its upstream fell silent.
 	stalled atomic.Bool
 }
@@ -76,6 +78,7 @@
 				if last.done {
 					return
 				}
+				d.mayHaveRun = d.mayHaveRun || last.failure.Ran()
 				if ctx.Err() == nil {
 					in.meters.failed(last.failure)
 					in.desk.do(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Failed(now, d.ticket, last.failure) })
@@ -122,6 +125,15 @@
 	d.in.refuse(d.w, d.r, err)
 }
 
+// withheld is the answer to a request that isn't sent since its key may have
+// been taken away. It says "not run" only if no attempt may have run it.
+func (d *delivery) withheld() *result.Error {
+	if d.mayHaveRun {
+		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream was lost, and the configuration can't be confirmed any more")
+	}
+	return result.From(d.in.unconfirmed())
+}
+
 // attempt sends the request to one upstream and relays its answer.
 func (d *delivery) attempt(whole context.Context, g fleet.Grant) (o outcome) {
 	in, r := d.in, d.r
@@ -143,7 +155,7 @@
 	}()
 	if r.org != nil && !in.fresh() {
 		// The instance may have been suspended since the first look.
-		d.giveUp(outcome{}, result.From(in.unconfirmed()))
+		d.giveUp(outcome{}, d.withheld())
 		return outcome{done: true}
 	}
 	ctx, cancel := context.WithCancel(whole)
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -43,6 +44,17 @@
 	}
 }
 
+// TestNotRunIsSaidOnlyIfTrue withholds a request before and after an attempt
+// that may have run it.
+func TestNotRunIsSaidOnlyIfTrue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := &delivery{in: &Ingress{options: Options{Clock: func() clock.Instant { return 0 }}, link: &link.Link{}}}
+	g.Expect(d.withheld().Code).To(gomega.Equal(result.ConfigNotConfirmed))
+	d.mayHaveRun = true
+	g.Expect(d.withheld().Code).To(gomega.Equal(result.UpstreamUnknown))
+	g.Expect(d.withheld().Ran).To(gomega.Equal(result.RanUnknown))
+}
+
 func TestEventsPassOnceInOrder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var e events
