--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -211,6 +211,22 @@
 	return response.StatusCode, string(data)
 }
 
+// raw sends bytes on a connection of their own, ends its side, and returns all
+// that comes back.
+func (d *deployment) raw(entry int, text string) string {
+	ginkgo.GinkgoHelper()
+	c, err := net.Dial("tcp", d.callers[entry].String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = c.Close() }()
+	gomega.Expect(c.SetDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+	_, err = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(c.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+	// An entry may reset the connection after its answer.
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
 func wholeStream() string {
 	var b strings.Builder
 	for n := 1; n <= events; n++ {
@@ -259,6 +275,31 @@
 		status, _ = d.ask(1, "POST", "/book/x", "key-m", strings.Repeat("x", 70_000))
 		gomega.Expect(status).To(gomega.Equal(http.StatusRequestEntityTooLarge))
 
+		ginkgo.By("taking nothing from bytes that aren't one proper request")
+		for _, c := range []struct{ name, bytes, answer string }{
+			{"no ID", "POST /book/x HTTP/1.1\nHost: mill.example\nAuthorization: Token key-m\nContent-Length: 0\n\n", "HTTP/1.1 400"},
+			{"no number as a deadline", "GET /look/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nX-Deadline-Ms: soon\n\n", "HTTP/1.1 400"},
+			{"huge headers", "GET /look/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nX-Long: " + strings.Repeat("x", 64<<10) + "\n\n", "HTTP/1.1 431"},
+			{"two lengths", "POST /book/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nContent-Length: 3\nContent-Length: 5\n\nabcde", "HTTP/1.1 400"},
+			{"an unknown coding", "POST /book/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nTransfer-Encoding: gzip\n\nabcde", "HTTP/1.1 501"},
+			{"a folded length", "POST /book/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nContent-Length : 5\n\nabcde", "HTTP/1.1 400"},
+			{"a body cut short", "POST /book/x HTTP/1.1\nHost: mill.example\nX-Request-Id: bad\nAuthorization: Token key-m\nContent-Length: 50\n\nabc", "HTTP/1.1 400"},
+			{"half a head", "POST /book/x HTTP/1.1\nHost: mill", ""},
+			{"no HTTP", "what is this\n\n", "HTTP/1.1 400"},
+		} {
+			gomega.Expect(d.raw(0, c.bytes)).To(gomega.HavePrefix(c.answer), c.name)
+		}
+		// The length beside chunks is dropped, so that what follows the chunks
+		// is a request of its own, with no key.
+		answers := d.raw(0, "POST /book/outer HTTP/1.1\nHost: mill.example\nX-Request-Id: outer\nAuthorization: Token key-m\nContent-Length: 4\nTransfer-Encoding: chunked\n\n"+
+			"0\n\nPOST /book/inner HTTP/1.1\nHost: mill.example\nX-Request-Id: inner\nContent-Length: 0\n\n")
+		gomega.Expect(answers).NotTo(gomega.ContainSubstring("/book/inner"))
+		for _, b := range booking {
+			for _, r := range b.requests() {
+				gomega.Expect(r.Header.Get("X-Request-Id")).NotTo(gomega.BeElementOf("bad", "inner"))
+			}
+		}
+
 		ginkgo.By("going on with a stream elsewhere, without a lost, doubled or half event")
 		speech[0].cutAfter.Store(3)
 		for range 6 {
