keeper: Five voters where there are five keepers

Cause: the seeds, three, found the log and stayed its only voters, however many keepers there were. Change: learners that have caught up become voters until `voters` (deploy: 5) vote, one at a time, odd numbers only; the zone with the fewest voters first, also when one is replaced.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -82,6 +82,8 @@
 	// belong to no cluster yet.
 	alive, fresh []consensus.ID
 	foreign      bool
+	// zones holds the availability zones of members and of living keepers.
+	zones map[consensus.ID]string
 	// expedited says that a majority was in reach since the start.
 	expedited   bool
 	lastAdvance clock.Instant
@@ -126,7 +128,7 @@
 		options: o,
 		machine: newMachine(),
 		pending: map[uint64]pending{},
-		watch:   newWatch(o.Settings.ReplaceAfter),
+		zones:   map[consensus.ID]string{},
 		syncs:   metrics.GetOrRegisterTimer("keeper.sync", o.Metrics),
 		batches: metrics.GetOrRegisterHistogram("keeper.entriesPerSync", o.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
@@ -141,6 +143,7 @@
 		return nil, result.New(result.JournalDamaged, result.RanNo, "%v", err)
 	}
 	k.node = node
+	k.watch = newWatch(o.Settings.ReplaceAfter, o.Settings.Voters, func(id consensus.ID) string { return k.zones[id] })
 	if len(o.Stored.Snapshot.Data) > 0 {
 		if err := k.machine.restore(o.Stored.Snapshot.Data); err != nil {
 			return nil, result.New(result.JournalDamaged, result.RanNo, "snapshot: %v", err)
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 
@@ -22,6 +23,7 @@
 			continue
 		}
 		k.outbox.address(id, n.Address)
+		k.zones[id] = n.Zone
 		switch {
 		case n.Cluster == 0:
 			k.fresh = append(k.fresh, id)
@@ -32,6 +34,11 @@
 			k.foreign = true
 		}
 	}
+	config := k.node.Config()
+	members := config.Members()
+	maps.DeleteFunc(k.zones, func(id consensus.ID, _ string) bool {
+		return !slices.Contains(k.alive, id) && !slices.Contains(members, id)
+	})
 	slices.Sort(k.alive)
 	slices.Sort(k.fresh)
 	k.bootstrap(own)
--- a/keeper/members_test.go
+++ b/keeper/members_test.go
@@ -15,6 +15,8 @@
 
 type ids = []consensus.ID
 
+func nowhere(consensus.ID) string { return "" }
+
 func TestWatchDecides(t *testing.T) {
 	const patience = 30 * time.Second
 	cases := []struct {
@@ -40,7 +42,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			w := newWatch(patience)
+			w := newWatch(patience, 3, nowhere)
 			near := func(consensus.ID) bool { return c.caughtUp }
 			w.decide(0, c.config, c.alive, near)
 			voters, learners, change := w.decide(c.missing, c.config, c.alive, near)
@@ -56,7 +58,7 @@
 
 func TestAMemberThatComesBackIsNotReplaced(t *testing.T) {
 	g := gomega.NewWithT(t)
-	w := newWatch(time.Minute)
+	w := newWatch(time.Minute, 3, nowhere)
 	config := consensus.Config{Voters: ids{1, 2, 3}, Learners: ids{4}}
 	near := func(consensus.ID) bool { return true }
 	w.decide(0, config, ids{1, 2, 4}, near)
@@ -65,6 +67,49 @@
 	g.Expect(change).To(gomega.BeFalse())
 }
 
+// Two disks may be lost at once where there are five keepers or more; three
+// voters don't bear it.
+func TestVotersGrowWithTheKeepers(t *testing.T) {
+	zones := map[consensus.ID]string{1: "a", 2: "a", 3: "b", 4: "a", 5: "b", 6: "c", 7: "d", 8: "c"}
+	near := func(consensus.ID) bool { return true }
+	for _, c := range []struct {
+		name   string
+		alive  ids
+		voters ids
+	}{
+		{"four keepers bear no more than three", ids{1, 2, 3, 6}, ids{1, 2, 3}},
+		{"five vote", ids{1, 2, 3, 4, 5}, ids{1, 2, 3, 5, 4}},
+		{"the zones with few voters first", ids{1, 2, 3, 4, 5, 6, 7, 8}, ids{1, 2, 3, 6, 7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := newWatch(time.Second, 5, func(id consensus.ID) string { return zones[id] })
+			config := consensus.Config{Voters: ids{1, 2, 3}}
+			for range 6 {
+				voters, learners, change := w.decide(0, config, c.alive, near)
+				g.Expect(len(voters) - len(config.Voters)).To(gomega.BeElementOf(0, 1))
+				if !change {
+					break
+				}
+				config = consensus.Config{Voters: voters, Learners: learners}
+			}
+			g.Expect(config.Voters).To(gomega.Equal(c.voters))
+		})
+	}
+}
+
+func TestAVoterIsReplacedFromTheZoneWithTheFewest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	zones := map[consensus.ID]string{1: "a", 2: "b", 3: "c", 4: "a", 5: "c"}
+	w := newWatch(time.Second, 3, func(id consensus.ID) string { return zones[id] })
+	config := consensus.Config{Voters: ids{1, 2, 3}, Learners: ids{4, 5}}
+	near := func(consensus.ID) bool { return true }
+	alive := ids{1, 2, 4, 5}
+	w.decide(0, config, alive, near)
+	voters, _, _ := w.decide(time.Second, config, alive, near)
+	g.Expect(voters).To(gomega.Equal(ids{1, 2, 5}))
+}
+
 func TestMachineSnapshot(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := newMachine()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -123,6 +123,9 @@
 	RestartOnFault bool
 	// InitialVoters is the number of keepers that vote from the start.
 	InitialVoters int
+	// Voters is the number of keepers that vote once as many are alive; of
+	// an even number, one fewer.
+	Voters int
 	// ReplaceAfter is how long a voter may be gone before another keeper
 	// takes its place.
 	ReplaceAfter time.Duration
@@ -154,7 +157,7 @@
 			WriteTimeout:        10 * time.Second,
 			ProgressTimeout:     2 * time.Second,
 		},
-		Keeper: Keeper{InitialVoters: 3, ReplaceAfter: 30 * time.Second},
+		Keeper: Keeper{InitialVoters: 3, Voters: 3, ReplaceAfter: 30 * time.Second},
 		Peer:   Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
 		Ingress: Ingress{
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
@@ -363,6 +366,7 @@
 	r.ratio("quotaSlack", &k.QuotaSlack)
 	k.RestartOnFault = r.Bool("restartOnFault")
 	r.positive("initialVoters", &k.InitialVoters)
+	r.positive("voters", &k.Voters)
 	r.span("replaceAfter", &k.ReplaceAfter)
 }
 
