control, gossip: Bound what a leader tells an entry, and push renewals once

Cause: at 300 instances with 2,998 upstreams the keepers' processors are full. Each reply to an entry summed up every other entry's work at every upstream and told all of it, 300 times a second and more; renewals of upstreams were passed on by every keeper; each change woke every entry at once and walked the whole directory for each. Change: the leader keeps the sum and tells 256 upstreams a reply, in turn; a renewal goes from the keeper that heard it to all others once, comparisons make up for losses; changes of 20 ms are told together, and cost steps by their number. Tests compare the sum with a plain one, and hold the bytes.

--- a/control/account.go
+++ b/control/account.go
@@ -11,7 +11,6 @@
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
-	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
@@ -26,6 +25,7 @@
 	ledger *quota.Ledger
 	// reports are the entries' newest, by name and incarnation.
 	reports map[reporter]*reported
+	work    *work
 	// limits are the quotas of the configuration with the number.
 	revision *config.Revision
 	limits   map[string]float64
@@ -48,7 +48,7 @@
 }
 
 func newOffice(now clock.Instant, term uint64, slack float64) *office {
-	return &office{term: term, since: now, ledger: quota.NewLedger(now, slack), reports: map[reporter]*reported{}, busy: map[string]clock.Instant{}}
+	return &office{term: term, since: now, ledger: quota.NewLedger(now, slack), reports: map[reporter]*reported{}, work: newWork(), busy: map[string]clock.Instant{}}
 }
 
 // reportAge is how long an entry's report counts for load.
@@ -147,6 +147,8 @@
 		o.reports[key] = r
 	}
 	r.AccountRequest, r.at = q, now
+	// The work is summed up apart.
+	r.Busy = nil
 	for _, w := range q.Usage {
 		r.usage[w.Number] = w.Counts
 	}
@@ -162,31 +164,17 @@
 	for name, d := range q.Demands {
 		asks[name] = quota.Ask{Asked: d.Asked, Held: d.Rate}
 	}
+	o.work.report(now, key, q.Busy)
 	reply := &AccountReply{
 		Leading: true,
 		Rates:   o.ledger.Grant(now, q.Entry, q.Incarnation, asks, o.limits),
 		Lease:   quota.Lease,
-		Busy:    map[string]fleet.Busy{},
+		Others:  o.work.others(key),
+		Entries: o.work.entries(),
 	}
 	if o.revision != nil {
 		reply.Config = o.revision.Number
 	}
-	for other, held := range o.reports {
-		if now-held.at > reportAge {
-			continue
-		}
-		reply.Entries++
-		if other == key {
-			continue
-		}
-		for id, b := range held.Busy {
-			sum := reply.Busy[id]
-			sum.Running += b.Running
-			sum.Backlog += b.Backlog
-			sum.Tokens += b.Tokens
-			reply.Busy[id] = sum
-		}
-	}
 	return reply
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,13 @@
 	readTime = 900 * time.Millisecond
 	// watchInterval is the time between two looks for silent upstreams.
 	watchInterval = 500 * time.Millisecond
+	// gatherTime is how long a change waits for others before entries are
+	// told: the upstreams of a zone that is reclaimed leave within a few
+	// hundredths of a second, and each change wakes every entry.
+	gatherTime = 20 * time.Millisecond
+	// peersAge is how long the list of living keepers is used again: below
+	// the time after which one counts as gone.
+	peersAge = 250 * time.Millisecond
 )
 
 // Options are what a Control needs.
@@ -69,6 +76,11 @@
 	began   clock.Instant
 	office  *office
 	changed chan struct{}
+	// gathering says that a wake-up is on its way.
+	gathering bool
+	// keepers are the living ones as of listed.
+	keepers []Peer
+	listed  clock.Instant
 }
 
 // New starts to serve; it ends with ctx.
@@ -100,16 +112,25 @@
 	return c
 }
 
-// update runs f on the roster and wakes the entries that wait if it changed.
+// update runs f on the roster and wakes the entries that wait, a little later,
+// if it changed.
 func (c *Control) update(f func(now clock.Instant) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if f(c.options.Clock()) {
-		close(c.changed)
-		c.changed = make(chan struct{})
+	if f(c.options.Clock()) && !c.gathering {
+		c.gathering = true
+		time.AfterFunc(gatherTime, c.wake)
 	}
 }
 
+func (c *Control) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gathering = false
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // learn takes in what gossip says of upstreams.
 func (c *Control) learn(change gossip.Change) {
 	c.update(func(now clock.Instant) bool {
@@ -301,11 +322,21 @@
 
 // peers lists the keepers that are alive.
 func (c *Control) peers(ctx context.Context) []Peer {
-	var list []Peer
+	now := c.options.Clock()
+	c.mu.Lock()
+	held, fresh := c.keepers, c.keepers != nil && now-c.listed < peersAge
+	c.mu.Unlock()
+	if fresh {
+		return held
+	}
+	var keepers []Peer
 	for _, n := range c.options.Gossip.Nodes(ctx) {
 		if n.KeeperID != "" {
-			list = append(list, Peer{Address: n.Address, Zone: n.Zone})
+			keepers = append(keepers, Peer{Address: n.Address, Zone: n.Zone})
 		}
 	}
-	return list
+	c.mu.Lock()
+	c.keepers, c.listed = keepers, now
+	c.mu.Unlock()
+	return keepers
 }
--- a/control/message.go
+++ b/control/message.go
@@ -146,15 +146,15 @@
 	Lease time.Duration      `json:"t,omitempty"`
 	// Config is the number of the configuration that the rates follow from.
 	Config uint64 `json:"c,omitempty"`
-	// Busy is the work of all other entries by upstream, and Entries the
-	// number of entries.
-	Busy    map[string]fleet.Busy `json:"b,omitempty"`
-	Entries int                   `json:"e,omitempty"`
+	// Others is the work of all other entries, at a part of the upstreams if
+	// there are many, and Entries the number of entries.
+	Others  fleet.Others `json:"o"`
+	Entries int          `json:"e,omitempty"`
 }
 
 // Check verifies a decoded reply.
 func (r *AccountReply) Check() error {
-	if r.Lease < 0 || len(r.Rates) > maxMembers {
+	if r.Lease < 0 || len(r.Rates) > maxMembers || len(r.Others.Busy) > maxMembers {
 		return errors.New("account reply out of bounds")
 	}
 	return nil
--- a/control/roster.go
+++ b/control/roster.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -21,6 +22,9 @@
 type roster struct {
 	generation uint64
 	rows       map[string]*row
+	// changes holds the rows, the one that changed last first, so that an
+	// entry that misses few costs few steps.
+	changes *list.List
 }
 
 type row struct {
@@ -28,15 +32,17 @@
 	generation uint64
 	heard      clock.Instant
 	ended      clock.Instant
+	element    *list.Element
 }
 
-func newRoster() *roster { return &roster{rows: map[string]*row{}} }
+func newRoster() *roster { return &roster{rows: map[string]*row{}, changes: list.New()} }
 
 // apply takes in an announcement and reports whether entries need to know.
 func (r *roster) apply(now clock.Instant, a upstream.Announcement) bool {
 	held, ok := r.rows[a.ID]
 	if !ok {
 		held = &row{}
+		held.element = r.changes.PushFront(held)
 		r.rows[a.ID] = held
 	}
 	changed := !ok || held.Silent || held.Ended || differs(a, held.Announcement)
@@ -60,6 +66,7 @@
 func (r *roster) touch(w *row) {
 	r.generation++
 	w.generation = r.generation
+	r.changes.MoveToFront(w.element)
 }
 
 // end takes in that an upstream's lease ran out.
@@ -81,6 +88,7 @@
 		switch {
 		case w.Ended && now-w.ended > forgetAfter:
 			delete(r.rows, id)
+			r.changes.Remove(w.element)
 		case !w.Ended && !w.Silent && !w.Leaving && now-w.heard > silentAfter:
 			w.Silent = true
 			r.touch(w)
@@ -100,22 +108,24 @@
 
 // since returns the members that changed after the generation.
 func (r *roster) since(generation uint64) []upstream.Member {
-	var list []upstream.Member
-	for _, w := range r.rows {
-		if w.generation > generation {
-			list = append(list, w.Member)
+	var members []upstream.Member
+	for e := r.changes.Front(); e != nil; e = e.Next() {
+		w := e.Value.(*row)
+		if w.generation <= generation {
+			break
 		}
+		members = append(members, w.Member)
 	}
-	return list
+	return members
 }
 
 // live returns the usable upstreams.
 func (r *roster) live() []upstream.Member {
-	var list []upstream.Member
+	var members []upstream.Member
 	for _, w := range r.rows {
 		if !w.Ended && !w.Leaving && !w.Silent {
-			list = append(list, w.Member)
+			members = append(members, w.Member)
 		}
 	}
-	return list
+	return members
 }
--- /dev/null
+++ b/control/work_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/fleet"
+)
+
+// TestWorkOfOthersIsTheSumOfTheirReports compares random reports with a plain
+// sum, of few upstreams and of more than one reply tells.
+func TestWorkOfOthersIsTheSumOfTheirReports(t *testing.T) {
+	for _, upstreams := range []int{3, workPart, 3*workPart + 5} {
+		t.Run(fmt.Sprint(upstreams), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			random := rand.New(rand.NewPCG(7, uint64(upstreams)))
+			w := newWork()
+			newest := map[reporter]map[string]fleet.Busy{}
+			at := map[reporter]clock.Instant{}
+			now := clock.Instant(0)
+			for range 60 {
+				now += time.Duration(random.IntN(600)) * time.Millisecond
+				from := reporter{fmt.Sprint("e", random.IntN(5)), 1}
+				busy := map[string]fleet.Busy{}
+				for range random.IntN(2 * upstreams) {
+					busy[fmt.Sprintf("u%04d", random.IntN(upstreams))] = fleet.Busy{Running: 1 + random.IntN(5), Tokens: random.IntN(1000)}
+				}
+				newest[from], at[from] = busy, now
+				w.report(now, from, busy)
+				want := map[string]fleet.Busy{}
+				entries := 0
+				for other, held := range newest {
+					if now-at[other] > reportAge {
+						continue
+					}
+					entries++
+					if other == from {
+						continue
+					}
+					for id, b := range held {
+						sum := want[id]
+						sum.Running += b.Running
+						sum.Tokens += b.Tokens
+						want[id] = sum
+					}
+				}
+				got := map[string]fleet.Busy{}
+				for range 2*upstreams/workPart + 2 {
+					o := w.others(from)
+					g.Expect(len(o.Busy)).To(gomega.BeNumerically("<=", workPart))
+					for id := range got {
+						if o.Covers(id) {
+							delete(got, id)
+						}
+					}
+					for id, b := range o.Busy {
+						g.Expect(o.Covers(id)).To(gomega.BeTrue())
+						got[id] = b
+					}
+				}
+				g.Expect(got).To(gomega.Equal(want))
+				g.Expect(w.entries()).To(gomega.Equal(entries))
+			}
+		})
+	}
+}
+
+// TestAReplyToAnEntryFitsItsBytes holds the bound for 2,400 upstreams, all in
+// use by other entries: three replies a second in 27 KB.
+func TestAReplyToAnEntryFitsItsBytes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWork()
+	busy := map[string]fleet.Busy{}
+	for i := range 2400 {
+		busy[fmt.Sprintf("i-%010x", i*7919)] = fleet.Busy{Running: 12, Backlog: 9000, Tokens: 70_000}
+	}
+	w.report(0, reporter{"other", 1}, busy)
+	w.report(0, reporter{"own", 1}, nil)
+	reply := AccountReply{Others: w.others(reporter{"own", 1})}
+	g.Expect(len(wire.MustEncode(&reply))).To(gomega.BeNumerically("<", 9<<10))
+}
+
+func BenchmarkAccountOf300Entries(b *testing.B) {
+	w := newWork()
+	random := rand.New(rand.NewPCG(1, 1))
+	reports := make([]map[string]fleet.Busy, 300)
+	for i := range reports {
+		reports[i] = map[string]fleet.Busy{}
+		for range 60 {
+			reports[i][fmt.Sprintf("i-%010x", random.IntN(3000)*7919)] = fleet.Busy{Running: 1 + random.IntN(3), Tokens: 5000}
+		}
+		w.report(0, reporter{fmt.Sprint(i), 1}, reports[i])
+	}
+	for i := 0; b.Loop(); i++ {
+		from := reporter{fmt.Sprint(i % 300), 1}
+		w.report(0, from, reports[(i+i/300)%300])
+		_ = wire.MustEncode(&AccountReply{Others: w.others(from)})
+	}
+}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -76,10 +76,26 @@
 	return busy
 }
 
+// Others is the work of all other entries at the upstreams of a range.
+type Others struct {
+	// After and Until bound the range of identities; an empty one doesn't.
+	After string `json:"a,omitempty"`
+	Until string `json:"u,omitempty"`
+	// Busy holds those of the range that have some work.
+	Busy map[string]Busy `json:"b,omitempty"`
+}
+
+// Covers reports whether the range holds an upstream.
+func (o Others) Covers(id string) bool {
+	return id > o.After && (o.Until == "" || id <= o.Until)
+}
+
 // SetOthers takes in the work of all other entries.
-func (f *Fleet) SetOthers(others map[string]Busy) {
+func (f *Fleet) SetOthers(o Others) {
 	for id, n := range f.nodes {
-		n.others = others[id]
+		if o.Covers(id) {
+			n.others = o.Busy[id]
+		}
 	}
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,6 +23,9 @@
 const (
 	// fanOut is the number of peers that get a push in each round.
 	fanOut = 2
+	// directPeers is the number of peers up to which each node pushes to all
+	// of them: the 21 control instances of the two-year size.
+	directPeers = 21
 	// compareEvery is the number of rounds between two comparisons.
 	compareEvery = 5
 	// renewEvery is the number of rounds between two pushes of renewals
@@ -60,9 +63,11 @@
 	ref     *actors.Ref
 
 	// The fields below belong to the actor.
-	table    *member.Table
-	random   *rand.Rand
-	round    int
+	table  *member.Table
+	random *rand.Rand
+	round  int
+	// direct says that this node pushes to all its peers.
+	direct   bool
 	sequence uint64
 	leaving  bool
 	// documents says that this node holds the documents in force; settled
@@ -256,6 +261,18 @@
 	}
 }
 
+// mergePushed takes in what a peer sent. Where each node pushes to all, what
+// only renews a lease isn't passed on; comparisons make up for a lost push.
+func (h *Host) mergePushed(now clock.Instant, records []member.Record) {
+	if !h.direct {
+		h.merge(now, records)
+		return
+	}
+	if changed := h.table.MergeDirect(now, records); len(changed) > 0 {
+		h.notify(Change{Changed: changed})
+	}
+}
+
 func (h *Host) notify(c Change) {
 	for _, f := range h.subscribers {
 		f(c)
@@ -295,13 +312,17 @@
 	}
 }
 
-// push sends what changed lately to a few peers.
+// push sends what changed lately, to all peers if they are few.
 func (h *Host) push(now clock.Instant) {
-	hot := h.table.Hot(now, pushBytes)
+	targets := h.targets(now, directPeers+1)
+	h.direct = len(targets) <= directPeers
+	hot := h.table.Hot(now, pushBytes, h.direct)
 	if len(hot) == 0 {
 		return
 	}
-	targets := h.targets(now, fanOut)
+	if !h.direct {
+		targets = targets[:fanOut]
+	}
 	for _, to := range targets {
 		h.send(to, member.Exchange{From: h.options.Node.Name, Push: hot, Ready: h.ready()})
 	}
@@ -351,14 +372,14 @@
 }
 
 func (h *Host) exchange(now clock.Instant, m member.Exchange) member.Answer {
-	h.merge(now, m.Push)
+	h.mergePushed(now, m.Push)
 	answer := h.table.Answer(now, m)
 	answer.Ready = h.ready()
 	return answer
 }
 
 func (h *Host) answered(now clock.Instant, m answered) {
-	h.merge(now, m.answer.Push)
+	h.mergePushed(now, m.answer.Push)
 	missing := h.table.Missing(m.answer.Digest)
 	push := append(h.table.Select(now, m.answer.Want), h.table.Newer(now, m.answer.Digest)...)
 	if m.answer.Compared && m.answer.Ready {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -219,7 +219,7 @@
 	in.mu.Unlock()
 	in.desk.do(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
 		f.SetEntries(r.Entries)
-		f.SetOthers(r.Busy)
+		f.SetOthers(r.Others)
 		return nil
 	})
 }
--- a/measure/gossip_test.go
+++ b/measure/gossip_test.go
@@ -102,7 +102,7 @@
 		if !t.News() && (c.rounds+i)%renewEvery != 0 {
 			continue
 		}
-		if hot := t.Hot(c.now, pushBytes); len(hot) > 0 {
+		if hot := t.Hot(c.now, pushBytes, false); len(hot) > 0 {
 			for range gossipFanOut {
 				to := c.other(i)
 				c.send(&member.Exchange{From: entryName(i), Push: hot})
--- a/member/table.go
+++ b/member/table.go
@@ -41,10 +41,26 @@
 // Merge takes in records and returns those that changed the table, with their
 // payloads.
 func (t *Table) Merge(now clock.Instant, records []Record) []Record {
+	return t.mergeAll(now, records, true)
+}
+
+// MergeDirect is Merge for records whose origin pushes to every peer itself:
+// renewals among them aren't pushed on, but for those of nodes, which are few
+// and whose end has members replaced.
+func (t *Table) MergeDirect(now clock.Instant, records []Record) []Record {
+	return t.mergeAll(now, records, false)
+}
+
+func (t *Table) mergeAll(now clock.Instant, records []Record, relay bool) []Record {
 	var changed []Record
 	for _, r := range records {
-		if t.merge(now, r) {
-			changed = append(changed, t.rows[r.Key].record)
+		if !t.merge(now, r) {
+			continue
+		}
+		held := t.rows[r.Key]
+		changed = append(changed, held.record)
+		if !relay && held.renewal && !held.record.Leaving && r.Kind != Node {
+			delete(t.hot, r.Key)
 		}
 	}
 	return changed
@@ -138,7 +154,8 @@
 }
 
 // Hot returns the records to push in this round, at most limit payload bytes.
-func (t *Table) Hot(now clock.Instant, limit int) []Record {
+// A renewal is one push if it goes to every peer, but for those of nodes.
+func (t *Table) Hot(now clock.Instant, limit int, direct bool) []Record {
 	var out []Record
 	size := 0
 	for _, key := range sortedKeys(t.hot) {
@@ -149,7 +166,7 @@
 		if size > 0 && size+len(record.Payload) > limit {
 			break
 		}
-		if t.hot[key]--; t.hot[key] <= 0 || !ok {
+		if t.hot[key]--; t.hot[key] <= 0 || !ok || direct && record.Renewal && key.Kind != Node {
 			delete(t.hot, key)
 		}
 		if ok {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -101,14 +101,14 @@
 		r := record("u", 1, sequence, false, time.Second)
 		r.Payload = []byte("ready")
 		table.Merge(0, []Record{r})
-		hot := table.Hot(0, 1000)
+		hot := table.Hot(0, 1000, false)
 		g.Expect(hot).To(gomega.HaveLen(1))
 		g.Expect(hot[0].Renewal).To(gomega.Equal(sequence == 2))
 	}
 	leaving := record("u", 1, 3, true, time.Second)
 	leaving.Payload = []byte("ready")
 	table.Merge(0, []Record{leaving})
-	g.Expect(table.Hot(0, 1000)[0].Payload).NotTo(gomega.BeEmpty())
+	g.Expect(table.Hot(0, 1000, false)[0].Payload).NotTo(gomega.BeEmpty())
 }
 
 func TestLeaseIsNotExtendedOnTheWay(t *testing.T) {
@@ -146,7 +146,7 @@
 					newest[r.Key] = r.Version
 				}
 			},
-			"push":     func(t *rapid.T) { pick(t, "to").Merge(0, pick(t, "from").Hot(0, 1000)) },
+			"push":     func(t *rapid.T) { pick(t, "to").Merge(0, pick(t, "from").Hot(0, 1000, false)) },
 			"exchange": func(t *rapid.T) { exchange(pick(t, "from"), pick(t, "to")) },
 		})
 		for range 2 {
@@ -174,7 +174,42 @@
 			table := New()
 			table.Merge(0, e.Push)
 			table.Compare(0, e.Digest)
-			table.Hot(0, 100)
+			table.Hot(0, 100, false)
 		}
 	})
 }
+
+// A keeper tells its peers of thousands of upstreams that they are still
+// there: once each, and nobody passes it on. What changed is passed on.
+func TestDirectRenewalsArePushedOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	origin, peer := New(), New()
+	full := func(kind Kind, id string, n uint64) Record {
+		r := record(id, 1, n, false, time.Minute)
+		r.Kind, r.Payload = kind, []byte("payload")
+		return r
+	}
+	first, second := full(Upstream, "u", 1), full(Upstream, "u", 2)
+	node := func(n uint64) Record { return full(Node, "n", n) }
+	origin.Merge(0, []Record{first, node(1)})
+	for range pushes {
+		peer.MergeDirect(0, origin.Hot(0, 1000, true))
+	}
+	g.Expect(origin.Hot(0, 1000, true)).To(gomega.BeEmpty())
+	for range pushes {
+		g.Expect(peer.Hot(0, 1000, true)).To(gomega.HaveLen(2))
+	}
+	origin.Merge(0, []Record{second, node(2)})
+	pushed := origin.Hot(0, 1000, true)
+	g.Expect(pushed).To(gomega.HaveLen(2))
+	g.Expect(origin.Hot(0, 1000, true)).To(gomega.HaveLen(1))
+	g.Expect(peer.MergeDirect(0, pushed)).To(gomega.HaveLen(2))
+	relayed := peer.Hot(0, 1000, true)
+	g.Expect(relayed).To(gomega.HaveLen(1))
+	g.Expect(relayed[0].Kind).To(gomega.Equal(Node))
+	// A peer that the push didn't reach hears of it by comparison.
+	late := New()
+	late.MergeDirect(0, []Record{first})
+	push, _ := origin.Compare(0, late.Digest())
+	g.Expect(late.MergeDirect(0, push)).NotTo(gomega.BeEmpty())
+}
