quota: Give back what hasn't run; ingress: Say what a quota refusal had to go by

Cause: a request that was admitted and then refused for want of an upstream used up its organisation's quota; and a refusal didn't tell the limit nor what the entry and the pool had left. The refusal's detail names limit, purse and pool.

--- a/control/account.go
+++ b/control/account.go
@@ -103,9 +103,8 @@
 	if !ok {
 		return &ReserveReply{OK: true}, nil
 	}
-	r := &ReserveReply{}
-	r.OK, r.After = o.ledger.Reserve(now, q.Organisation, limit, q.Cost)
-	return r, nil
+	r := o.ledger.Reserve(now, q.Organisation, limit, q.Cost)
+	return &ReserveReply{OK: r.OK, After: r.After, Limit: limit, Left: r.Left}, nil
 }
 
 // officeOf returns the office of the term, with the lock held.
--- a/control/message.go
+++ b/control/message.go
@@ -182,6 +182,10 @@
 	OK bool `json:"k"`
 	// After is when enough will be there, if OK isn't set.
 	After time.Duration `json:"a,omitempty"`
+	// Limit is the organisation's quota in units per second, and Left what
+	// the pool has, in units.
+	Limit float64 `json:"l,omitempty"`
+	Left  float64 `json:"t,omitempty"`
 }
 
 // Check verifies a decoded reply.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -40,6 +40,9 @@
 	service  string
 	rank     int
 	revision uint64
+	// charged is what the request took from the quota at the instant.
+	charged  float64
+	admitted clock.Instant
 }
 
 // organisation is the name that the upstream is told, "" on public routes.
@@ -69,6 +72,9 @@
 func (in *Ingress) refuse(w http.ResponseWriter, r *request, cause error) {
 	e := result.From(cause)
 	in.meters.refused(e.Code.String())
+	if e.Ran == result.RanNo {
+		in.refund(r)
+	}
 	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "revision", r.revision,
 		"code", int(e.Code), "reason", e.Title, "detail", e.Detail, "ran", e.Ran, "retryAfter", e.RetryAfter, "held", in.options.Clock()-r.arrived)
 	switch e.Code {
@@ -223,6 +229,7 @@
 	missing := p.Take(now, cost)
 	in.mu.Unlock()
 	if missing <= 0 {
+		r.charged, r.admitted = cost, now
 		return nil
 	}
 	reply, err := in.link.Reserve(ctx, r.org.Name, missing)
@@ -235,11 +242,26 @@
 	case err != nil:
 		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked, and the pool is out of reach: %v", cost, err).WithRetry(poolRetry)
 	case !reply.OK:
-		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked", cost).WithRetry(reply.After)
+		return result.New(result.QuotaExceeded, result.RanNo, "%.0f units asked of %.0f a second; this entry had %.0f, the pool has %.0f",
+			cost, reply.Limit, cost-missing, reply.Left).WithRetry(reply.After)
 	}
+	r.charged, r.admitted = cost, now
 	return nil
 }
 
+// refund gives a request's cost back to its organisation's quota: it has not
+// run.
+func (in *Ingress) refund(r *request) {
+	if r.charged == 0 {
+		return
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if p, ok := in.purses[r.org.Name]; ok {
+		p.Refund(in.options.Clock(), r.admitted, r.charged)
+	}
+}
+
 // ticket describes the request to the fleet.
 func (r *request) ticket() fleet.Ticket {
 	t := fleet.Ticket{
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -25,15 +25,20 @@
 	// entryPart is granted to entries, poolPart handed out by the leader.
 	entryPart = 0.5
 	poolPart  = 0.6
-	// saveTime is how much of its rate an entry may save up. As much again
-	// may be on its way back to the pool.
-	saveTime = 500 * time.Millisecond
+	// saveTime is how much of its rate an entry may save up: a little more
+	// than between two reports. As much again may be on its way back to the
+	// pool.
+	saveTime = 350 * time.Millisecond
 	// keepTime is how much of its rate an entry keeps when it gives back what
 	// callers haven't asked for: half the time between two reports.
 	keepTime = 150 * time.Millisecond
 	// poolTime is how much of the organisation's whole rate the pool may save
 	// up, beside a part of the slack.
 	poolTime = 500 * time.Millisecond
+	// refundTime is how long after its admission a request that has not run
+	// gets its cost back: what is on its way back may be handed out in a
+	// window beside that window's own.
+	refundTime = 200 * time.Millisecond
 	// slackPart is the part of the deployment's slack that the pool may save
 	// up; the rest covers requests that are under way between two windows.
 	slackPart = 0.7
@@ -86,9 +91,22 @@
 }
 
 // Reserve takes the cost of one request from the pool of an organisation with
-// the limit. If it refuses, after tells when enough is there.
-func (l *Ledger) Reserve(now clock.Instant, organisation string, limit, cost float64) (ok bool, after time.Duration) {
-	return l.pool(now, organisation, limit).spend(cost)
+// the limit. If it refuses, After tells when enough is there.
+// Left is what the pool has then.
+func (l *Ledger) Reserve(now clock.Instant, organisation string, limit, cost float64) (r Reservation) {
+	p := l.pool(now, organisation, limit)
+	r.OK, r.After = p.spend(cost)
+	r.Left = p.tokens
+	return r
+}
+
+// Reservation is the pool's answer to a request.
+type Reservation struct {
+	OK bool
+	// After is when enough will be there, if OK isn't set.
+	After time.Duration
+	// Left is the units that the pool has left.
+	Left float64
 }
 
 // pool returns an organisation's pool, filled up to now.
@@ -208,9 +226,10 @@
 	asked float64
 	since clock.Instant
 	// returned is what was given back since the entry started, and answered
-	// says that the leader has answered since the last of it.
-	returned float64
-	answered bool
+	// says that the leader has answered since the last of it. refunded will
+	// be given back next.
+	returned, refunded float64
+	answered           bool
 }
 
 // NewPurse returns an empty purse.
@@ -248,14 +267,22 @@
 	p.tokens = min(p.tokens+taken, p.capacity)
 }
 
+// Refund gives back the cost of a request that was admitted at the instant and
+// has not run, unless that was too long ago.
+func (p *Purse) Refund(now, admitted clock.Instant, cost float64) {
+	if now-admitted <= refundTime {
+		p.refunded += cost
+	}
+}
+
 // Ask reports the demand since the last report. What was saved up is given
 // back to the pool, but for a little, if the leader answered the last one: no
 // more than one such sum is on its way.
 func (p *Purse) Ask(now clock.Instant) Ask {
 	p.advance(now)
-	if keep := p.rate * keepTime.Seconds(); p.answered && p.tokens > keep {
-		p.returned += p.tokens - keep
-		p.tokens, p.answered = keep, false
+	if spare := max(p.tokens-p.rate*keepTime.Seconds(), 0); p.answered && spare+p.refunded > 0 {
+		p.returned += spare + p.refunded
+		p.tokens, p.refunded, p.answered = p.tokens-spare, 0, false
 	}
 	a := Ask{Returned: p.returned}
 	if seconds := (now - p.since).Seconds(); seconds > 0 {
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -69,7 +69,7 @@
 	missing := p.Take(f.now, cost)
 	ok := missing <= 0
 	if !ok && reaches {
-		ok, _ = f.ledger.Reserve(f.now, "mill", limit, missing)
+		ok = f.ledger.Reserve(f.now, "mill", limit, missing).OK
 	}
 	if !ok {
 		p.Return(f.now, cost-missing)
@@ -80,6 +80,14 @@
 	return ok
 }
 
+// refuse admits a request and refuses it after a wait.
+func (f *fleet) refuse(i int, cost float64, wait time.Duration, reaches bool) {
+	if f.spend(i, cost, reaches) {
+		f.spent = f.spent[:len(f.spent)-1]
+		f.entries[i].purse.Refund(f.now+wait, f.now, cost)
+	}
+}
+
 // most is the largest sum in any window.
 func (f *fleet) most() float64 {
 	most, sum, first := 0.0, 0.0, 0
@@ -113,6 +121,11 @@
 				f.report(i, rapid.IntRange(0, 3).Draw(t, "arrives") > 0)
 			default:
 				reaches := rapid.IntRange(0, 3).Draw(t, "reaches") > 0
+				if refuses := rapid.IntRange(0, 5).Draw(t, "refuses") == 0; refuses {
+					// Admitted, and refused for want of an upstream.
+					f.refuse(i, rapid.Float64Range(100, 60_000).Draw(t, "cost"), time.Duration(rapid.IntRange(0, 400).Draw(t, "wait"))*time.Millisecond, reaches)
+					continue
+				}
 				for again := true; again; {
 					again = f.spend(i, rapid.Float64Range(100, 60_000).Draw(t, "cost"), reaches) && rapid.IntRange(0, 5).Draw(t, "more") > 0
 				}
@@ -176,7 +189,6 @@
 	g := gomega.NewWithT(t)
 	random := rand.New(rand.NewPCG(5, 5))
 	f := newFleet(6)
-	f.ledger = NewLedger(0, 0)
 	ideal := bucket{last: f.now, rate: limit, capacity: limit, tokens: limit}
 	sent, refused, unavoidable := 0, 0, 0
 	began := f.now
@@ -211,3 +223,34 @@
 	g.Expect(float64(refused-unavoidable) / float64(sent)).To(gomega.BeNumerically("<", 0.01))
 	g.Expect(f.most()).To(gomega.BeNumerically("<", allowed()))
 }
+
+// TestWhatHasNotRunIsGivenBack refuses every second request after it was
+// admitted, as when no upstream is to be had: the quota isn't used up by them.
+func TestWhatHasNotRunIsGivenBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(4)
+	f.ledger = NewLedger(0, 0)
+	began := f.now
+	sent, served := 0, 0
+	for i := 0; f.now-began < 60*time.Second; i++ {
+		// 1.8 times the quota is asked for, half of it has no upstream.
+		f.now += time.Second * 4_000 / 180_000
+		if i%13 == 0 {
+			for e := range f.entries {
+				f.report(e, true)
+			}
+		}
+		if i%2 == 0 {
+			f.refuse(i/2%4, 4_000, 50*time.Millisecond, true)
+			continue
+		}
+		if f.now-began > 10*time.Second {
+			sent++
+			if f.spend(i/2%4, 4_000, true) {
+				served++
+			}
+		}
+	}
+	g.Expect(float64(served) / float64(sent)).To(gomega.BeNumerically(">", 0.95))
+	g.Expect(f.most()).To(gomega.BeNumerically("<", allowed()))
+}
