quota: Entries keep what they saved up

Ruled out: the first number of upstreams (tried without it: the same). Change: only what hasn't run is given back, within 100 ms of its admission; saved up are 0.8 s of an entry's rate again.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -25,20 +25,16 @@
 	// entryPart is granted to entries, poolPart handed out by the leader.
 	entryPart = 0.5
 	poolPart  = 0.6
-	// saveTime is how much of its rate an entry may save up: a little more
-	// than between two reports. As much again may be on its way back to the
-	// pool.
-	saveTime = 350 * time.Millisecond
-	// keepTime is how much of its rate an entry keeps when it gives back what
-	// callers haven't asked for: half the time between two reports.
-	keepTime = 150 * time.Millisecond
+	// saveTime is how much of its rate an entry may save up: what it hands
+	// out while there is no leader.
+	saveTime = 800 * time.Millisecond
 	// poolTime is how much of the organisation's whole rate the pool may save
 	// up, beside a part of the slack.
 	poolTime = 500 * time.Millisecond
 	// refundTime is how long after its admission a request that has not run
 	// gets its cost back: what is on its way back may be handed out in a
 	// window beside that window's own.
-	refundTime = 200 * time.Millisecond
+	refundTime = 100 * time.Millisecond
 	// slackPart is the part of the deployment's slack that the pool may save
 	// up; the rest covers requests that are under way between two windows.
 	slackPart = 0.7
@@ -275,14 +271,14 @@
 	}
 }
 
-// Ask reports the demand since the last report. What was saved up is given
-// back to the pool, but for a little, if the leader answered the last one: no
-// more than one such sum is on its way.
+// Ask reports the demand since the last report, and gives refunds back to the
+// pool if the leader answered the last one: no more than one such sum is on its
+// way.
 func (p *Purse) Ask(now clock.Instant) Ask {
 	p.advance(now)
-	if spare := max(p.tokens-p.rate*keepTime.Seconds(), 0); p.answered && spare+p.refunded > 0 {
-		p.returned += spare + p.refunded
-		p.tokens, p.refunded, p.answered = p.tokens-spare, 0, false
+	if p.answered && p.refunded > 0 {
+		p.returned += p.refunded
+		p.refunded, p.answered = 0, false
 	}
 	a := Ask{Returned: p.returned}
 	if seconds := (now - p.since).Seconds(); seconds > 0 {
