--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -24,7 +24,10 @@
 )
 
 func mustEnc() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+	options := cbor.CoreDetEncOptions()
+	// The default keeps whole seconds only.
+	options.Time = cbor.TimeRFC3339NanoUTC
+	mode, err := options.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -30,6 +30,10 @@
 	// headSent says that the caller has the status and headers, counted that
 	// the request counts as begun in usage.
 	headSent, counted bool
+	// window is the usage window in which the request was counted, and begun
+	// when that was.
+	window uint64
+	begun  clock.Instant
 	// mayHaveRun says that an earlier attempt may have run the request.
 	mayHaveRun bool
 	// stalled says that the attempt was ended since its upstream fell silent.
@@ -151,7 +155,7 @@
 		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 			"revision", r.revision, "confirmed", in.link.Age(), "upstream", g.Upstream.ID, "address", g.Upstream.Address, "zone", g.Upstream.Zone, "number", g.Attempt,
 			"waited", began-r.arrived, "expected", g.Waits, "cached", g.Cached, "prompt", r.PromptTokens, "took", in.options.Clock()-began,
-			"done", o.done, "failure", failure, "events", d.events.passed, "err", o.cause)
+			"done", o.done, "failure", failure, "events", d.events.passed, "window", d.window, "begun", d.begunAfter(began), "err", o.cause)
 	}()
 	if r.org != nil && !in.fresh() {
 		// The instance may have been suspended since the first look.
@@ -256,10 +260,18 @@
 func (d *delivery) countOnce() {
 	if !d.counted {
 		d.counted = true
-		d.in.count(d.r)
+		d.window, d.begun = d.in.count(d.r), d.in.options.Clock()
 	}
 }
 
+// begunAfter is how long after the instant the request was counted, or 0.
+func (d *delivery) begunAfter(at clock.Instant) time.Duration {
+	if d.begun == 0 {
+		return 0
+	}
+	return d.begun - at
+}
+
 // finish ends the ticket.
 func (d *delivery) finish(success, inTime bool) {
 	d.in.meters.answered.Inc(1)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -279,13 +279,15 @@
 	return t
 }
 
-// count adds a request that began to run to the usage of its organisation.
-func (in *Ingress) count(r *request) {
+// count adds a request that began to run to the usage of its organisation, and
+// returns the window.
+func (in *Ingress) count(r *request) uint64 {
+	window := in.window()
 	if r.org == nil {
-		return
+		return window
 	}
-	window := in.window()
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.usage.Count(window, r.org.Name)
+	return window
 }
