control, link: Every keeper hears of the usage, entries follow the newest leader

Cause: the counts of usage lay with the leader alone. A new leader missed those of entries that had stopped since (259 of 603 requests of a window after a rolling stop and the leader's loss) and of entries that still followed the old one: a keeper cut off with the minority named it, and its term wasn't told (237 of 1,109 in a split of the core). Those entries had no pool to draw on either. Ruled out: clocks (each window begins where it should since the last change). Change: entries tell the other keepers their usage every 0.9 s and at the end of a stop; counts merge by the larger; replies carry the term, and an entry follows the leader of the highest.

--- a/control/account.go
+++ b/control/account.go
@@ -14,7 +14,6 @@
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
-	"github.com/hyssopladder/hyssopladder/usage"
 )
 
 // office is what the leader keeps of the entries' reports. A new leader starts
@@ -40,8 +39,7 @@
 
 type reported struct {
 	AccountRequest
-	at    clock.Instant
-	usage map[uint64]map[string]uint64
+	at clock.Instant
 	// prompts are the smoothed prompt tokens per second by service: one
 	// report covers a few requests only.
 	prompts map[string]float64
@@ -54,13 +52,12 @@
 // reportAge is how long an entry's report counts for load.
 const reportAge = 2 * time.Second
 
+// reportMemory is how long the report of an entry that is gone is kept.
+const reportMemory = 30 * time.Second
+
 // promptWeight smooths the prompt tokens over about ten reports, three seconds.
 const promptWeight = 0.1
 
-// usageMemory is how long the counts of an entry that is gone are kept: until
-// its last windows are on record.
-const usageMemory = 30 * time.Second
-
 // serveAccount takes in an entry's report and grants quotas, if this keeper
 // leads.
 func (c *Control) serveAccount(_ context.Context, body []byte) (any, error) {
@@ -69,12 +66,13 @@
 		return nil, err
 	}
 	v, _ := c.options.Keeper.View()
-	if !v.Leading {
-		return &AccountReply{}, nil
-	}
 	now := c.options.Clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.counts.report(now, reporter{q.Entry, q.Incarnation}, q.Usage)
+	if !v.Leading || q.UsageOnly {
+		return &AccountReply{Leader: v.Leader, Term: v.Term}, nil
+	}
 	o := c.officeOf(now, v)
 	if err := o.setConfig(v.Config); err != nil {
 		return nil, err
@@ -142,20 +140,17 @@
 	key := reporter{q.Entry, q.Incarnation}
 	r, ok := o.reports[key]
 	if !ok {
-		r = &reported{usage: map[uint64]map[string]uint64{}, prompts: map[string]float64{}}
+		r = &reported{prompts: map[string]float64{}}
 		o.reports[key] = r
 	}
 	r.AccountRequest, r.at = q, now
-	// The work is summed up apart.
-	r.Busy = nil
-	for _, w := range q.Usage {
-		r.usage[w.Number] = w.Counts
-	}
+	// These are summed up apart.
+	r.Busy, r.Usage = nil, nil
 	for name, l := range q.Loads {
 		r.prompts[name] += promptWeight * (l.Prompt - r.prompts[name])
 	}
 	for other, held := range o.reports {
-		if now-held.at > usageMemory {
+		if now-held.at > reportMemory {
 			delete(o.reports, other)
 		}
 	}
@@ -166,6 +161,7 @@
 	o.work.report(now, key, q.Busy)
 	reply := &AccountReply{
 		Leading: true,
+		Term:    o.term,
 		Rates:   o.ledger.Grant(now, q.Entry, q.Incarnation, asks, o.limits),
 		Lease:   quota.Lease,
 		Others:  o.work.others(key),
@@ -222,14 +218,3 @@
 	at, ok := o.busy[service]
 	return !ok || now-at > demandMemory
 }
-
-// window sums up the entries' counts of one window.
-func (o *office) window(number uint64) usage.Window {
-	w := usage.Window{Number: number, Counts: map[string]uint64{}}
-	for _, r := range o.reports {
-		for name, n := range r.usage[number] {
-			w.Counts[name] += n
-		}
-	}
-	return w
-}
--- a/control/control.go
+++ b/control/control.go
@@ -75,6 +75,7 @@
 	// began is when this keeper started.
 	began   clock.Instant
 	office  *office
+	counts  *counts
 	changed chan struct{}
 	// gathering says that a wake-up is on its way.
 	gathering bool
@@ -85,7 +86,7 @@
 
 // New starts to serve; it ends with ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, began: o.Clock(), roster: newRoster(), changed: make(chan struct{})}
+	c := &Control{options: o, began: o.Clock(), roster: newRoster(), counts: newCounts(), changed: make(chan struct{})}
 	o.Gossip.Subscribe(c.learn)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
@@ -298,7 +299,7 @@
 		}
 		if over || len(reply.Members) > 0 || reply.Config != nil {
 			reply.Newest = newest
-			reply.Leader = v.Leader
+			reply.Leader, reply.Term = v.Leader, v.Term
 			reply.Peers = c.peers(ctx)
 			reply.Wall = time.Now()
 			return &reply, nil
--- a/control/duty.go
+++ b/control/duty.go
@@ -169,10 +169,7 @@
 func (d *duties) record(ctx context.Context, number uint64) (usage.Window, bool) {
 	c := d.control
 	c.mu.Lock()
-	w := usage.Window{Number: number, Counts: map[string]uint64{}}
-	if c.office != nil && c.office.term == d.term {
-		w = c.office.window(number)
-	}
+	w := c.counts.window(number)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, putTime)
 	defer cancel()
--- a/control/message.go
+++ b/control/message.go
@@ -61,8 +61,9 @@
 	// Newest is the number that a majority confirmed as the newest, at some
 	// moment after the question came; 0 if none did.
 	Newest uint64 `json:"n,omitempty"`
-	// Leader leads the keepers, as far as this one knows.
+	// Leader leads the keepers in Term, as far as this one knows.
 	Leader netip.AddrPort `json:"l"`
+	Term   uint64         `json:"t,omitempty"`
 	Peers  []Peer         `json:"p,omitempty"`
 	// Wall is the keeper's time of day when it answered.
 	Wall time.Time `json:"w"`
@@ -126,6 +127,9 @@
 	// Demands are by organisation, Loads by service.
 	Demands map[string]Demand `json:"d,omitempty"`
 	Loads   map[string]Load   `json:"l,omitempty"`
+	// UsageOnly says that nothing but the usage is set: every keeper hears of
+	// that, so that the next leader knows it.
+	UsageOnly bool `json:"x,omitempty"`
 	// Busy is the entry's work by upstream.
 	Busy map[string]fleet.Busy `json:"b,omitempty"`
 }
@@ -141,8 +145,11 @@
 
 // AccountReply answers an entry's report.
 type AccountReply struct {
-	// Leading says that the keeper leads; otherwise nothing else is set.
-	Leading bool `json:"l"`
+	// Leading says that the keeper leads; otherwise nothing is set but Leader,
+	// which leads in Term as far as it knows.
+	Leading bool           `json:"l"`
+	Leader  netip.AddrPort `json:"d"`
+	Term    uint64         `json:"n,omitempty"`
 	// Rates are the quotas that the entry may hand out, in units per second,
 	// by organisation, for Lease from the moment at which the entry asked.
 	Rates map[string]float64 `json:"r,omitempty"`
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -90,7 +90,7 @@
 	in.client = exchange.New(func() { in.meters.dials.Inc(1) })
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, Client: o.Client, Clock: o.Clock,
-		Members: in.learnMembers, Table: in.adopt, Report: in.report, Granted: in.granted,
+		Members: in.learnMembers, Table: in.adopt, Report: in.report, Granted: in.granted, Usage: in.reportUsage,
 	})
 	in.gauges(o.Metrics)
 	callers := &http.Server{
@@ -178,14 +178,9 @@
 
 // report builds the entry's report to the leader.
 func (in *Ingress) report(now clock.Instant) control.AccountRequest {
-	q := control.AccountRequest{
-		Entry: in.options.Name, Zone: in.options.Zone, Incarnation: in.options.Incarnation,
-		Demands: map[string]control.Demand{}, Loads: map[string]control.Load{},
-	}
-	q.Wall = in.link.Wall()
-	window := in.window()
+	q := in.reportUsage()
+	q.Demands, q.Loads = map[string]control.Demand{}, map[string]control.Load{}
 	in.mu.Lock()
-	q.Usage = in.usage.Since(window - min(window, usageWindows))
 	for name, p := range in.purses {
 		a := p.Ask(now)
 		q.Demands[name] = control.Demand{Asked: a.Asked, Rate: a.Held, Returned: a.Returned}
@@ -204,6 +199,16 @@
 	return q
 }
 
+// reportUsage builds a report of the usage alone.
+func (in *Ingress) reportUsage() control.AccountRequest {
+	q := control.AccountRequest{Entry: in.options.Name, Zone: in.options.Zone, Incarnation: in.options.Incarnation, Wall: in.link.Wall()}
+	window := in.window()
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	q.Usage = in.usage.Since(window - min(window, usageWindows))
+	return q
+}
+
 // granted takes in the leader's answer to a report.
 func (in *Ingress) granted(asked clock.Instant, r control.AccountReply) {
 	now := in.options.Clock()
@@ -242,6 +247,8 @@
 	for {
 		left := in.callers.closeIdle()
 		if left == 0 {
+			// The next leader may be any keeper.
+			in.link.Tell(ctx)
 			return nil
 		}
 		select {
--- a/link/link.go
+++ b/link/link.go
@@ -35,6 +35,12 @@
 	// accountInterval is the time between two reports to the leader.
 	accountInterval = 300 * time.Millisecond
 	accountTimeout  = 700 * time.Millisecond
+	// tellInterval is the time between two reports of usage to the other
+	// keepers: what an entry that is killed loses. tellMost bounds their
+	// number, for the bytes: more than two of a deployment's voters and a
+	// zone may be lost at once.
+	tellInterval = 900 * time.Millisecond
+	tellMost     = 8
 	// firstInterval is that until the first answer.
 	firstInterval = 50 * time.Millisecond
 	// reserveTimeout bounds a request's wait for the leader's pool.
@@ -61,6 +67,8 @@
 	// to what was asked at the instant.
 	Report  func(now clock.Instant) control.AccountRequest
 	Granted func(asked clock.Instant, reply control.AccountReply)
+	// Usage builds a report of the usage alone.
+	Usage func() control.AccountRequest
 }
 
 // Link is an entry's connection to the keepers.
@@ -72,11 +80,13 @@
 	confirmed atomic.Int64
 	synced    atomic.Bool
 
-	mu     sync.Mutex
-	seeds  []netip.AddrPort
-	peers  []control.Peer
-	inUse  [lines]netip.AddrPort
+	mu    sync.Mutex
+	seeds []netip.AddrPort
+	peers []control.Peer
+	inUse [lines]netip.AddrPort
+	// leader leads the keepers in the term, the newest that any of them told.
 	leader netip.AddrPort
+	term   uint64
 	// failed is when a keeper failed to answer last.
 	failed map[netip.AddrPort]clock.Instant
 	// own and walls follow the time of day of this instance and of keepers.
@@ -94,6 +104,18 @@
 		go l.follow(ctx, i)
 	}
 	go l.account(ctx)
+	go func() {
+		t := time.NewTicker(tellInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				l.Tell(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	return l
 }
 
@@ -236,9 +258,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.failed, at.address)
-	if r.Leader.IsValid() {
-		l.leader = r.Leader
-	}
+	l.follows(r.Leader, r.Term)
 	if len(r.Peers) > 0 {
 		l.peers = l.known(r.Peers)
 	}
@@ -251,6 +271,45 @@
 	return nil
 }
 
+// follows takes in who leads, unless a later leader is known: a keeper that is
+// cut off from the others may still name the one before. The lock is held.
+func (l *Link) follows(leader netip.AddrPort, term uint64) {
+	if leader.IsValid() && term >= l.term {
+		l.leader, l.term = leader, term
+	}
+}
+
+// Tell reports the usage to the keepers that don't lead, and returns when all
+// have answered or failed.
+func (l *Link) Tell(ctx context.Context) {
+	l.mu.Lock()
+	var keepers []netip.AddrPort
+	for _, p := range l.peers {
+		if p.Address != l.leader && len(keepers) < tellMost {
+			keepers = append(keepers, p.Address)
+		}
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, accountTimeout)
+	defer cancel()
+	q := l.options.Usage()
+	q.UsageOnly = true
+	var wait sync.WaitGroup
+	for _, address := range keepers {
+		wait.Go(func() {
+			var r control.AccountReply
+			if err := l.options.Client.Call(ctx, address, peer.Account, &q, &r); err != nil {
+				klog.V(2).InfoS("usage not told", "keeper", address, "err", err)
+				return
+			}
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.follows(r.Leader, r.Term)
+		})
+	}
+	wait.Wait()
+}
+
 // known joins the keepers that are alive with the seeds, which are asked when
 // nothing else answers.
 func (l *Link) known(peers []control.Peer) []control.Peer {
@@ -374,6 +433,10 @@
 	}
 	if r.Leading {
 		l.options.Granted(asked, r)
+		return true
 	}
-	return r.Leading
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.follows(r.Leader, r.Term)
+	return false
 }
