fleet: Reading again counts three times in the choice of an upstream

The choice weighed the reading that an upstream saves with the waiting of this one request only; the requests behind it wait for that reading too. Change: a token that has to be read costs the choice three times its reading, once for the request and twice for those behind it.

--- a/fleet/node.go
+++ b/fleet/node.go
@@ -188,6 +188,10 @@
 	// addition to that time: its events come slowly too.
 	slowPrice  = 150 * time.Millisecond
 	slowMargin = 1.6
+	// readWeight is what reading a token costs the requests that come after,
+	// beside the one that is read for: about two wait at an engine that reads
+	// for most of the time.
+	readWeight = 2.0
 	// slotPrice is the longer step of a batch with one more request, summed
 	// over the steps to the first event.
 	slotPrice = 2 * time.Millisecond
@@ -240,7 +244,7 @@
 		if likely := int(preferredPart * float64(shared)); n == preferred && c.cached < likely {
 			// Entries that know nothing agree on one upstream a prefix, so
 			// that others have probably sent it there before.
-			c.wait -= s.readTime(likely - c.cached)
+			c.wait -= time.Duration((1 + readWeight) * float64(s.readTime(likely-c.cached)))
 		}
 		if best == nil || c.wait < bestCost.wait {
 			best, bestCost = n, c
@@ -291,6 +295,9 @@
 	}
 	c.wait = time.Duration(float64(c.wait) * n.slow)
 	c.ready = c.wait
+	if s.shape.Engine != nil {
+		c.wait += time.Duration(readWeight * float64(s.readTime(t.Prompt-c.cached)))
+	}
 	if n.Zone != zone {
 		c.wait += hopPrice
 	}
