ingress: A body that comes too slowly is told so; e2e: Slow senders, cost of idle roles

A sender that was too slow for its body got 400, which callers don't repeat; it gets 408 now, code 1009, and the request has not run. The test sends half a head and half a body, and waits for the entry to give up on both. The cost of a platform's roles without callers is printed on request.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -181,6 +182,9 @@
 	return response.StatusCode
 }
 
+// slowLimit is longer than the entry waits for a body.
+const slowLimit = 15 * time.Second
+
 var requestNumber atomic.Int64
 
 // ask sends one request and returns its status and body; headers come in
@@ -227,6 +231,23 @@
 	return string(answer)
 }
 
+// slow sends bytes on a connection of their own, keeps its side open, and
+// returns what comes back until the entry closes the connection.
+func (d *deployment) slow(entry int, text string) <-chan string {
+	ginkgo.GinkgoHelper()
+	c, err := net.Dial("tcp", d.callers[entry].String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	answer := make(chan string, 1)
+	go func() {
+		defer func() { _ = c.Close() }()
+		data, _ := io.ReadAll(c)
+		answer <- string(data)
+	}()
+	return answer
+}
+
 func wholeStream() string {
 	var b strings.Builder
 	for n := 1; n <= events; n++ {
@@ -264,6 +285,9 @@
 			}
 		}
 
+		halfHead := d.slow(0, "POST /book/x HTTP/1.1\nHost: mill.example\nX-Requ")
+		halfBody := d.slow(0, "POST /book/x HTTP/1.1\nHost: mill.example\nX-Request-Id: slow\nAuthorization: Token key-m\nContent-Length: 50\n\nabc")
+
 		ginkgo.By("refusing what isn't allowed")
 		for _, c := range []struct {
 			path, key string
@@ -342,6 +366,15 @@
 		}
 		gomega.Expect(refused).To(gomega.BeNumerically(">", 15))
 
+		ginkgo.By("giving up on senders that are slow, while others are served")
+		gomega.Eventually(halfHead, slowLimit).Should(gomega.Receive(gomega.HavePrefix("HTTP/1.1 400")))
+		gomega.Eventually(halfBody, slowLimit).Should(gomega.Receive(gomega.HavePrefix("HTTP/1.1 408")))
+		for _, b := range booking {
+			for _, r := range b.requests() {
+				gomega.Expect(r.Header.Get("X-Request-Id")).NotTo(gomega.Equal("slow"))
+			}
+		}
+
 		ginkgo.By("sending nothing to an upstream that leaves")
 		booking[1].leaving.Store(true)
 		gomega.Eventually(func() string {
@@ -372,3 +405,37 @@
 		gomega.Expect(d.readStatus(0)).To(gomega.Equal(http.StatusServiceUnavailable))
 	})
 })
+
+// The cost of each role of a platform without callers, beside 12 upstreams
+// that announce themselves. It prints figures, so it runs on request.
+var _ = ginkgo.Describe("The cost of a platform's roles", func() {
+	ginkgo.It("is printed without callers", func() {
+		if os.Getenv("HYSSOPLADDER_MEASURE") == "" {
+			ginkgo.Skip("set HYSSOPLADDER_MEASURE=1 to measure")
+		}
+		d := startDeployment()
+		gomega.Eventually(func() int { return d.put(1, platformConfig(3, 1000, "key-m")) }, startLimit).Should(gomega.Equal(http.StatusOK))
+		for i := range 12 {
+			startReplica(fmt.Sprint("i-", i), "booking", "a", d.keepers)
+		}
+		for i := range d.entries {
+			gomega.Eventually(func() int { return d.readStatus(i) }, startLimit).Should(gomega.Equal(http.StatusOK))
+		}
+		const span = 20 * time.Second
+		all := append(append([]*process{}, d.keepers...), d.entries...)
+		before := make([]usage, len(all))
+		for i, p := range all {
+			before[i] = usageOf(p)
+		}
+		began := time.Now()
+		gomega.Consistently(func() bool { return true }, span, time.Second).Should(gomega.BeTrue())
+		took := time.Since(began)
+		for i, p := range all {
+			role, u := "keeper", usageOf(p)
+			if i >= len(d.keepers) {
+				role = "entry"
+			}
+			fmt.Printf("cost: %s without callers: %.2f%% of a core, %d KB resident\n", role, 100*float64(u.cpu-before[i].cpu)/float64(took), u.residentKB)
+		}
+	})
+})
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -200,6 +201,8 @@
 	switch {
 	case errors.As(err, &large):
 		return result.New(result.BodyTooLarge, result.RanNo, "more than %d bytes", most)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(result.BodySlow, result.RanNo, "%d bytes of the body came within %v", len(body), readBodyTimeout)
 	case err != nil:
 		return result.New(result.BadRequest, result.RanNo, "read body: %v", err)
 	}
--- a/result/code.go
+++ b/result/code.go
@@ -15,6 +15,7 @@
 	UnknownCall         Code = 1006
 	NoRoute             Code = 1007
 	UnknownKey          Code = 1008
+	BodySlow            Code = 1009
 	Overloaded          Code = 2001
 	NotReady            Code = 2002
 	Draining            Code = 2003
@@ -69,6 +70,7 @@
 	UnknownCall:         {"unknownCall", 404, false},
 	NoRoute:             {"noRoute", 404, false},
 	UnknownKey:          {"unknownKey", 401, false},
+	BodySlow:            {"bodySlow", 408, true},
 	Overloaded:          {"overloaded", 429, true},
 	NotReady:            {"notReady", 503, true},
 	Draining:            {"draining", 503, true},
