ingress: End the connection of a body that doesn't come

Cause: after the answer the server waits for the rest of the body, and the time for reading had been lifted, so that a silent sender held its connection for ever (found by the test of slow senders, seen to fail). Change: the time for reading stays, and the connection ends with the answer.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -196,7 +196,13 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, most))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		// What is left of the body isn't waited for: the time for reading
+		// stays as it is, and the connection ends with the answer.
+		w.Header().Set("Connection", "close")
+	} else {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
