quota: Keep sums by organisation, so that a grant's cost is constant

Cause: each grant walked all leases for each organisation.

The fuzz of the sum is unchanged; a second one compares the sums with those over all leases.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -8,6 +8,7 @@
 package quota
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -61,8 +62,9 @@
 // covers about ten reports: a single request may cost a second's quota.
 const demandSmoothing = 0.1
 
-// Ledger is the leader's record of what it granted. It isn't safe for
-// concurrent use.
+// Ledger is the leader's record of what it granted. It keeps the sums over all
+// entries, so that the cost of a grant doesn't grow with their number. It isn't
+// safe for concurrent use.
 type Ledger struct {
 	// start is when this leader's term began. Grants of the previous leader may
 	// be in use for a lease from then.
@@ -70,7 +72,10 @@
 	// slack is in units.
 	slack  float64
 	leases map[entryKey]*entryLease
-	// pools are by organisation.
+	// byEnd lists the leases in the order in which they end.
+	byEnd *list.List
+	// sums and pools are by organisation.
+	sums  map[string]*leaseSum
 	pools map[string]*bucket
 }
 
@@ -79,23 +84,47 @@
 	incarnation uint64
 }
 
-// entryLease is the state of one entry, by organisation.
+// entryLease is the state of one entry.
 type entryLease struct {
-	end clock.Instant
+	key     entryKey
+	end     clock.Instant
+	element *list.Element
+	// parts are by organisation.
+	parts map[string]*leasePart
+}
+
+// leasePart is an entry's part of one organisation's quota.
+type leasePart struct {
 	// demand is the average of the reported demand.
-	demand map[string]float64
-	// grantedRates are those of the last grant, reportedRates those that the entry
+	demand float64
+	// grantedRate is that of the last grant, reportedRate the one that the entry
 	// was still using when it asked for that.
-	grantedRates  map[string]float64
-	reportedRates map[string]float64
+	grantedRate, reportedRate float64
 	// refunded is the sum of refunds that the entry has reported.
-	refunded map[string]float64
+	refunded float64
+}
+
+// usableRate is the highest rate that the entry may be using.
+func (p *leasePart) usableRate() float64 { return max(p.grantedRate, p.reportedRate) }
+
+// leaseSum is the sum of all entries' parts of one organisation's quota.
+type leaseSum struct{ demand, usableRates float64 }
+
+func (s *leaseSum) add(p *leasePart) {
+	s.demand += p.demand
+	s.usableRates += p.usableRate()
+}
+
+// subtract takes out a part; the bounds remove what rounding left.
+func (s *leaseSum) subtract(p *leasePart) {
+	s.demand = max(s.demand-p.demand, 0)
+	s.usableRates = max(s.usableRates-p.usableRate(), 0)
 }
 
 // NewLedger returns the ledger of a leader whose term begins now. slack is the
 // number of units by which the sum may exceed a quota.
 func NewLedger(now clock.Instant, slack float64) *Ledger {
-	return &Ledger{start: now, slack: slack, leases: map[entryKey]*entryLease{}, pools: map[string]*bucket{}}
+	return &Ledger{start: now, slack: slack, leases: map[entryKey]*entryLease{}, byEnd: list.New(), sums: map[string]*leaseSum{}, pools: map[string]*bucket{}}
 }
 
 // Reserve takes the cost of one request from the organisation's pool; limit is
@@ -133,69 +162,102 @@
 // that the entry may use for Lease, counted from its request; limits are the
 // quotas per second.
 func (l *Ledger) Grant(now clock.Instant, entry string, incarnation uint64, demands map[string]Demand, limits map[string]float64) map[string]float64 {
-	for key, lease := range l.leases {
-		if now > lease.end {
-			delete(l.leases, key)
-		}
-	}
-	key := entryKey{entry, incarnation}
-	lease, ok := l.leases[key]
-	if !ok {
-		lease = &entryLease{refunded: map[string]float64{}}
-		l.leases[key] = lease
+	l.endLeases(now)
+	lease, renewed := l.renew(now, entryKey{entry, incarnation})
+	for organisation, part := range lease.parts {
+		l.sums[organisation].subtract(part)
+		part.reportedRate = 0
 	}
 	for organisation, d := range demands {
+		part, ok := lease.parts[organisation]
+		if !ok {
+			part = &leasePart{}
+			lease.parts[organisation] = part
+		}
 		// The sum in the first report of a new lease isn't added: it may contain
 		// refunds that were already added to a pool and handed out again, the
 		// previous leader's or, before the entry's last lease ended, this one.
-		if limit, limited := limits[organisation]; limited && ok && d.Refunded > lease.refunded[organisation] {
-			l.pool(now, organisation, limit).add(d.Refunded - lease.refunded[organisation])
+		if limit, limited := limits[organisation]; limited && renewed && d.Refunded > part.refunded {
+			l.pool(now, organisation, limit).add(d.Refunded - part.refunded)
 		}
-		lease.refunded[organisation] = max(d.Refunded, lease.refunded[organisation])
-	}
-	lease.end = now + Lease + leaseMargin
-	if lease.demand == nil {
-		lease.demand = make(map[string]float64, len(demands))
-	}
-	lease.reportedRates = make(map[string]float64, len(demands))
-	for organisation, d := range demands {
-		lease.demand[organisation] += demandSmoothing * (d.Rate - lease.demand[organisation])
-		lease.reportedRates[organisation] = d.LeasedRate
+		part.refunded = max(d.Refunded, part.refunded)
+		part.demand += demandSmoothing * (d.Rate - part.demand)
+		part.reportedRate = d.LeasedRate
 	}
 	rates := make(map[string]float64, len(limits))
-	oldLeasesEnded := now-l.start > Lease+leaseMargin
 	for organisation, limit := range limits {
-		rates[organisation] = l.grantRate(key, organisation, entryFraction*limit, oldLeasesEnded)
+		part, ok := lease.parts[organisation]
+		if !ok {
+			part = &leasePart{}
+			lease.parts[organisation] = part
+		}
+		part.grantedRate = l.grantRate(now, part, l.sum(organisation), entryFraction*limit)
+		rates[organisation] = part.grantedRate
+	}
+	for organisation, part := range lease.parts {
+		if _, limited := limits[organisation]; !limited {
+			part.grantedRate = 0
+		}
+		l.sum(organisation).add(part)
 	}
-	lease.grantedRates = rates
 	return rates
 }
 
-// grantRate is the rate of one organisation for the entry; limit is the rate of
-// all entries together.
-func (l *Ledger) grantRate(key entryKey, organisation string, limit float64, oldLeasesEnded bool) float64 {
-	lease := l.leases[key]
-	if !oldLeasesEnded {
+// endLeases removes the leases that have ended.
+func (l *Ledger) endLeases(now clock.Instant) {
+	for e := l.byEnd.Front(); e != nil; e = l.byEnd.Front() {
+		lease := e.Value.(*entryLease)
+		if now <= lease.end {
+			return
+		}
+		for organisation, part := range lease.parts {
+			l.sums[organisation].subtract(part)
+		}
+		l.byEnd.Remove(e)
+		delete(l.leases, lease.key)
+	}
+}
+
+// renew returns the entry's lease with a new end, and whether it had one.
+func (l *Ledger) renew(now clock.Instant, key entryKey) (lease *entryLease, renewed bool) {
+	lease, renewed = l.leases[key]
+	if !renewed {
+		lease = &entryLease{key: key, parts: map[string]*leasePart{}}
+		lease.element = l.byEnd.PushBack(lease)
+		l.leases[key] = lease
+	}
+	lease.end = now + Lease + leaseMargin
+	l.byEnd.MoveToBack(lease.element)
+	return lease, renewed
+}
+
+func (l *Ledger) sum(organisation string) *leaseSum {
+	s, ok := l.sums[organisation]
+	if !ok {
+		s = &leaseSum{}
+		l.sums[organisation] = s
+	}
+	return s
+}
+
+// grantRate is the rate of one organisation for the entry with the part; limit is
+// the rate of all entries together, and others the sum of the other entries'
+// parts.
+func (l *Ledger) grantRate(now clock.Instant, part *leasePart, others *leaseSum, limit float64) float64 {
+	if oldLeasesEnded := now-l.start > Lease+leaseMargin; !oldLeasesEnded {
 		// Other entries may still use grants of the previous leader that this one
 		// doesn't know of, so that the entry only keeps the rate that it has.
-		return min(lease.reportedRates[organisation], limit)
+		return min(part.reportedRate, limit)
 	}
 	// evenFraction is split evenly, so that entries without demand can serve
 	// their first requests.
 	const evenFraction = 0.2
-	totalDemand, otherRates := 0.0, 0.0
-	for otherKey, other := range l.leases {
-		totalDemand += other.demand[organisation]
-		if otherKey != key {
-			otherRates += max(other.grantedRates[organisation], other.reportedRates[organisation])
-		}
-	}
 	n := float64(len(l.leases))
 	rate := limit / n
-	if totalDemand > 0 {
-		rate = limit * (evenFraction/n + (1-evenFraction)*lease.demand[organisation]/totalDemand)
+	if totalDemand := others.demand + part.demand; totalDemand > 0 {
+		rate = limit * (evenFraction/n + (1-evenFraction)*part.demand/totalDemand)
 	}
-	return max(min(rate, limit-otherRates), 0)
+	return max(min(rate, limit-others.usableRates), 0)
 }
 
 // bucket is a token bucket: it fills at a rate up to a capacity.
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
+	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -257,3 +259,74 @@
 	g.Expect(float64(served) / float64(sent)).To(gomega.BeNumerically(">", 0.95))
 	g.Expect(f.maxWindowSum()).To(gomega.BeNumerically("<", allowedSum()))
 }
+
+// TestSumsMatchTheLeases grants, renews and ends leases at random, for entries
+// that restart and organisations that come and go, and compares the sums that
+// the ledger keeps with those over all leases.
+func TestSumsMatchTheLeases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Instant(time.Minute)
+		l := NewLedger(0, slack)
+		organisations := []string{"mill", "press", "farm"}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			demands, limits := map[string]Demand{}, map[string]float64{}
+			for _, name := range organisations {
+				if rapid.Bool().Draw(t, "asks") {
+					demands[name] = Demand{Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"), LeasedRate: rapid.Float64Range(0, 1e5).Draw(t, "leased")}
+				}
+				if rapid.IntRange(0, 9).Draw(t, "limited") > 0 {
+					limits[name] = limit
+				}
+			}
+			entry := rapid.IntRange(0, 5).Draw(t, "entry")
+			l.Grant(now, string(rune('a'+entry)), rapid.Uint64Range(1, 2).Draw(t, "incarnation"), demands, limits)
+			for _, name := range organisations {
+				var demand, rates float64
+				for _, lease := range l.leases {
+					if lease.end < now {
+						t.Fatalf("the lease of %v ended at %v, now is %v", lease.key, lease.end, now)
+					}
+					if part, ok := lease.parts[name]; ok {
+						demand += part.demand
+						rates += max(part.grantedRate, part.reportedRate)
+					}
+				}
+				sum := l.sum(name)
+				if math.Abs(sum.demand-demand) > 1e-3 || math.Abs(sum.usableRates-rates) > 1e-3 {
+					t.Fatalf("%s: sums %+v, the leases' are %f and %f", name, *sum, demand, rates)
+				}
+			}
+			if l.byEnd.Len() != len(l.leases) {
+				t.Fatalf("%d leases by end, %d in all", l.byEnd.Len(), len(l.leases))
+			}
+		}
+	})
+}
+
+// BenchmarkGrant measures one grant with 40 organisations, by the number of
+// entries: it must not grow with them.
+func BenchmarkGrant(b *testing.B) {
+	limits := map[string]float64{}
+	for i := range 40 {
+		limits["organisation-"+strconv.Itoa(i)] = limit
+	}
+	for _, entries := range []int{8, 32, 85, 294, 689} {
+		b.Run(strconv.Itoa(entries), func(b *testing.B) {
+			l := NewLedger(0, slack)
+			demands := make([]map[string]Demand, entries)
+			for e := range demands {
+				demands[e] = map[string]Demand{}
+				for i := range 6 {
+					demands[e]["organisation-"+strconv.Itoa((e+i*7)%40)] = Demand{Rate: 1000, LeasedRate: 100}
+				}
+			}
+			now := clock.Instant(time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 300 * time.Millisecond / time.Duration(entries)
+				l.Grant(now, strconv.Itoa(i%entries), 1, demands[i%entries], limits)
+			}
+		})
+	}
+}
