fence, control: Let a returning leader wait for a lease before it calls

A leader that had lost its majority called until its quorum check.

The term stays the token. A call needs a majority's confirmation that is at most 0.3 s old, and a node that has called in an earlier term waits for holderLease after its last call, 6 s longer if that call's outcome is unknown. A successor that has called in no term doesn't wait. Ruled out: a lease in the log that each successor waits out; it would delay orders by 3 s at each loss of a leader, and the platform checks tokens.

--- a/control/duty.go
+++ b/control/duty.go
@@ -9,6 +9,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/fence"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/plan"
 	"github.com/hyssopladder/hyssopladder/platform"
@@ -51,9 +53,8 @@
 	termStart clock.Instant
 	// lastSentWindow is the newest window that the platform has accepted.
 	lastSentWindow uint64
-	// fenced says that the platform rejected this term's token in favour of
-	// another holder; nothing more is sent in this term.
-	fenced           bool
+	// lease says when calls may be sent in this term.
+	lease            *fence.TermLease
 	lastScaled       clock.Instant
 	scaleRequests    map[scaleGroup]*scaleRequest
 	unavailableUntil map[scaleGroup]clock.Instant
@@ -80,7 +81,7 @@
 }
 
 func newDuties(c *Control, cloud *platform.Cloud) *duties {
-	return &duties{control: c, cloud: cloud}
+	return &duties{control: c, cloud: cloud, lease: fence.NewTermLease(c.options.Cloud.HolderLease)}
 }
 
 // run carries out the duties until ctx ends.
@@ -104,14 +105,14 @@
 	}
 	now := d.control.options.Clock()
 	if v.Term != d.term {
-		d.term, d.termStart, d.fenced = v.Term, now, false
+		d.term, d.termStart = v.Term, now
 		d.lastSentWindow = 0
 		d.scaleRequests = map[scaleGroup]*scaleRequest{}
 		d.unavailableUntil = map[scaleGroup]clock.Instant{}
 		d.promptTrends, d.runningTrends = map[string]*plan.Trend{}, map[string]*plan.Trend{}
 		d.highestCounts = map[string]int{}
 	}
-	if d.fenced {
+	if d.lease.Awaited(now, d.term) != 0 {
 		return
 	}
 	if slices.Contains(d.control.options.Cloud.Duties, platform.DutyUsage) {
@@ -127,6 +128,32 @@
 	return platform.Authority{Holder: d.control.options.Name, Token: d.term}
 }
 
+// mayCall reports whether a call may be sent now, as the leader of the term. It
+// asks a majority of the keepers if they were not asked just before.
+func (d *duties) mayCall(ctx context.Context) bool {
+	now := d.control.options.Clock()
+	if d.lease.NeedsConfirmation(now, d.term) {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		confirmed := d.control.options.Keeper.Confirm(ctx)
+		v, _ := d.control.options.Keeper.View()
+		if !confirmed || !v.Leading || v.Term != d.term {
+			klog.InfoS("no call to the platform, as no majority confirmed the leader", "instance", d.control.options.Name, "term", d.term, "leading", v.Leading, "now", v.Term)
+			return false
+		}
+		d.lease.Confirmed(now, d.term)
+	}
+	return d.lease.MaySend(d.control.options.Clock(), d.term)
+}
+
+// called records a call that has ended.
+func (d *duties) called(verdict platform.Verdict) {
+	d.lease.Sent(d.control.options.Clock(), d.term, verdict != 0)
+	if verdict == platform.Fenced {
+		d.lease.Rejected(d.term)
+	}
+}
+
 // reportUsage first records each final window in the keepers' replicated state
 // and then sends it, so that a later leader sends the same counts.
 func (d *duties) reportUsage(ctx context.Context, now clock.Instant, v keeper.View) {
@@ -156,12 +183,12 @@
 			return
 		}
 		if len(window.Counts) > 0 {
-			verdict, err := d.cloud.ReportUsage(ctx, d.authority(), window)
-			klog.InfoS("usage reported", "window", number, "term", d.term, "counts", window.Counts, "verdict", int(verdict), "err", err)
-			if verdict == platform.Fenced {
-				d.fenced = true
+			if !d.mayCall(ctx) {
 				return
 			}
+			verdict, err := d.cloud.ReportUsage(ctx, d.authority(), window)
+			d.called(verdict)
+			klog.InfoS("usage reported", "window", number, "term", d.term, "counts", window.Counts, "verdict", int(verdict), "err", err)
 			if verdict != platform.Accepted {
 				return
 			}
@@ -201,6 +228,12 @@
 	}
 	revision := c.leaderState.revision
 	loads := c.leaderState.sumLoads(now)
+	idle := map[string]bool{}
+	if revision != nil {
+		for i := range revision.Services {
+			idle[revision.Services[i].Name] = c.leaderState.isIdle(now, revision.Services[i].Name)
+		}
+	}
 	upstreams := c.registry.usable()
 	c.mu.Unlock()
 	if revision == nil {
@@ -228,7 +261,7 @@
 			zone.Refused = now < d.unavailableUntil[scaleGroup{service.Name, name, true}]
 			zones = append(zones, zone)
 		}
-		need := d.neededUpstreams(now, service.Name, service.Engine.Slots, len(zones), total, loads[service.Name])
+		need := d.neededUpstreams(now, service, len(zones), total, loads[service.Name], idle[service.Name])
 		targets := plan.Spread(need, zones, plan.Bounds{Min: service.Autoscale.Min, Max: service.Autoscale.Max, ReclaimablePrice: service.Autoscale.ReclaimablePrice})
 		for _, target := range targets {
 			d.scaleZone(ctx, now, service.Name, target, zones, need)
@@ -240,15 +273,17 @@
 // figure, less the cost of decoding at the same time.
 const promptTokensPerSecond = 45_000
 
-// neededUpstreams returns how many upstreams the load of a service needs.
-func (d *duties) neededUpstreams(now clock.Instant, service string, slots, zones, total int, load Load) float64 {
-	capacity := plan.Capacity{PromptRate: promptTokensPerSecond, Slots: float64(slots)}
+// neededUpstreams returns how many upstreams the load of a service needs. idle
+// says that it has had no requests for a while.
+func (d *duties) neededUpstreams(now clock.Instant, s *config.Service, zones, total int, load Load, idle bool) float64 {
+	service := s.Name
+	capacity := plan.Capacity{PromptRate: promptTokensPerSecond, Slots: float64(s.Engine.Slots)}
 	firstRound := d.promptTrends[service] == nil
 	if firstRound {
 		d.promptTrends[service], d.runningTrends[service] = &plan.Trend{}, &plan.Trend{}
 	}
 	d.highestCounts[service] = max(d.highestCounts[service], total)
-	if idle := d.control.leaderState.isIdle(now, service); firstRound || idle {
+	if firstRound || idle {
 		// The demand isn't known at the start of a term or without requests:
 		// the highest number of upstreams in this term is taken as needed.
 		need := float64(d.highestCounts[service])
@@ -293,7 +328,11 @@
 	if request.accepted && request.count == count && settled {
 		return
 	}
+	if !d.mayCall(ctx) {
+		return
+	}
 	verdict, err := d.cloud.Scale(ctx, d.authority(), platform.ScaleRequest{Service: group.service, Zone: group.zone, Count: count, Reclaimable: group.reclaimable})
+	d.called(verdict)
 	klog.InfoS("upstreams ordered", "service", group.service, "zone", group.zone, "reclaimable", group.reclaimable, "count", count, "have", have,
 		"need", need, "term", d.term, "verdict", int(verdict), "err", err)
 	*request = scaleRequest{count: count, sentAt: now, accepted: verdict == platform.Accepted}
@@ -302,8 +341,6 @@
 		if group.reclaimable {
 			d.unavailableUntil[group] = now + unavailablePause
 		}
-	case platform.Fenced:
-		d.fenced = true
-	case platform.Accepted, platform.Busy:
+	case platform.Fenced, platform.Accepted, platform.Busy:
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -90,6 +90,9 @@
 	// UsageWindow is the time that one usage report covers, and UsageWithin the
 	// time after its end within which the report is due.
 	UsageWindow, UsageWithin time.Duration
+	// HolderLease is the time within which no two nodes may take turns at the
+	// calls.
+	HolderLease time.Duration
 	// Duties are the calls that the platform expects: usage, scale.
 	Duties []string
 }
@@ -164,7 +167,7 @@
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 			AssumedEntries: 16, UsageWindow: 5 * time.Second,
 		},
-		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second},
+		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second, HolderLease: 3 * time.Second},
 	}
 }
 
@@ -359,6 +362,7 @@
 	r.address("address", &c.Address)
 	r.positiveDuration("usageWindow", &c.UsageWindow)
 	r.positiveDuration("usageWithin", &c.UsageWithin)
+	r.positiveDuration("holderLease", &c.HolderLease)
 	if r.Has("duties") {
 		c.Duties = r.List("duties")
 	}
