control, keeper, link: Bound the calls of all entries together

Cause: what a leader answers grew with the entries: reports at a fixed interval, 20 a second from each entry before the first answer, a read round for each poll that waits, a wake-up of every held poll for each change, and walks over all entries for each report.

A keeper begins at most one read round in 60 ms for all that wait. Failed calls are repeated after 50 ms, doubling up to 0.6 s, with jitter. Clocks of keepers that are gone no longer count, and an empty list of keepers is cached too.

--- a/control/account.go
+++ b/control/account.go
@@ -20,11 +20,11 @@
 // starts with an empty one.
 type leaderState struct {
 	term   uint64
-	since  clock.Instant
 	ledger *quota.Ledger
 	// reports holds the newest report of each entry.
-	reports map[entryKey]*entryReport
-	work    *upstreamWork
+	reports   map[entryKey]*entryReport
+	lastSweep clock.Instant
+	work      *upstreamWork
 	// limits are the quotas of revision in units per second, by organisation.
 	revision *config.Revision
 	limits   map[string]float64
@@ -47,7 +47,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, since: now, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
@@ -56,6 +56,10 @@
 // reportRetention is how long the report of an entry that is gone is kept.
 const reportRetention = 30 * time.Second
 
+// reportSweepInterval is the time between two sweeps for entries that are gone,
+// which visit all entries.
+const reportSweepInterval = 250 * time.Millisecond
+
 // promptSmoothing is the weight of a new report in promptRates: it averages
 // over about ten reports, which is three seconds.
 const promptSmoothing = 0.1
@@ -156,11 +160,7 @@
 	for name, load := range request.Loads {
 		report.promptRates[name] += promptSmoothing * (load.Prompt - report.promptRates[name])
 	}
-	for otherKey, otherReport := range s.reports {
-		if now-otherReport.receivedAt > reportRetention {
-			delete(s.reports, otherKey)
-		}
-	}
+	s.sweepReports(now)
 	demands := make(map[string]quota.Demand, len(request.Demands))
 	for name, d := range request.Demands {
 		demands[name] = quota.Demand{Rate: d.Rate, LeasedRate: d.LeasedRate, Refunded: d.Refunded}
@@ -174,12 +174,26 @@
 		Others:  s.work.others(key),
 		Entries: s.work.entryCount(),
 	}
+	reply.NextReport = reportInterval(reply.Entries)
 	if s.revision != nil {
 		reply.Config = s.revision.Number
 	}
 	return reply
 }
 
+// sweepReports removes the reports of entries that are gone.
+func (s *leaderState) sweepReports(now clock.Instant) {
+	if now-s.lastSweep < reportSweepInterval {
+		return
+	}
+	s.lastSweep = now
+	for key, report := range s.reports {
+		if now-report.receivedAt > reportRetention {
+			delete(s.reports, key)
+		}
+	}
+}
+
 // sumLoads sums up the recent reports' loads by service, and notes which
 // services have requests.
 func (s *leaderState) sumLoads(now clock.Instant) map[string]Load {
--- a/control/control.go
+++ b/control/control.go
@@ -30,9 +30,6 @@
 	// new announcement. It is longer than a network partition between the
 	// upstream and all keepers, since entries may still reach the upstream.
 	announcementLease = 40 * time.Second
-	// syncHoldTime is how long a sync request is held while there is nothing
-	// new to answer.
-	syncHoldTime = 300 * time.Millisecond
 	// broadcastTimeout bounds the wait for the other nodes before a leaving
 	// upstream gets its answer. The upstream waits for one second at most.
 	broadcastTimeout = 250 * time.Millisecond
@@ -43,11 +40,6 @@
 	confirmTimeout = 900 * time.Millisecond
 	// sweepInterval is the time between two checks for silent upstreams.
 	sweepInterval = 500 * time.Millisecond
-	// wakeDelay is how long a change waits for further ones before the held
-	// sync requests are answered: the upstreams of a reclaimed zone leave
-	// within a few hundredths of a second, and each wake-up reaches every
-	// entry.
-	wakeDelay = 20 * time.Millisecond
 	// peerCacheTime is how long a list of live keepers is reused. It is below
 	// the time after which a silent keeper counts as gone.
 	peerCacheTime = 250 * time.Millisecond
@@ -84,7 +76,10 @@
 	changed chan struct{}
 	// wakePending says that changed will be closed after wakeDelay.
 	wakePending bool
-	// cachedPeers are the keepers that were alive at peersCachedAt.
+	// held is the number of sync requests that wait for an answer.
+	held int
+	// cachedPeers are the keepers that were alive at peersCachedAt; 0 means that
+	// none were listed yet.
 	cachedPeers   []Peer
 	peersCachedAt clock.Instant
 }
@@ -126,7 +121,7 @@
 	defer c.mu.Unlock()
 	if f(c.options.Clock()) && !c.wakePending {
 		c.wakePending = true
-		time.AfterFunc(wakeDelay, c.wakeEntries)
+		time.AfterFunc(wakeDelay(c.held), c.wakeEntries)
 	}
 }
 
@@ -281,7 +276,7 @@
 func writeError(w http.ResponseWriter, e *result.Error) { problem.Write(w, e) }
 
 // serveSync answers an entry as soon as the registry or the configuration is
-// newer than what the entry holds, and otherwise after syncHoldTime.
+// newer than what the entry holds, and otherwise after a while.
 func (c *Control) serveSync(ctx context.Context, body []byte) (any, error) {
 	var request SyncRequest
 	if err := wire.Decode(body, &request); err != nil {
@@ -289,8 +284,16 @@
 	}
 	confirmed := make(chan bool, 1)
 	go func() { confirmed <- c.options.Keeper.Confirm(ctx) }()
-	hold := time.NewTimer(syncHoldTime)
-	defer hold.Stop()
+	c.mu.Lock()
+	c.held++
+	hold := time.NewTimer(holdTime(c.held))
+	c.mu.Unlock()
+	defer func() {
+		hold.Stop()
+		c.mu.Lock()
+		c.held--
+		c.mu.Unlock()
+	}()
 	confirmedConfig, expired := uint64(0), false
 	for {
 		v, viewChanged := c.options.Keeper.View()
@@ -334,7 +337,7 @@
 func (c *Control) livePeers(ctx context.Context) []Peer {
 	now := c.options.Clock()
 	c.mu.Lock()
-	cached, fresh := c.cachedPeers, c.cachedPeers != nil && now-c.peersCachedAt < peerCacheTime
+	cached, fresh := c.cachedPeers, c.peersCachedAt != 0 && now-c.peersCachedAt < peerCacheTime
 	c.mu.Unlock()
 	if fresh {
 		return cached
--- a/control/message.go
+++ b/control/message.go
@@ -169,12 +169,15 @@
 	// entries.
 	Others  fleet.OtherWork `json:"o"`
 	Entries int             `json:"e,omitempty"`
+	// NextReport is when the entry's next report is due, counted from this
+	// one.
+	NextReport time.Duration `json:"x,omitempty"`
 }
 
 // Check verifies a decoded reply.
 func (r *AccountReply) Check() error {
-	if r.Lease < 0 || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
-		return errors.New("account reply with a negative lease, or with too many rates or upstreams")
+	if r.Lease < 0 || r.NextReport < 0 || r.NextReport > maxReportInterval || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
+		return errors.New("account reply with a negative lease, an invalid time of the next report, or too many rates or upstreams")
 	}
 	return nil
 }
--- a/control/upstreamwork.go
+++ b/control/upstreamwork.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"container/list"
 	"maps"
 	"slices"
 
@@ -23,10 +24,14 @@
 	// sorted again.
 	ids      []string
 	idsStale bool
+	// byAge lists the entries in the order of their last reports.
+	byAge *list.List
 }
 
 // entryWork is the work that one entry last reported.
 type entryWork struct {
+	key        entryKey
+	element    *list.Element
 	busy       map[string]fleet.Work
 	reportedAt clock.Instant
 	// sentUntil is the last upstream of the entry's last reply; the next reply
@@ -35,7 +40,7 @@
 }
 
 func newUpstreamWork() *upstreamWork {
-	return &upstreamWork{byEntry: map[entryKey]*entryWork{}, totals: map[string]fleet.Work{}}
+	return &upstreamWork{byEntry: map[entryKey]*entryWork{}, totals: map[string]fleet.Work{}, byAge: list.New()}
 }
 
 // applyReport replaces an entry's work, and drops that of entries that have
@@ -43,17 +48,22 @@
 func (w *upstreamWork) applyReport(now clock.Instant, from entryKey, busy map[string]fleet.Work) {
 	entry, ok := w.byEntry[from]
 	if !ok {
-		entry = &entryWork{}
+		entry = &entryWork{key: from}
+		entry.element = w.byAge.PushBack(entry)
 		w.byEntry[from] = entry
 	}
 	w.add(entry.busy, -1)
 	entry.busy, entry.reportedAt = busy, now
 	w.add(busy, 1)
-	for key, entry := range w.byEntry {
-		if now-entry.reportedAt > reportMaxAge {
-			w.add(entry.busy, -1)
-			delete(w.byEntry, key)
+	w.byAge.MoveToBack(entry.element)
+	for oldest := w.byAge.Front(); oldest != nil; oldest = w.byAge.Front() {
+		entry := oldest.Value.(*entryWork)
+		if now-entry.reportedAt <= reportMaxAge {
+			return
 		}
+		w.add(entry.busy, -1)
+		w.byAge.Remove(oldest)
+		delete(w.byEntry, entry.key)
 	}
 }
 
--- a/control/usagecounts.go
+++ b/control/usagecounts.go
@@ -16,7 +16,8 @@
 // have stopped, and those that it would otherwise have missed because only the
 // leader before it received them. It isn't safe for concurrent use.
 type usageCounts struct {
-	entries map[entryKey]*entryUsage
+	entries   map[entryKey]*entryUsage
+	lastSweep clock.Instant
 }
 
 // entryUsage holds one entry's counts by window number and organisation.
@@ -47,6 +48,10 @@
 			counts[name] = max(counts[name], n)
 		}
 	}
+	if now-c.lastSweep < reportSweepInterval {
+		return
+	}
+	c.lastSweep = now
 	for otherKey, entry := range c.entries {
 		if now-entry.reportedAt > usageRetention {
 			delete(c.entries, otherKey)
--- a/keeper/keeper__read.go
+++ b/keeper/keeper__read.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/actors"
+	"github.com/hyssopladder/hyssopladder/common/pace"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
@@ -19,6 +20,11 @@
 // takes a few milliseconds; after a longer one the caller asks again.
 const confirmTimeout = 700 * time.Millisecond
 
+// confirmInterval is the least time between two read rounds of one keeper. Each
+// costs the leader a message to every other keeper and back, and with many
+// entries some always wait for one.
+const confirmInterval = 60 * time.Millisecond
+
 type (
 	// readRequest asks the leader for its commit index, to be confirmed by the
 	// numbered read round.
@@ -127,27 +133,12 @@
 // serveConfirms answers the callers of Confirm; one read round serves all that
 // wait.
 func (k *Keeper) serveConfirms(ctx context.Context) {
-	for {
-		var waiting []chan<- bool
-		select {
-		case first := <-k.confirmRequests:
-			waiting = append(waiting, first)
-		case <-ctx.Done():
-			return
-		}
-		for more := true; more; {
-			select {
-			case next := <-k.confirmRequests:
-				waiting = append(waiting, next)
-			default:
-				more = false
-			}
-		}
+	pace.Batches(ctx, k.confirmRequests, confirmInterval, func(waiting []chan<- bool) {
 		ok := k.confirm(ctx)
 		for _, reply := range waiting {
 			reply <- ok
 		}
-	}
+	})
 }
 
 // confirm asks the leader, which may be this keeper, for a confirmed index and
--- a/link/link.go
+++ b/link/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -17,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pace"
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
@@ -28,23 +30,23 @@
 // Intervals, timeouts and numbers of calls to the keepers.
 const (
 	// syncTimeout bounds one Sync call, a long poll: without changes the keeper
-	// answers after a third of a second.
+	// answers within six tenths of a second.
 	syncTimeout = time.Second
-	// retryDelay follows a failed Sync call, so that a keeper that refuses
-	// connections isn't called in a busy loop.
-	retryDelay = 100 * time.Millisecond
-	// reportInterval is the time between two reports to the leader.
+	// firstRetryDelay follows a failed call to a keeper and doubles with each
+	// further one, up to maxRetryDelay: entries that start or lose a keeper
+	// together must not keep it busy with calls that time out.
+	firstRetryDelay = 50 * time.Millisecond
+	maxRetryDelay   = 600 * time.Millisecond
+	// reportInterval is the time between two reports to the leader, unless the
+	// leader asks for another one.
 	reportInterval = 300 * time.Millisecond
 	reportTimeout  = 700 * time.Millisecond
-	// usageReportInterval is the time between two reports of usage to the
-	// keepers that don't lead: an entry that is killed loses as much usage.
-	// maxUsageReports limits how many keepers get one, to save traffic. It is
-	// large because more than two voters and a zone may be lost at once.
-	usageReportInterval = 900 * time.Millisecond
-	maxUsageReports     = 8
-	// firstReportInterval is the time between two reports until the leader has
-	// answered one.
-	firstReportInterval = 50 * time.Millisecond
+	// usageReportRatio is the number of reports to the leader for each report of
+	// usage to the keepers that don't lead: an entry that is killed loses as much
+	// usage. maxUsageReports limits how many keepers get one, to save traffic. It
+	// is large because more than two voters and a zone may be lost at once.
+	usageReportRatio = 3
+	maxUsageReports  = 8
 	// reserveTimeout bounds a request's wait for the leader's pool.
 	reserveTimeout    = 400 * time.Millisecond
 	reserveRetryDelay = 40 * time.Millisecond
@@ -95,6 +97,8 @@
 	term   uint64
 	// failedAt is when a keeper last failed to answer. An answer removes it.
 	failedAt map[netip.AddrPort]clock.Instant
+	// nextReport is the time between two reports, as the leader asked.
+	nextReport time.Duration
 	// ownWall and keeperWalls estimate the time of day of this instance's clock
 	// and of the keepers' clocks.
 	ownWall     clock.Wall
@@ -103,7 +107,7 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, seeds: o.Seeds, failedAt: map[netip.AddrPort]clock.Instant{}, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
+	l := &Link{options: o, seeds: o.Seeds, nextReport: reportInterval, failedAt: map[netip.AddrPort]clock.Instant{}, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
 	for _, seed := range o.Seeds {
 		l.keepers = append(l.keepers, control.Peer{Address: seed})
 	}
@@ -112,11 +116,9 @@
 	}
 	go l.reportLoop(ctx)
 	go func() {
-		t := time.NewTicker(usageReportInterval)
-		defer t.Stop()
 		for {
 			select {
-			case <-t.C:
+			case <-time.After(pace.Jitter(usageReportRatio*l.reportInterval(), rand.Float64())):
 				l.ReportUsage(ctx)
 			case <-ctx.Done():
 				return
@@ -183,6 +185,7 @@
 // starts from an empty directoryCursor when the keeper changes or fails.
 func (l *Link) syncLoop(ctx context.Context, loop int) {
 	var cursor directoryCursor
+	backoff := pace.Backoff{First: firstRetryDelay, Max: maxRetryDelay}
 	for ctx.Err() == nil {
 		address, ok := l.chooseKeeper(loop)
 		if ok {
@@ -190,6 +193,7 @@
 				cursor = directoryCursor{address: address}
 			}
 			if err := l.syncOnce(ctx, &cursor); err == nil {
+				backoff.Succeeded()
 				continue
 			} else if ctx.Err() == nil {
 				klog.InfoS("keeper lost", "keeper", address, "err", err)
@@ -198,7 +202,7 @@
 			}
 		}
 		select {
-		case <-time.After(retryDelay):
+		case <-time.After(backoff.Failed(rand.Float64())):
 		case <-ctx.Done():
 		}
 	}
@@ -273,6 +277,7 @@
 	l.setLeader(reply.Leader, reply.Term)
 	if len(reply.Peers) > 0 {
 		l.keepers = l.withSeeds(reply.Peers)
+		l.forgetClocks()
 	}
 	wall, ok := l.keeperWalls[cursor.address]
 	if !ok {
@@ -283,6 +288,14 @@
 	return nil
 }
 
+// forgetClocks drops the clocks of keepers that are gone, which nothing corrects
+// any more. The caller holds l.mu.
+func (l *Link) forgetClocks() {
+	maps.DeleteFunc(l.keeperWalls, func(address netip.AddrPort, _ *clock.Wall) bool {
+		return !slices.ContainsFunc(l.keepers, func(p control.Peer) bool { return p.Address == address })
+	})
+}
+
 // setLeader sets the leader unless one of a higher term is known: a keeper in a
 // minority partition may still name an earlier leader. The caller holds l.mu.
 func (l *Link) setLeader(leader netip.AddrPort, term uint64) {
@@ -411,18 +424,27 @@
 	}
 }
 
+// reportInterval is the time between two reports to the leader.
+func (l *Link) reportInterval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.nextReport
+}
+
 // reportLoop reports demand and usage to the current leader at each interval.
 func (l *Link) reportLoop(ctx context.Context) {
-	t := time.NewTicker(firstReportInterval)
-	defer t.Stop()
-	first := true
+	backoff := pace.Backoff{First: firstRetryDelay, Max: maxRetryDelay}
 	for {
+		began := l.options.Clock()
+		wait := time.Duration(0)
+		if l.reportOnce(ctx) {
+			backoff.Succeeded()
+			wait = pace.Jitter(l.reportInterval(), rand.Float64()) - (l.options.Clock() - began)
+		} else {
+			wait = backoff.Failed(rand.Float64())
+		}
 		select {
-		case <-t.C:
-			if l.reportOnce(ctx) && first {
-				first = false
-				t.Reset(reportInterval)
-			}
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
@@ -448,10 +470,16 @@
 	}
 	if reply.Leading {
 		l.options.OnReply(askedAt, reply)
-		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if reply.Leading {
+		l.nextReport = reportInterval
+		if reply.NextReport > 0 {
+			l.nextReport = reply.NextReport
+		}
+		return true
+	}
 	l.setLeader(reply.Leader, reply.Term)
 	return false
 }
