claim, member, fleet: Forget what is gone, and keep payloads with their versions

Causes: freed claims stayed listed behind one that lives; a renewal was taken over a missed change, with the old payload; entries kept ended upstreams for ever; a change of any service but the first wasn't told.

--- a/claim/registry.go
+++ b/claim/registry.go
@@ -8,6 +8,7 @@
 package claim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -235,6 +236,7 @@
 	switch s.Outcome {
 	case Free:
 		delete(r.registers, s.Key)
+		r.dropFreedClaims()
 	case Answered:
 		reg.State = Answered
 		reg.Answer = s.Answer
@@ -247,6 +249,19 @@
 	return Reply{State: s.Outcome}
 }
 
+// freedClaimsKept is the number of freed claims, beyond as many as there are
+// registers, that stay listed until they are dropped together.
+const freedClaimsKept = 64
+
+// dropFreedClaims drops the listed claims whose registers are gone, once they are
+// more than the others.
+func (r *Registry) dropFreedClaims() {
+	if len(r.claimOrder) <= 2*len(r.registers)+freedClaimsKept {
+		return
+	}
+	r.claimOrder = slices.DeleteFunc(r.claimOrder, func(ref claimRef) bool { return r.registerOf(ref) == nil })
+}
+
 // dropBodies drops the oldest bodies while they exceed MaxStoredBytes.
 func (r *Registry) dropBodies() {
 	for r.storedBytes > MaxStoredBytes && len(r.answered) > 0 {
--- a/claim/registry_test.go
+++ b/claim/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -209,3 +210,25 @@
 		r.Apply(Command{Advance: &Advance{maxAdvance}})
 	})
 }
+
+// TestFreedClaimsTakeNoRoom frees claims behind one register that stays: neither
+// the memory nor the snapshot may grow with them.
+func TestFreedClaimsTakeNoRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := New()
+	key := func(name string) Key { return Key{Caller: "app", Service: "booking", Key: name} }
+	r.Apply(Command{Claim: &Claim{Key: key("held"), Owner: "o"}})
+	for i := range 10_000 {
+		k := key(strconv.Itoa(i))
+		g.Expect(r.Apply(Command{Claim: &Claim{Key: k, Owner: "o"}}).Granted).To(gomega.BeTrue())
+		r.Apply(Command{Settle: &Settle{Key: k, Owner: "o", Outcome: Free}})
+	}
+	g.Expect(r.Len()).To(gomega.Equal(1))
+	g.Expect(len(r.claimOrder)).To(gomega.BeNumerically("<=", freedClaimsKept+2))
+	snapshot, err := r.Snapshot()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(snapshot)).To(gomega.BeNumerically("<", 10<<10))
+	r.Apply(Command{Advance: &Advance{By: maxAdvance}})
+	r.Apply(Command{Advance: &Advance{By: maxAdvance}})
+	g.Expect(r.Apply(Command{Claim: &Claim{Key: key("held"), Owner: "p"}}).State).To(gomega.Equal(Unknown), "the register that stays still ends in time")
+}
--- a/control/registry.go
+++ b/control/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -61,7 +62,7 @@
 func differs(a, b upstream.Announcement) bool {
 	return a.Incarnation != b.Incarnation || a.Address != b.Address || a.Leaving != b.Leaving ||
 		a.Slots != b.Slots || a.Zone != b.Zone || a.Reclaimable != b.Reclaimable ||
-		len(a.Services) != len(b.Services) || len(a.Services) > 0 && a.Services[0] != b.Services[0] ||
+		!slices.Equal(a.Services, b.Services) ||
 		(a.Cold > 0) != (b.Cold > 0)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -225,10 +225,32 @@
 	for i := range members {
 		f.mergeMember(now, members[i])
 	}
+	f.forgetEnded(now)
 	f.scheduleAll(now)
 	return f.takeActions()
 }
 
+// endedRetention is how long an upstream that has ended is kept, so that no
+// keeper that still lists it can bring it back. Keepers keep it for a minute.
+const endedRetention = 3 * time.Minute
+
+// forgetEnded removes the upstreams that ended endedRetention ago.
+func (f *Fleet) forgetEnded(now clock.Instant) {
+	for id, u := range f.upstreams {
+		switch {
+		case !u.Ended:
+			u.endedAt = 0
+		case u.endedAt == 0:
+			u.endedAt = now
+		case now-u.endedAt > endedRetention && u.running == 0:
+			f.remove(u)
+			if address := u.Address.String(); f.idByAddress[address] == id {
+				delete(f.idByAddress, address)
+			}
+		}
+	}
+}
+
 func (f *Fleet) mergeMember(now clock.Instant, m upstream.Member) {
 	u, ok := f.upstreams[m.ID]
 	switch {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -410,3 +411,26 @@
 		}
 	})
 }
+
+// TestEndedUpstreamsAreForgotten replaces upstreams for a long day: only those
+// that serve, and those that ended lately, may take memory.
+func TestEndedUpstreamsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := New(Options{Zone: "a"})
+	now := clock.Instant(time.Minute)
+	const interval = 10 * time.Second
+	for i := range 500 {
+		now += interval
+		m := upstream.Member{Announcement: upstream.Announcement{
+			ID: "u" + strconv.Itoa(i), Incarnation: uint64(i + 1), Sequence: 1, Services: []string{"s"},
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)), Slots: 1, Lease: time.Minute,
+		}}
+		f.Merge(now, []upstream.Member{m})
+		m.Ended = true
+		f.Merge(now+time.Second, []upstream.Member{m})
+	}
+	kept := int(endedRetention/interval) + 2
+	g.Expect(len(f.upstreams)).To(gomega.BeNumerically("<=", kept))
+	g.Expect(len(f.idByAddress)).To(gomega.BeNumerically("<=", kept))
+	g.Expect(len(f.service("s").upstreams)).To(gomega.BeNumerically("<=", kept))
+}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -32,6 +32,9 @@
 	slowness float64
 	// failureRate is a moving average of the fraction of failed answers.
 	failureRate float64
+	// endedAt is when the upstream was first seen to have ended; 0 while it
+	// hasn't.
+	endedAt clock.Instant
 	// replaced says that a newer upstream has announced the address or the ID.
 	replaced bool
 	// cachedPrefixes maps the hash of each prefix that is assumed to be cached
--- a/member/record.go
+++ b/member/record.go
@@ -76,6 +76,9 @@
 	// Renewal says that the payload was left out, since it is the same as in
 	// the previous version.
 	Renewal bool `json:"w,omitempty"`
+	// PayloadHash identifies the payload that a renewal left out; 0 from a node
+	// of an earlier version.
+	PayloadHash uint64 `json:"h,omitempty"`
 }
 
 // Check verifies a decoded record.
--- a/member/table.go
+++ b/member/table.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
@@ -75,12 +77,12 @@
 	}
 	sameIncarnation := ok && current.record.Incarnation == r.Incarnation
 	if r.Renewal {
-		if !sameIncarnation || current.record.Leaving != r.Leaving {
-			// The previous version is missing, and with it the payload;
-			// a comparison will bring the whole record.
+		if !sameIncarnation || current.record.Leaving != r.Leaving || r.PayloadHash != 0 && r.PayloadHash != xxhash.Sum64(current.record.Payload) {
+			// An earlier version is missing, and with it the payload; a
+			// comparison will bring the whole record.
 			return false
 		}
-		r.Payload, r.Renewal = current.record.Payload, false
+		r.Payload, r.Renewal, r.PayloadHash = current.record.Payload, false, 0
 	}
 	next := &row{record: r, renewal: sameIncarnation && bytes.Equal(r.Payload, current.record.Payload)}
 	if r.Remaining > 0 {
@@ -166,6 +168,7 @@
 	for _, key := range sortedKeys(t.pushesLeft) {
 		record, ok := t.rows[key].outgoing(now)
 		if t.rows[key].renewal && len(record.Payload) > 0 && !record.Leaving {
+			record.PayloadHash = xxhash.Sum64(record.Payload)
 			record.Payload, record.Renewal = nil, true
 		}
 		if size > 0 && size+len(record.Payload) > limit {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -215,3 +216,30 @@
 	push, _ := origin.Compare(0, late.Digest())
 	g.Expect(late.MergeDirect(0, push)).NotTo(gomega.BeEmpty())
 }
+
+// TestRenewalDoesNotHideAMissedChange loses the push of a change and delivers the
+// renewal after it: the old payload must not stand under the new version, and a
+// comparison brings the new one.
+func TestRenewalDoesNotHideAMissedChange(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Instant(time.Second)
+	record := func(sequence uint64, payload string) Record {
+		return Record{Key: Key{Kind: Upstream, ID: "u"}, Version: Version{Incarnation: 1, Sequence: sequence}, Remaining: MaxLease, Payload: []byte(payload)}
+	}
+	origin, other := New(), New()
+	for _, table := range []*Table{origin, other} {
+		table.Merge(now, []Record{record(1, "old")})
+	}
+	origin.Merge(now, []Record{record(2, "new")})
+	origin.NextPush(now, 1<<20, true)
+	origin.Merge(now, []Record{record(3, "new")})
+	renewal := origin.NextPush(now, 1<<20, true)
+	g.Expect(renewal).To(gomega.HaveLen(1))
+	g.Expect(renewal[0].Renewal).To(gomega.BeTrue())
+	other.Merge(now, renewal)
+	got, _ := other.Get(renewal[0].Key)
+	g.Expect(string(got.Payload) + " " + strconv.FormatUint(got.Sequence, 10)).To(gomega.BeElementOf("old 1", "new 3"))
+	other.Merge(now, []Record{record(3, "new")})
+	got, _ = other.Get(renewal[0].Key)
+	g.Expect(string(got.Payload)).To(gomega.Equal("new"))
+}
