entry: Wait for the outcome of a key that another request holds

The repeat now asks again for up to 0.8 s, within which an election ends.

Ruled out: answering only after the outcome is on disks; each booking would take a majority's sync longer, and one without a majority would get no answer though it ran.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -27,6 +27,35 @@
 // another request runs the call or no majority of keepers is reachable.
 const claimRetryAfter = time.Second
 
+// A request whose key another request holds waits for that one's outcome. A
+// caller that repeats a call right after its answer may be faster than the
+// keepers' disks, which take a few milliseconds, or up to an election's time
+// when the leader is lost.
+const (
+	outcomeWait      = 800 * time.Millisecond
+	firstOutcomePoll = 10 * time.Millisecond
+	maxOutcomePoll   = 100 * time.Millisecond
+)
+
+// claimKey claims the key of a call. While another request holds the key, it
+// asks again until that request's outcome is known, for outcomeWait at most.
+func claimKey(ctx context.Context, claims Claims, c claim.Claim) (claim.Reply, error) {
+	limit := time.After(outcomeWait)
+	for delay := firstOutcomePoll; ; delay = min(2*delay, maxOutcomePoll) {
+		reply, err := claims.Claim(ctx, c)
+		if err != nil || reply.Granted || reply.Reused || reply.State != claim.Claimed {
+			return reply, err
+		}
+		select {
+		case <-time.After(delay):
+		case <-limit:
+			return reply, nil
+		case <-ctx.Done():
+			return reply, nil
+		}
+	}
+}
+
 // runClaimed runs a call with an idempotency key under a claim. If an earlier
 // request holds the key, it returns that request's outcome instead.
 func (p *plainCall) runClaimed(ctx context.Context) (*plainResponse, error) {
@@ -35,7 +64,7 @@
 		CallHash: p.callHash(),
 		Owner:    p.entry.options.Node.Name + "/" + rand.Text(),
 	}
-	reply, err := p.entry.options.Claims.Claim(ctx, c)
+	reply, err := claimKey(ctx, p.entry.options.Claims, c)
 	if err != nil {
 		// The claim may have been granted, but this request won't run the
 		// call, so it is released.
