plan, control: Order upstreams by what was given, all at once, and before the last zone goes

Now a forecast starts from the upstreams that others gave, with a stated reserve of 0.3; fixed upstreams for 0.35 of the need are ordered before the last zone is lost; orders of a step go out together, increases first, and each duty has a goroutine of its own; nothing is given back while the directory fills, nor less than a sixteenth of a group.

--- a/control/control.go
+++ b/control/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,7 +98,13 @@
 	o.Server.Handle(platform.PutConfigPattern, http.HandlerFunc(c.servePutConfig))
 	o.Server.Handle(platform.GetConfigPattern, http.HandlerFunc(c.serveGetConfig))
 	if o.Cloud.Address.IsValid() {
-		go newDuties(c, platform.NewCloud(o.Cloud.Address)).run(ctx)
+		cloud := platform.NewCloud(o.Cloud.Address)
+		if slices.Contains(o.Cloud.Duties, platform.DutyUsage) {
+			go newUsageDuty(c, cloud).run(ctx)
+		}
+		if slices.Contains(o.Cloud.Duties, platform.DutyScale) {
+			go newScaleDuty(c, cloud).run(ctx)
+		}
 	}
 	go func() {
 		t := time.NewTicker(sweepInterval)
--- a/control/registry.go
+++ b/control/registry.go
@@ -26,6 +26,8 @@
 	// changes lists the registrations, the last changed one first, so that
 	// changedSince visits only those that it returns.
 	changes *list.List
+	// grownAt is when the last new upstream was heard of.
+	grownAt clock.Instant
 }
 
 type registration struct {
@@ -47,6 +49,7 @@
 		known = &registration{}
 		known.element = r.changes.PushFront(known)
 		r.upstreams[a.ID] = known
+		r.grownAt = now
 	}
 	changed := !ok || known.Silent || known.Ended || differs(a, known.Announcement)
 	known.Member = upstream.Member{Announcement: a}
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -55,3 +56,35 @@
 	r.sweep(10*time.Second + forgetAfter + 1)
 	g.Expect(r.changedSince(0)).To(gomega.BeEmpty())
 }
+
+// TestOrdersWhileTheDirectoryFills starts a keeper beside its upstreams, which
+// announce themselves one after the other: until that is over, more upstreams may
+// be ordered, but none given back.
+func TestOrdersWhileTheDirectoryFills(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Instant(time.Minute)
+	d := &scaleDuty{duty: duty{control: &Control{startedAt: now}}, requests: map[scaleGroup]*scaleRequest{}}
+	grownAt := now
+	for range 4 {
+		now += time.Second
+		grownAt = now
+		g.Expect(d.registryComplete(now, grownAt)).To(gomega.BeFalse())
+	}
+	g.Expect(d.registryComplete(now+registrySettleTime, grownAt)).To(gomega.BeTrue())
+	g.Expect(d.registryComplete(now, now)).To(gomega.BeTrue(), "upstreams that were ordered don't count")
+}
+
+// TestSmallDecreasesAreNotOrdered compares orders by how much they change: each
+// takes the platform's time.
+func TestSmallDecreasesAreNotOrdered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := &scaleDuty{requests: map[scaleGroup]*scaleRequest{}}
+	group := scaleGroup{"s", "a", true}
+	d.requests[group] = &scaleRequest{count: 94, accepted: true, reached: true}
+	now := clock.Instant(time.Minute)
+	for count, due := range map[int]bool{95: true, 94: false, 93: false, 89: false, 88: true, 0: true} {
+		g.Expect(d.due(now, scaleOrder{group, count, 94})).To(gomega.Equal(due), "from 94 to %d", count)
+	}
+	d.requests[group] = &scaleRequest{count: 5, accepted: true, reached: true}
+	g.Expect(d.due(now, scaleOrder{group, 4, 5})).To(gomega.BeTrue(), "one of five")
+}
--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -78,6 +78,10 @@
 const (
 	fixedFraction        = 0.5
 	fixedFractionRefused = 0.6
+	// survivingFraction of the need has to be left when the zone with the most
+	// reclaimable upstreams loses all of them: they would run at eight tenths of
+	// their capacity. New ones take longer to start than a zone's notice lasts.
+	survivingFraction = 0.35
 )
 
 // SupportedDemand is the demand that n upstreams carry.
@@ -100,11 +104,12 @@
 	byPrice := append([]ZoneState(nil), zones...)
 	sort.SliceStable(byPrice, func(i, j int) bool { return byPrice[i].Price < byPrice[j].Price })
 	targets := make([]ZoneTarget, len(byPrice))
-	reclaimableServing := 0
+	reclaimableServing, largestServing := 0, 0
 	for i, z := range byPrice {
 		targets[i] = ZoneTarget{Zone: z.Name, Reclaimable: b.Min}
 		reclaimable -= b.Min
 		reclaimableServing += z.Reclaimable
+		largestServing = max(largestServing, z.Reclaimable)
 		if z.Refused {
 			targets[i].Fixed = max(b.Min-z.Reclaimable, 0)
 		}
@@ -116,7 +121,10 @@
 			fraction = fixedFractionRefused
 		}
 	}
-	fixed := int(math.Ceil(need*fraction)) - reclaimableServing
+	fixed := max(
+		int(math.Ceil(need*fraction))-reclaimableServing,
+		int(math.Ceil(need*survivingFraction))-(reclaimableServing-largestServing),
+	)
 	for _, t := range targets {
 		fixed -= t.Fixed
 	}
