--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -41,8 +41,16 @@
 	ginkgo.GinkgoHelper()
 	r := &replica{id: id, service: service, zone: zone}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
+	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); r.server.Close() })
+	announce(id, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
+	return r
+}
+
+// announce sends the heartbeats of a replica to the keepers in turn, until the
+// test ends.
+func announce(id, service, zone string, address net.Addr, keepers []*process, leaving *atomic.Bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	ginkgo.DeferCleanup(func() { cancel(); r.server.CloseClientConnections(); r.server.Close() })
+	ginkgo.DeferCleanup(cancel)
 	born := time.Now().UnixMilli()
 	go func() {
 		defer ginkgo.GinkgoRecover()
@@ -50,11 +58,11 @@
 		defer ticker.Stop()
 		for seq := 1; ; seq++ {
 			state := "ready"
-			if r.leaving.Load() {
+			if leaving.Load() {
 				state = "draining"
 			}
 			body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`,
-				service, r.server.Listener.Addr(), zone, state, seq, born)
+				service, address, zone, state, seq, born)
 			keeper := keepers[seq%len(keepers)]
 			response, err := http.Post(fmt.Sprintf("http://%s/v1/replicas/%s/heartbeat", keeper.Peers, id), "application/json", strings.NewReader(body))
 			if err == nil {
@@ -67,7 +75,6 @@
 			}
 		}
 	}()
-	return r
 }
 
 func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
