wal, consensus, keeper: Stay up while the disk is full

A write that finds no space is taken back (or its tail is cut before the next one), and the same Save may be repeated. Meanwhile the keeper hands over the leadership, refuses proposals with 7003, confirms only what is stored, sends no vote that isn't, and applies what others have stored. Nothing is cut from the log that isn't on disk. Other failures are final as before.

--- a/consensus/actions_test.go
+++ b/consensus/actions_test.go
@@ -49,6 +49,9 @@
 		},
 		"compact": func(t *rapid.T) {
 			m := c.pickAlive(t)
+			if m.diskFull {
+				t.Skip("a full disk")
+			}
 			data, err := m.store.Snapshot()
 			if err != nil {
 				t.Fatal(err)
@@ -57,7 +60,9 @@
 			if err != nil {
 				t.Skip(err.Error())
 			}
-			m.disk.Snapshot = s
+			// The log on disk is replaced too, with the entries that weren't
+			// stored yet.
+			m.disk = consensus.Stored{Snapshot: s, State: m.node.State(), Entries: slices.Clone(m.node.Entries())}
 		},
 		"cut": func(t *rapid.T) {
 			from, to := c.pickAlive(t), c.pickAlive(t)
--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -25,10 +25,12 @@
 
 // member is one node with its disk and state machine.
 type member struct {
-	id    consensus.ID
-	node  *consensus.Node
-	disk  consensus.Stored
-	store *document.Store
+	id   consensus.ID
+	node *consensus.Node
+	disk consensus.Stored
+	// diskFull says that nothing can be stored for now.
+	diskFull bool
+	store    *document.Store
 	// proposals are those whose clients wait at this member, by log index.
 	proposals map[uint64]proposal
 	reads     []pendingRead
@@ -164,6 +166,17 @@
 		m.node = nil
 		return
 	}
+	if m.diskFull && r.MustSync() {
+		c.network = append(c.network, m.node.Unsaved(r)...)
+		if r.Snapshot == nil {
+			for _, e := range r.Committed {
+				c.apply(m, e)
+			}
+			m.node.AdvanceUnsaved(r)
+		}
+		c.checkReads(m)
+		return
+	}
 	m.disk.State = r.State
 	if r.Snapshot != nil {
 		m.disk.Snapshot = *r.Snapshot
@@ -280,6 +293,9 @@
 		}
 		c.changes = append(c.changes, c.randomChange())
 		c.propose(from, c.changes[len(c.changes)-1])
+		if m := alive[c.random.IntN(len(alive))]; m.diskFull || c.random.IntN(4) == 0 {
+			m.diskFull = !m.diskFull
+		}
 	}
 	if c.random.IntN(10) == 0 {
 		c.proposeRandomVoters()
@@ -405,6 +421,9 @@
 func (c *cluster) healAndCheck() {
 	c.cutLinks = map[[2]consensus.ID]bool{}
 	c.lossy = false
+	for _, m := range c.members {
+		m.diskFull = false
+	}
 	c.actions()["restart"](c.t)
 	final := document.Change{ID: "final", Any: true, Document: testDocument("final", 1)}
 	const maxRounds = 3000
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -314,6 +314,31 @@
 	}
 }
 
+// Unsaved returns the messages of r that may be sent though r couldn't be stored
+// for now. Replies confirm only what is stored. With a term or vote that isn't
+// stored, nothing may be sent.
+func (n *Node) Unsaved(r Ready) []Message {
+	if r.StateChanged || r.Snapshot != nil {
+		return nil
+	}
+	messages := append([]Message(nil), r.Messages...)
+	for i := range messages {
+		if m := &messages[i]; m.Kind == AppendReply && !m.Reject {
+			m.Index = min(m.Index, n.log.stable)
+		}
+	}
+	return messages
+}
+
+// AdvanceUnsaved reports to the node that r's messages were sent as Unsaved
+// returned them and its entries applied, but that nothing of it is stored. The
+// next Ready has to be stored too.
+func (n *Node) AdvanceUnsaved(r Ready) {
+	if len(r.Committed) > 0 {
+		n.applied = max(n.applied, r.Committed[len(r.Committed)-1].Index)
+	}
+}
+
 // Compact makes data, the state machine's state at the applied index, the new
 // snapshot and drops older entries. The last keep entries stay for followers
 // that are slightly behind. It returns the snapshot to store.
@@ -327,7 +352,8 @@
 		return Snapshot{}, errors.Errorf("the log can't be compacted: it has no applied entry at index %d", n.applied)
 	}
 	s := Snapshot{Index: n.applied, Term: term, Config: config, Data: data}
-	n.log.compact(s, s.Index-min(keep, s.Index))
+	// Entries that aren't stored yet stay: the log on disk must have no gap.
+	n.log.compact(s, min(s.Index-min(keep, s.Index), n.log.stable))
 	return s, nil
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -84,8 +84,11 @@
 	pending        map[uint64]pendingProposal
 	flushScheduled bool
 	// failure is why the keeper has stopped; nil while it works.
-	failure      *result.Error
-	pendingReads []readRequest
+	failure *result.Error
+	// fullSince is when the disk became full, 0 while it isn't, and lastFull when
+	// it last was.
+	fullSince, lastFull clock.Instant
+	pendingReads        []readRequest
 	// hasDocuments says that the log has been applied up to its commit index
 	// once, so that the documents in force are known.
 	hasDocuments bool
@@ -315,7 +318,10 @@
 	}
 	own := k.options.Journal.Identity().Cluster
 	if own == 0 {
-		if err := k.options.Journal.Join(b.Cluster); err != nil {
+		if err := k.options.Journal.Join(b.Cluster); wal.IsFull(err) {
+			klog.ErrorS(err, "cluster not joined yet", "instance", k.options.Name, "cluster", b.Cluster)
+			return
+		} else if err != nil {
 			k.fail(err)
 			return
 		}
@@ -334,6 +340,9 @@
 	case k.failure != nil:
 		m.reply <- Reply{NotLeader: true, Code: k.failure.Code, Detail: k.failure.Detail}
 		return
+	case k.refusesForFullDisk():
+		m.reply <- Reply{NotLeader: true, Code: result.JournalFull, Detail: "the disk of this keeper is full"}
+		return
 	case len(k.pending) >= maxPending:
 		m.reply <- Reply{NotLeader: true, Code: result.Overloaded, Detail: "too many proposals are pending"}
 		return
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -8,6 +8,7 @@
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 // flush writes to the journal, sends and applies what the consensus node has
@@ -25,10 +26,14 @@
 		k.send(r.Early)
 		if r.MustSync() {
 			start := time.Now()
-			if err := k.options.Journal.Save(r); err != nil {
+			if err := k.options.Journal.Save(r); wal.IsFull(err) {
+				k.flushUnsaved(r, err)
+				break
+			} else if err != nil {
 				k.fail(err)
 				return
 			}
+			k.noteSaved()
 			k.syncTimes.UpdateSince(start)
 			k.syncedEntries.Update(int64(len(r.Entries)))
 		}
@@ -42,6 +47,46 @@
 	k.afterFlush()
 }
 
+// fullRetryInterval is how long a keeper whose disk was full accepts no proposals.
+// It saves what it has with each tick.
+const fullRetryInterval = 500 * time.Millisecond
+
+// flushUnsaved does what may be done of r while the disk is full: this keeper goes
+// on following, voting for leaders as far as its log allows, and applying what
+// others have stored. If it leads, it hands that over.
+func (k *Keeper) flushUnsaved(r consensus.Ready, cause error) {
+	if k.fullSince == 0 {
+		k.fullSince = k.options.Clock()
+		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
+	}
+	k.lastFull = k.options.Clock()
+	k.node.TransferLeadership()
+	k.send(k.node.Unsaved(r))
+	if r.Snapshot != nil {
+		// The entries after it can't be applied before it is stored.
+		return
+	}
+	if err := k.applyReady(r); err != nil {
+		k.fail(result.New(result.JournalDamaged, result.RanUnknown, "%v", err))
+		return
+	}
+	k.node.AdvanceUnsaved(r)
+}
+
+// noteSaved records that the disk has room.
+func (k *Keeper) noteSaved() {
+	if k.fullSince != 0 {
+		klog.InfoS("disk has room again", "instance", k.options.Name, "full", k.options.Clock()-k.fullSince)
+		k.fullSince = 0
+	}
+}
+
+// refusesForFullDisk reports whether the disk was full so lately that proposals
+// are refused.
+func (k *Keeper) refusesForFullDisk() bool {
+	return k.fullSince != 0 && k.options.Clock()-k.lastFull < fullRetryInterval
+}
+
 func (k *Keeper) applyReady(r consensus.Ready) error {
 	if r.Snapshot != nil {
 		if err := k.machine.restore(r.Snapshot.Data); err != nil {
@@ -89,7 +134,7 @@
 		k.hasDocuments = true
 		k.options.Gossip.SetHasDocuments()
 	}
-	if k.options.Journal.Size() > compactThresholdBytes && s.Applied > 0 {
+	if k.options.Journal.Size() > compactThresholdBytes && s.Applied > 0 && !k.refusesForFullDisk() {
 		k.compact()
 	}
 }
@@ -118,7 +163,14 @@
 		k.fail(err)
 		return
 	}
-	if err := k.options.Journal.Compact(s, k.node.State(), k.node.Entries()); err != nil {
+	if err := k.options.Journal.Compact(s, k.node.State(), k.node.Entries()); wal.IsFull(err) {
+		// The log stays as it is; the next flush after fullRetryInterval tries
+		// again.
+		klog.ErrorS(err, "log not compacted", "instance", k.options.Name)
+		k.lastFull = k.options.Clock()
+		k.fullSince = max(k.fullSince, k.lastFull)
+		return
+	} else if err != nil {
 		k.fail(err)
 		return
 	}
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -71,13 +71,29 @@
 
 // Journal is an open data folder. It isn't safe for concurrent use. After a
 // failed write Save and Compact return its error and write nothing, since it
-// isn't known what is on disk.
+// isn't known what is on disk. The exception is a full disk: what it held before
+// is still there, and a later call may succeed (see IsFull).
 type Journal struct {
 	fs       FS
 	log      File
 	size     int64
 	identity Identity
 	failure  error
+	// hasTornTail says that bytes of a write that failed follow the log's frames.
+	hasTornTail bool
+}
+
+// IsFull reports whether an error of Save or Compact says that the disk is full.
+// Then nothing was stored, and the same call may be repeated.
+func IsFull(err error) bool {
+	return err != nil && result.From(err).Code == result.JournalFull
+}
+
+// errFull is the cause of an error that IsFull recognises.
+var errFull = errors.New("the disk is full")
+
+func isNoSpace(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
 
 // Open reads a data folder. newID returns the ID for a new folder. A torn tail
@@ -210,8 +226,16 @@
 
 // Join permanently records the cluster that the folder belongs to.
 func (j *Journal) Join(cluster uint64) error {
-	j.identity.Cluster = cluster
-	return j.recordFailure(j.replaceFile(identityFile, wire.MustEncode(&j.identity)))
+	if j.failure != nil {
+		return j.failure
+	}
+	joined := j.identity
+	joined.Cluster = cluster
+	if err := j.replaceFile(identityFile, wire.MustEncode(&joined)); err != nil {
+		return j.recordFailure(err)
+	}
+	j.identity = joined
+	return nil
 }
 
 // Save stores and syncs the state, snapshot and entries of a Ready.
@@ -231,9 +255,19 @@
 }
 
 func (j *Journal) appendBatch(b batch) error {
+	if err := j.truncateTail(); err != nil {
+		return err
+	}
 	frame := appendFrame(nil, wire.MustEncode(&b))
 	if _, err := j.log.Write(frame); err != nil {
-		return errors.Wrap(err, "write log")
+		j.hasTornTail = true
+		if !isNoSpace(err) {
+			return errors.Wrap(err, "write log")
+		}
+		if err := j.truncateTail(); err != nil && !errors.Is(err, errFull) {
+			return err
+		}
+		return errors.Wrap(errFull, "write log")
 	}
 	if err := j.log.Sync(); err != nil {
 		return errors.Wrap(err, "sync log")
@@ -242,6 +276,22 @@
 	return nil
 }
 
+// truncateTail removes what a failed write left behind the log's frames.
+func (j *Journal) truncateTail() error {
+	if !j.hasTornTail {
+		return nil
+	}
+	switch err := j.fs.Truncate(logFile, j.size); {
+	case err == nil:
+		j.hasTornTail = false
+		return nil
+	case isNoSpace(err):
+		return errors.Wrap(errFull, "truncate log")
+	default:
+		return errors.Wrap(err, "truncate log")
+	}
+}
+
 // Compact stores a snapshot and starts a new log with the given state and
 // entries.
 func (j *Journal) Compact(s consensus.Snapshot, state consensus.HardState, entries []consensus.Entry) error {
@@ -258,13 +308,14 @@
 // replaceLog replaces the log file by one with a single batch.
 func (j *Journal) replaceLog(state consensus.HardState, entries []consensus.Entry) error {
 	payload := wire.MustEncode(&batch{State: &state, Entries: entries})
+	if err := j.replaceFile(logFile, payload); err != nil {
+		return err
+	}
 	if j.log != nil {
 		_ = j.log.Close()
 		j.log = nil
 	}
-	if err := j.replaceFile(logFile, payload); err != nil {
-		return err
-	}
+	j.hasTornTail = false
 	j.size = int64(frameHeaderBytes + len(payload))
 	log, err := j.fs.Append(logFile)
 	j.log = log
@@ -275,6 +326,9 @@
 func (j *Journal) replaceFile(name string, payload []byte) error {
 	f, err := j.fs.Create(name + temporarySuffix)
 	if err != nil {
+		if isNoSpace(err) {
+			err = errFull
+		}
 		return errors.Wrapf(err, "create %s", name)
 	}
 	_, err = f.Write(appendFrame(nil, payload))
@@ -284,6 +338,10 @@
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
+	if isNoSpace(err) {
+		// The file that would be replaced is untouched.
+		err = errFull
+	}
 	if err == nil {
 		err = j.fs.Rename(name+temporarySuffix, name)
 	}
@@ -294,16 +352,15 @@
 }
 
 // recordFailure keeps a failure, with its result code, as the answer to later
-// calls of Save and Compact.
+// calls of Save and Compact, unless the disk was full.
 func (j *Journal) recordFailure(err error) error {
 	if err == nil {
 		return nil
 	}
-	code := result.JournalSyncFailed
-	if errors.Is(err, syscall.ENOSPC) {
-		code = result.JournalFull
+	if errors.Is(err, errFull) {
+		return result.New(result.JournalFull, result.RanNo, "%v", err)
 	}
-	j.failure = result.New(code, result.RanUnknown, "%v", err)
+	j.failure = result.New(result.JournalSyncFailed, result.RanUnknown, "%v", err)
 	return j.failure
 }
 
--- a/wal/journal_test.go
+++ b/wal/journal_test.go
@@ -77,6 +77,33 @@
 	}
 }
 
+// saveOnFullDisk saves while the disk is full, which stores nothing, and again
+// once there is room, perhaps after a crash.
+func (m *journalModel) saveOnFullDisk(t *rapid.T) {
+	r := m.drawReady(t)
+	m.fs.diskFull, m.fs.truncateFails = true, rapid.Bool().Draw(t, "truncateFails")
+	for range rapid.IntRange(1, 3).Draw(t, "tries") {
+		if err := m.journal.Save(r); !IsFull(err) {
+			t.Fatalf("Save on a full disk: %v", err)
+		}
+	}
+	if rapid.Bool().Draw(t, "compact") && len(entriesAfterSnapshot(m.expected)) > 0 {
+		e := entriesAfterSnapshot(m.expected)[0]
+		if err := m.journal.Compact(consensus.Snapshot{Index: e.Index, Term: e.Term, Data: []byte("state")}, m.expected.State, m.expected.Entries); !IsFull(err) {
+			t.Fatalf("Compact on a full disk: %v", err)
+		}
+	}
+	if rapid.Bool().Draw(t, "crashWhileFull") {
+		m.restart(t)
+		return
+	}
+	m.fs.diskFull, m.fs.truncateFails = false, false
+	if err := m.journal.Save(r); err != nil {
+		t.Fatalf("Save once there is room: %v", err)
+	}
+	m.expected = stateAfter(m.expected, r)
+}
+
 func (m *journalModel) restart(t *rapid.T) {
 	m.fs.crash(t)
 	j, stored, err := Open(m.fs, newID)
@@ -118,10 +145,11 @@
 		j, _ := mustOpen(t, fs)
 		m := &journalModel{fs: fs, journal: j}
 		t.Repeat(map[string]func(*rapid.T){
-			"save":     func(t *rapid.T) { m.save(t, false) },
-			"syncFail": func(t *rapid.T) { m.fs.failSync = true; m.save(t, true) },
-			"full":     func(t *rapid.T) { m.fs.diskFull = true; m.save(t, true) },
-			"crash":    func(t *rapid.T) { m.restart(t) },
+			"save":          func(t *rapid.T) { m.save(t, false) },
+			"syncFail":      func(t *rapid.T) { m.fs.failSync = true; m.save(t, true) },
+			"full":          func(t *rapid.T) { m.fs.diskFull = true; m.save(t, true) },
+			"fullForAWhile": func(t *rapid.T) { m.saveOnFullDisk(t) },
+			"crash":         func(t *rapid.T) { m.restart(t) },
 			"compact": func(t *rapid.T) {
 				entries := entriesAfterSnapshot(m.expected)
 				if len(entries) == 0 {
--- a/wal/memoryfs_test.go
+++ b/wal/memoryfs_test.go
@@ -13,6 +13,8 @@
 	// a crash.
 	files, disk        map[string]*fileContent
 	failSync, diskFull bool
+	// truncateFails says that a full disk refuses to cut files too.
+	truncateFails bool
 }
 
 // fileContent is the data of a file; its first synced bytes survive a crash.
@@ -48,6 +50,9 @@
 }
 
 func (m *memoryFS) Truncate(name string, size int64) error {
+	if m.diskFull && m.truncateFails {
+		return syscall.ENOSPC
+	}
 	c := m.files[name]
 	c.data = c.data[:size]
 	c.synced = len(c.data)
@@ -89,7 +94,7 @@
 		files[name] = &fileContent{data: data, synced: keep}
 	}
 	m.files = files
-	m.failSync, m.diskFull = false, false
+	m.failSync, m.diskFull, m.truncateFails = false, false, false
 	_ = m.SyncFolder()
 }
 
