--- a/entry/client.go
+++ b/entry/client.go
@@ -17,6 +17,8 @@
 	maxIdlePerUpstream  = 64
 	upstreamIdleTimeout = 20 * time.Second
 	keepAliveInterval   = 5 * time.Second
+	// maxResponseHeadBytes bounds the status line and headers of a response.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // upstreamClient sends HTTP requests to upstreams. Each address has its own pool
@@ -44,6 +46,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     upstreamIdleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
 
--- a/entry/client_test.go
+++ b/entry/client_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 )
@@ -99,3 +101,38 @@
 		g.Expect(strippedHeaders).To(gomega.ContainElement(name))
 	}
 }
+
+// TestResponseHeadsAreBounded has an upstream that sends headers without end: the
+// call fails, and the heap must not grow with them.
+func TestResponseHeadsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for {
+			if _, err := io.WriteString(c, strings.Repeat("X-More: and more\r\n", 1000)); err != nil {
+				return
+			}
+		}
+	}()
+	r, err := http.NewRequest(http.MethodGet, "http://upstream/", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.URL.Host = l.Addr().String()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	x, err := newUpstreamClient().do(ctx, l.Addr().(*net.TCPAddr).AddrPort(), r, true)
+	runtime.ReadMemStats(&after)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(x.connected).To(gomega.BeTrue())
+	g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+	g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(gomega.BeNumerically("<", 8<<20))
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -27,6 +27,7 @@
 	maxIdlePerPeer  = 4
 	idleTimeout     = 30 * time.Second
 	maxMessageBytes = 64 << 20
+	maxHeadBytes    = 16 << 10
 )
 
 // Method identifies a method of rpc.Peer.
@@ -69,16 +70,30 @@
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdlePerPeer,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}
 		p = &peerConn{
 			transport: t,
-			stub:      rpc.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: t}),
+			stub:      rpc.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: boundedTransport{t}}),
 		}
 		c.peers[address] = p
 	}
 	return p
 }
 
+// boundedTransport bounds the bodies of responses, which twirp reads whole.
+type boundedTransport struct{ transport *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(r)
+	if err == nil {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxMessageBytes)
+	}
+	return response, err
+}
+
 // Call sends a request and decodes the reply, within the deadline of ctx. If
 // reply is nil, what the peer returns is ignored.
 func (c *Client) Call(ctx context.Context, address netip.AddrPort, m Method, request any, reply wire.Checker) error {
