--- a/link/link.go
+++ b/link/link.go
@@ -436,13 +436,8 @@
 	backoff := pace.Backoff{First: firstRetryDelay, Max: maxRetryDelay}
 	for {
 		began := l.options.Clock()
-		wait := time.Duration(0)
-		if l.reportOnce(ctx) {
-			backoff.Succeeded()
-			wait = pace.Jitter(l.reportInterval(), rand.Float64()) - (l.options.Clock() - began)
-		} else {
-			wait = backoff.Failed(rand.Float64())
-		}
+		outcome := l.reportOnce(ctx)
+		wait := reportWait(outcome, &backoff, l.reportInterval(), l.options.Clock()-began, rand.Float64())
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -451,13 +446,41 @@
 	}
 }
 
-// reportOnce sends one report and returns whether the leader answered it.
-func (l *Link) reportOnce(ctx context.Context) bool {
+// reportOutcome is how a report to the leader ended.
+type reportOutcome int
+
+const (
+	// reportAnswered means that the leader answered, reportFailed that a call
+	// failed or its receiver doesn't lead, and noLeaderKnown that nothing was
+	// sent.
+	reportAnswered reportOutcome = iota + 1
+	reportFailed
+	noLeaderKnown
+)
+
+// reportWait is the time until the next report, after one that took as long as
+// elapsed. random is uniform in [0, 1).
+func reportWait(outcome reportOutcome, backoff *pace.Backoff, interval, elapsed time.Duration, random float64) time.Duration {
+	switch outcome {
+	case reportAnswered:
+		backoff.Succeeded()
+		return pace.Jitter(interval, random) - elapsed
+	case noLeaderKnown:
+		// Nothing was sent, so that there is nobody to spare. Until a leader
+		// grants quota, the entry serves little.
+		return firstRetryDelay
+	default:
+		return backoff.Failed(random)
+	}
+}
+
+// reportOnce sends one report.
+func (l *Link) reportOnce(ctx context.Context) reportOutcome {
 	l.mu.Lock()
 	leader := l.leader
 	l.mu.Unlock()
 	if !leader.IsValid() {
-		return false
+		return noLeaderKnown
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -466,7 +489,7 @@
 	var reply control.AccountReply
 	if err := l.options.PeerClient.Call(ctx, leader, peer.Account, &report, &reply); err != nil {
 		klog.InfoS("report to leader failed; retrying at the next interval", "leader", leader, "err", err)
-		return false
+		return reportFailed
 	}
 	if reply.Leading {
 		l.options.OnReply(askedAt, reply)
@@ -478,8 +501,8 @@
 		if reply.NextReport > 0 {
 			l.nextReport = reply.NextReport
 		}
-		return true
+		return reportAnswered
 	}
 	l.setLeader(reply.Leader, reply.Term)
-	return false
+	return reportFailed
 }
