--- a/common/pace/pace_test.go
+++ b/common/pace/pace_test.go
@@ -42,7 +42,7 @@
 		go Batches(ctx, requests, interval, func(batch []request) {
 			rounds++
 			began := time.Now()
-			time.Sleep(roundTime)
+			<-time.After(roundTime)
 			for _, r := range batch {
 				r.done <- began
 			}
--- a/e2e/confirm_test.go
+++ b/e2e/confirm_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -177,12 +176,7 @@
 }
 
 var _ = ginkgo.Describe("Orders with lost answers and reset connections", func() {
-	extraSeeds, _ := strconv.Atoi(os.Getenv("HYSSOPLADDER_SOAK"))
-	seeds := slices.Clone(orderSeeds)
-	for i := range extraSeeds {
-		seeds = append(seeds, uint64(2000+i))
-	}
-	for _, seed := range seeds {
+	for _, seed := range withExtraSeeds(orderSeeds, 2000) {
 		ginkgo.It(fmt.Sprintf("run at most once each, and every promise is true, with seed %d", seed), func() {
 			d := startPlatform()
 			gomega.Eventually(func() int { return d.putConfig(1, platformConfig(3, 1000, "key-m")) }, startLimit).Should(gomega.Equal(http.StatusOK))
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -242,13 +242,18 @@
 	}
 }
 
-var _ = ginkgo.Describe("Random faults", func() {
-	extraSeeds, _ := strconv.Atoi(os.Getenv("HYSSOPLADDER_SOAK"))
-	seeds := slices.Clone(soakSeeds)
-	for i := range extraSeeds {
-		seeds = append(seeds, uint64(1000+i))
+// withExtraSeeds adds as many seeds as HYSSOPLADDER_SOAK says, from first on.
+func withExtraSeeds(seeds []uint64, first uint64) []uint64 {
+	extra, _ := strconv.Atoi(os.Getenv("HYSSOPLADDER_SOAK"))
+	all := slices.Clone(seeds)
+	for i := range uint64(extra) {
+		all = append(all, first+i)
 	}
-	for _, seed := range seeds {
+	return all
+}
+
+var _ = ginkgo.Describe("Random faults", func() {
+	for _, seed := range withExtraSeeds(soakSeeds, 1000) {
 		ginkgo.It(fmt.Sprintf("break no guarantee with seed %d", seed), func() {
 			s := &soak{platformDeployment: startPlatform(), random: rand.New(rand.NewPCG(seed, 0))}
 			gomega.Eventually(func() int { return s.putConfig(1, platformConfig(3, 1000, "key-m")) }, startLimit).Should(gomega.Equal(http.StatusOK))
