commands: Catch signals before the node starts

Cause: SIGHUP and SIGUSR1 were caught only after the node had started and printed that it listens, so that either ended a process that was starting.

--- a/commands/node.go
+++ b/commands/node.go
@@ -42,6 +42,14 @@
 }
 
 func (c *cli) runNode(s settings.Settings, path string) error {
+	// Signals are caught from the start: the settings file may change, and its
+	// signal come, while the node starts.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
+	defer signal.Stop(reloadSignals)
+	dumpSignals := make(chan os.Signal, 1)
+	signal.Notify(dumpSignals, syscall.SIGUSR1)
+	defer signal.Stop(dumpSignals)
 	limitProcess(s.Node)
 	logsCtx, stopLogs := context.WithCancel(context.Background())
 	logWriter := c.redirectLogs(logs.New())
@@ -58,14 +66,8 @@
 		return err
 	}
 	logWriter.Start(logsCtx, c.out)
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
 	settingsPoll := time.NewTicker(settingsPollInterval)
 	defer settingsPoll.Stop()
-	dumpSignals := make(chan os.Signal, 1)
-	signal.Notify(dumpSignals, syscall.SIGUSR1)
-	defer signal.Stop(dumpSignals)
 	for {
 		select {
 		case <-dumpSignals:
