--- a/common/pace/pace.go
+++ b/common/pace/pace.go
@@ -11,9 +11,9 @@
 // together don't call together for ever.
 const jitter = 0.2
 
-// Backoff is the wait after failed calls: First after the first one, twice as
-// much after each further one, up to Max. The zero number of failures counts as
-// a success. It isn't safe for concurrent use.
+// Backoff is the wait after failed calls: First after the first one since the last
+// success, twice as much after each further one, up to Max. It isn't safe for
+// concurrent use.
 type Backoff struct {
 	First, Max time.Duration
 	failures   int
--- a/fence/fence.go
+++ b/fence/fence.go
@@ -4,6 +4,9 @@
 // the previous holder can take effect any more, since some upstreams don't
 // check the epoch.
 //
+// TermLease is for commands to receivers that do check the token, and whose token is
+// the term of an elected leader.
+//
 // The package is a pure state machine: time is passed in.
 package fence
 
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -83,8 +83,8 @@
 	hasTornTail bool
 }
 
-// IsFull reports whether an error of Save or Compact says that the disk is full.
-// Then nothing was stored, and the same call may be repeated.
+// IsFull reports whether an error of Save, Compact or Join says that the disk is
+// full. Then what was stored before is intact, and the same call may be repeated.
 func IsFull(err error) bool {
 	return err != nil && result.From(err).Code == result.JournalFull
 }
