--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -490,3 +490,7 @@
 
 // Open is the number of tickets.
 func (f *Fleet) Open() int { return len(f.tickets) }
+
+// Suspects is the number of requests that were running on upstreams when they
+// crashed.
+func (f *Fleet) Suspects() int { return len(f.suspects) }
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -47,6 +47,14 @@
 		}
 		return 0
 	})
+	register("ingress.suspects", func() int64 {
+		suspects := 0
+		in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
+			suspects = f.Suspects()
+			return nil
+		})
+		return int64(suspects)
+	})
 	register("ingress.open", func() int64 {
 		open := 0
 		in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -287,12 +288,27 @@
 	if r.LengthHint > 0 {
 		t.OutputTokens = min(r.LengthHint, r.MaxTokens)
 	}
+	t.Fingerprint = r.fingerprint()
+	return t
+}
+
+// fingerprint identifies the caller, the path and the body.
+func (r *request) fingerprint() uint64 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(r.organisation())
 	_, _ = digest.WriteString(r.target)
 	_, _ = digest.Write(r.body)
-	t.Fingerprint = digest.Sum64()
-	return t
+	return digest.Sum64()
+}
+
+// sharedPartIDs lists for logs the parts of the prompt that other requests may
+// share, which are all but the last.
+func (r *request) sharedPartIDs() string {
+	var ids []string
+	for _, p := range r.Parts[:max(len(r.Parts)-1, 0)] {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(ids, ",")
 }
 
 // countUsage adds a request that has begun to run to its organisation's usage
