--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -39,8 +41,19 @@
 	idBase                    uint64
 	late, answered            int
 	firstTokens               []time.Duration
+	// crashes says that an engine crashes as it begins to answer such a request,
+	// and commonID, if it isn't 0, replaces the ID of the common part.
+	crashes  bool
+	commonID uint64
+	// arrivals counts the requests, and started those whose first attempt
+	// reached an engine. received are the times at which engines received one.
+	arrivals, started int
+	received          []clock.Instant
 }
 
+// restartTime is how long a crashed engine is down.
+const restartTime = 3 * second
+
 // emulation runs entries, each with its own Fleet, on a virtual clock against
 // engines that prefill prompts one after the other and cache their prefixes.
 type emulation struct {
@@ -58,6 +71,8 @@
 	sharedTokens, recomputedTokens int
 	computed                       map[uint64]bool
 	refused                        int
+	// crashes are the times at which an engine crashed.
+	crashes []clock.Instant
 }
 
 // engine is an emulated engine. lastUsed and tokens describe the cached prompt
@@ -68,6 +83,9 @@
 	lastUsed      map[uint64]clock.Instant
 	tokens        map[uint64]int
 	totalTokens   int
+	member        upstream.Member
+	downUntil     clock.Instant
+	tickets       map[uint64]*emulatedTicket
 }
 
 type emulatedTicket struct {
@@ -75,6 +93,8 @@
 	kind      *requestKind
 	entry     *Fleet
 	arrivedAt clock.Instant
+	// attempts counts the grants.
+	attempts int
 }
 
 type event struct {
@@ -106,7 +126,7 @@
 		m := member(fmt.Sprint("u", i), uint16(i+1), 1)
 		m.Zone, m.Slots = zones[i%len(zones)], engineSlots
 		members = append(members, m)
-		e.engines[m.ID] = &engine{lastUsed: map[uint64]clock.Instant{}, tokens: map[uint64]int{}}
+		e.engines[m.ID] = &engine{member: m, lastUsed: map[uint64]clock.Instant{}, tokens: map[uint64]int{}, tickets: map[uint64]*emulatedTicket{}}
 	}
 	for i := range entries {
 		f := New(Options{Zone: zones[i%len(zones)], RetryRatio: 0.2, RetrySlack: 50, Entries: entries})
@@ -159,17 +179,22 @@
 	document := k.idBase + 1 + uint64(e.random.IntN(k.documents))
 	// The size is the same for each request of a document.
 	size := 1 + k.documentTokens/2 + int(mixHash(document)%uint64(k.documentTokens+1))
-	parts := []call.PromptPart{{ID: k.idBase, Tokens: k.commonTokens}, {ID: document, Tokens: size}, {ID: 1<<60 + e.lastID, Tokens: around(k.ownTokens)}}
+	common := k.idBase
+	if k.commonID != 0 {
+		common = k.commonID
+	}
+	parts := []call.PromptPart{{ID: common, Tokens: k.commonTokens}, {ID: document, Tokens: size}, {ID: 1<<60 + e.lastID, Tokens: around(k.ownTokens)}}
 	t := Ticket{
 		ID: e.lastID, Service: "s", Rank: k.rank, MaxRuns: 2, Target: k.target, Deadline: e.now + 15*second,
 		PromptTokens: parts[0].Tokens + parts[1].Tokens + parts[2].Tokens, OutputTokens: around(k.outputTokens), PromptParts: parts, Fingerprint: e.lastID,
 	}
 	f := e.entries[e.random.IntN(len(e.entries))]
+	k.arrivals++
 	e.tickets[t.ID] = &emulatedTicket{Ticket: t, kind: k, entry: f, arrivedAt: e.now}
-	e.execute(f.Submit(e.now, t))
+	e.execute(f, f.Submit(e.now, t))
 }
 
-func (e *emulation) execute(actions []Action) {
+func (e *emulation) execute(f *Fleet, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Grant:
@@ -184,6 +209,17 @@
 // run prefills the uncached parts after the engine's backlog, and then
 // generates the answer.
 func (e *emulation) run(t *emulatedTicket, n *engine) {
+	t.attempts++
+	if e.now < n.downUntil {
+		e.fail(t, 2*time.Millisecond, retry.NotSent)
+		return
+	}
+	if t.attempts == 1 {
+		t.kind.started++
+	}
+	t.kind.received = append(t.kind.received, e.now)
+	attempt := t.attempts
+	n.tickets[t.ID] = t
 	n.running++
 	start := max(e.now, n.prefillFreeAt)
 	uncached, cached, previous := 0, true, 0
@@ -209,22 +245,64 @@
 	n.prefillFreeAt = start + time.Duration(float64(uncached)/enginePrefillRate*float64(time.Millisecond))
 	untilFirstToken := n.prefillFreeAt + engineStepTime - e.now
 	e.schedule(untilFirstToken, func() {
+		if n.tickets[t.ID] != t || t.attempts != attempt {
+			return
+		}
+		if t.kind.crashes {
+			e.crash(n)
+			return
+		}
 		wait := e.now - t.arrivedAt
 		t.kind.answered++
 		t.kind.firstTokens = append(t.kind.firstTokens, wait)
 		if wait > t.kind.target {
 			t.kind.late++
 		}
-		e.execute(t.entry.Progress(e.now, t.ID))
+		e.execute(t.entry, t.entry.Progress(e.now, t.ID))
 		perToken := engineStepTime + time.Duration(n.running)*engineStepTimePerRequest
 		e.schedule(time.Duration(t.OutputTokens)*perToken, func() {
+			if n.tickets[t.ID] != t || t.attempts != attempt {
+				return
+			}
 			n.running--
+			delete(n.tickets, t.ID)
 			delete(e.tickets, t.ID)
-			e.execute(t.entry.Finish(e.now, t.ID, true, wait <= t.kind.target))
+			e.execute(t.entry, t.entry.Finish(e.now, t.ID, true, wait <= t.kind.target))
 		})
 	})
 }
 
+// fail ends the ticket's attempt after the delay.
+func (e *emulation) fail(t *emulatedTicket, delay time.Duration, failure retry.Failure) {
+	attempt := t.attempts
+	e.schedule(delay, func() {
+		if e.tickets[t.ID] == t && t.attempts == attempt {
+			e.execute(t.entry, t.entry.Failed(e.now, t.ID, failure))
+		}
+	})
+}
+
+// crash breaks off all requests of the engine, which comes back as a new one
+// after restartTime.
+func (e *emulation) crash(n *engine) {
+	e.crashes = append(e.crashes, e.now)
+	n.downUntil = e.now + restartTime
+	for _, id := range slices.Sorted(maps.Keys(n.tickets)) {
+		t := n.tickets[id]
+		delete(n.tickets, id)
+		e.fail(t, time.Millisecond, retry.Broken)
+	}
+	n.running, n.prefillFreeAt, n.totalTokens = 0, 0, 0
+	clear(n.lastUsed)
+	clear(n.tokens)
+	e.schedule(restartTime, func() {
+		n.member.Incarnation++
+		for _, f := range e.entries {
+			e.execute(f, f.Merge(e.now, []upstream.Member{n.member}))
+		}
+	})
+}
+
 // addToCache caches a part and evicts the least recently used ones.
 func (n *engine) addToCache(now clock.Instant, hash uint64, tokens int) {
 	if _, ok := n.lastUsed[hash]; !ok {
@@ -251,6 +329,7 @@
 		e.sharedTokens, e.recomputedTokens, e.refused = 0, 0, 0
 		for _, k := range e.kinds {
 			k.late, k.answered, k.firstTokens = 0, 0, nil
+			k.arrivals, k.started = 0, 0
 		}
 		for e.events[0].at < until {
 			next := heap.Pop(&e.events).(event)
