suspect, fleet: Quarantine parts of prompts that crash upstreams, by the evidence of all entries

The evidence was held against the whole request (caller, path and body). And each entry kept it for itself.

Package suspect holds crashes against the traits of requests: itself and each shared part of its prompt. Answers clear them. Three crashes in a chain without an answer convict a trait; entries exchange evidence in their reports to the leader. fleet asks for a dial of an upstream at which requests broke off.

--- a/control/account.go
+++ b/control/account.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
+	"github.com/hyssopladder/hyssopladder/suspect"
 )
 
 // leaderState is what a leader derives from the entries' reports. Each term
@@ -25,6 +26,8 @@
 	reports   map[entryKey]*entryReport
 	lastSweep clock.Instant
 	work      *upstreamWork
+	// suspects is what the entries have seen of upstreams' crashes.
+	suspects *suspect.Ledger
 	// limits are the quotas of revision in units per second, by organisation.
 	revision *config.Revision
 	limits   map[string]float64
@@ -47,7 +50,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
@@ -155,8 +158,8 @@
 		s.reports[key] = report
 	}
 	report.AccountRequest, report.receivedAt = request, now
-	// These are stored in work and usageCounts.
-	report.Busy, report.Usage = nil, nil
+	// These are stored in work, usageCounts and suspects.
+	report.Busy, report.Usage, report.Suspects = nil, nil, nil
 	for name, load := range request.Loads {
 		report.promptRates[name] += promptSmoothing * (load.Prompt - report.promptRates[name])
 	}
@@ -166,6 +169,7 @@
 		demands[name] = quota.Demand{Rate: d.Rate, LeasedRate: d.LeasedRate, Refunded: d.Refunded}
 	}
 	s.work.applyReport(now, key, request.Busy)
+	s.suspects.Merge(now, request.Suspects)
 	reply := &AccountReply{
 		Leading: true,
 		Term:    s.term,
@@ -173,6 +177,8 @@
 		Lease:   quota.Lease,
 		Others:  s.work.others(key),
 		Entries: s.work.entryCount(),
+
+		Suspects: s.suspects.Shared(now, request.Suspects),
 	}
 	reply.NextReport = reportInterval(reply.Entries)
 	if s.revision != nil {
--- a/control/message.go
+++ b/control/message.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
 )
@@ -139,6 +140,8 @@
 	UsageOnly bool `json:"x,omitempty"`
 	// Busy is the entry's work by upstream.
 	Busy map[string]fleet.Work `json:"b,omitempty"`
+	// Suspects is what the entry has seen of upstreams' crashes.
+	Suspects []suspect.Evidence `json:"q,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -147,6 +150,18 @@
 	if r.Entry == "" || len(r.Usage) > maxWindows || len(r.Demands) > maxItems || len(r.Loads) > maxItems {
 		return errors.New("account request without an entry, or with too many usage windows, demands or loads")
 	}
+	return checkSuspects(r.Suspects)
+}
+
+func checkSuspects(list []suspect.Evidence) error {
+	if len(list) > suspect.MaxEvidence {
+		return errors.Errorf("evidence of %d suspects", len(list))
+	}
+	for i := range list {
+		if err := list[i].Check(); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -172,6 +187,8 @@
 	// NextReport is when the entry's next report is due, counted from this
 	// one.
 	NextReport time.Duration `json:"x,omitempty"`
+	// Suspects is what all entries have seen of upstreams' crashes.
+	Suspects []suspect.Evidence `json:"q,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -179,7 +196,7 @@
 	if r.Lease < 0 || r.NextReport < 0 || r.NextReport > maxReportInterval || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
 		return errors.New("account reply with a negative lease, an invalid time of the next report, or too many rates or upstreams")
 	}
-	return nil
+	return checkSuspects(r.Suspects)
 }
 
 // ReserveRequest asks for the cost of one request from the leader's pool.
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -226,6 +226,21 @@
 	return opened, nil
 }
 
+// Refuses reports whether nothing listens at the address. The error is that of a
+// dial that failed for another reason.
+func (c *Client) Refuses(ctx context.Context, address netip.AddrPort) (bool, error) {
+	conn, err := c.dial(ctx, address)
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		return true, nil
+	case err != nil:
+		return false, err
+	}
+	conn.idleUntil = time.Now().Add(defaultIdleTimeout - idleMargin)
+	c.releaseIdle(conn)
+	return false, nil
+}
+
 // Read implements io.Reader. While a head is read it fails after maxHeadBytes.
 func (c *connection) Read(p []byte) (int, error) {
 	if !c.readingHead {
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -21,11 +21,13 @@
 		entries, engines int
 		crashesPerSecond float64
 	}{{6, 18, 1.2}, {6, 18, 4}, {1, 6, 0.7}, {40, 60, 3}} {
-		for seed := uint64(1); seed <= 5; seed++ {
+		for seed := uint64(1); seed <= 10; seed++ {
+			// The popularity of a document decides how soon an answer clears it.
+			documents := []int{3, 30, 300, 3000, 30000}[seed%5]
 			t.Run(fmt.Sprintf("%d entries, %v a second, seed %d", c.entries, c.crashesPerSecond, seed), func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				sound := &requestKind{
-					perSecond: 3 * float64(c.engines), target: 2 * second, commonTokens: 130, documents: 30, documentTokens: 300, ownTokens: 600, outputTokens: 300,
+					perSecond: 3 * float64(c.engines), target: 2 * second, commonTokens: 130, documents: documents, documentTokens: 300, ownTokens: 600, outputTokens: 300,
 				}
 				crashing := &requestKind{
 					perSecond: c.crashesPerSecond, target: 2 * second, commonTokens: 130, documents: 1, documentTokens: 300, ownTokens: 600, outputTokens: 300,
@@ -49,6 +51,7 @@
 				}
 				g.Expect(late).To(gomega.BeNumerically("<=", 3), "engines that received a crashing request, %d crashed", len(e.crashes))
 				g.Expect(float64(sound.started)).To(gomega.BeNumerically(">=", 0.9*float64(sound.arrivals)), "sound requests with the same first part")
+				g.Expect(float64(sound.quarantined)).To(gomega.BeNumerically("<=", 0.01*float64(sound.arrivals)), "sound requests that were blamed")
 			})
 		}
 	}
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -11,7 +11,9 @@
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -49,6 +51,8 @@
 	// reached an engine. received are the times at which engines received one.
 	arrivals, started int
 	received          []clock.Instant
+	// quarantined counts the requests that were refused as quarantined.
+	quarantined int
 }
 
 // restartTime is how long a crashed engine is down.
@@ -139,9 +143,28 @@
 		e.scheduleArrivals(k)
 	}
 	e.scheduleWorkReports()
+	leader := suspect.New()
+	for _, f := range e.entries {
+		e.scheduleEvidence(f, leader)
+	}
 	return e
 }
 
+// scheduleEvidence exchanges the evidence of an entry with the leader's, about
+// three times a second.
+func (e *emulation) scheduleEvidence(f *Fleet, leader *suspect.Ledger) {
+	const delay = 2 * time.Millisecond
+	e.schedule(time.Duration((0.9+0.2*e.random.Float64())*float64(300*time.Millisecond)), func() {
+		report := f.Evidence(e.now)
+		e.schedule(delay, func() {
+			leader.Merge(e.now, report)
+			reply := leader.Shared(e.now, report)
+			e.schedule(delay, func() { e.execute(f, f.MergeEvidence(e.now, reply)) })
+		})
+		e.scheduleEvidence(f, leader)
+	})
+}
+
 func (e *emulation) schedule(d time.Duration, do func()) { heap.Push(&e.events, event{e.now + d, do}) }
 
 func (e *emulation) scheduleArrivals(k *requestKind) {
@@ -201,7 +224,15 @@
 			e.run(e.tickets[a.Ticket], e.engines[a.Upstream.ID])
 		case Refuse:
 			e.refused++
+			if t := e.tickets[a.Ticket]; a.Err.Code == result.PartQuarantined || a.Err.Code == result.Quarantined {
+				t.kind.quarantined++
+			}
 			delete(e.tickets, a.Ticket)
+		case Probe:
+			n, u := e.engines[a.Upstream.ID], a.Upstream
+			e.schedule(ProbeDelay, func() {
+				e.execute(f, f.Probed(e.now, u.ID, u.Incarnation, e.now < n.downUntil))
+			})
 		}
 	}
 }
@@ -329,7 +360,7 @@
 		e.sharedTokens, e.recomputedTokens, e.refused = 0, 0, 0
 		for _, k := range e.kinds {
 			k.late, k.answered, k.firstTokens = 0, 0, nil
-			k.arrivals, k.started = 0, 0
+			k.arrivals, k.started, k.quarantined = 0, 0, 0
 		}
 		for e.events[0].at < until {
 			next := heap.Pop(&e.events).(event)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -73,8 +74,27 @@
 	Err    *result.Error
 }
 
-func (Grant) action()  {}
-func (Refuse) action() {}
+// Probe asks to find out, after ProbeDelay, whether the upstream refuses
+// connections, and to report that by Probed: requests broke off there.
+type Probe struct {
+	Upstream upstream.Announcement
+}
+
+// Quarantine says that requests with the trait are refused from now on, since
+// that many upstreams crashed during such requests. It needs no action.
+type Quarantine struct {
+	Trait   suspect.Trait
+	Crashes int
+}
+
+// ProbeDelay is the time from when a connection breaks off until a crashed
+// upstream certainly refuses new ones.
+const ProbeDelay = 50 * time.Millisecond
+
+func (Grant) action()      {}
+func (Refuse) action()     {}
+func (Probe) action()      {}
+func (Quarantine) action() {}
 
 // Fleet schedules tickets on upstreams. It isn't safe for concurrent use.
 type Fleet struct {
@@ -83,7 +103,7 @@
 	idByAddress map[string]string
 	services    map[string]*service
 	tickets     map[uint64]*ticket
-	suspects    map[uint64]*suspect
+	suspects    *suspect.Ledger
 	// entries is the number of entries that share the upstreams. It is
 	// options.Entries until entriesKnown is set.
 	entries      int
@@ -119,6 +139,12 @@
 	failedOn       []string
 	sentAt         clock.Instant
 	answerBegan    bool
+	// beganAt is when the answer began, and sound says that it has gone on for
+	// soundAfter.
+	beganAt clock.Instant
+	sound   bool
+	// traits are what the request may have in common with others.
+	traits []suspect.Trait
 	// prefillTokens is the part of the prompt that the upstream had not cached
 	// when the ticket was sent, tokensAhead the upstream's prefill backlog at
 	// that time, and memoryTokens the KV memory that the ticket occupies.
@@ -135,12 +161,6 @@
 	running
 )
 
-// suspect is a request that was running on upstreams when they crashed.
-type suspect struct {
-	crashes   int
-	lastCrash clock.Instant
-}
-
 // Initial values of the measured prefillRate and slotTime, from published data
 // sheets of model engines.
 const (
@@ -150,14 +170,12 @@
 
 // Limits of tickets.
 const (
-	// quarantineCrashes is the number of upstream crashes after which a request
-	// that was running each time is refused, until quarantineTime after the
-	// last one.
-	quarantineCrashes = 3
-	quarantineTime    = 2 * time.Minute
 	// crashWindow is the time after a broken connection within which a failed
 	// dial to the same upstream means that it crashed.
 	crashWindow = 2 * time.Second
+	// soundAfter is how long an answer must have gone on to show that its request
+	// doesn't crash the upstream.
+	soundAfter = 500 * time.Millisecond
 	// maxQueued bounds one service's queue.
 	maxQueued = 512
 )
@@ -170,7 +188,7 @@
 		idByAddress: map[string]string{},
 		services:    map[string]*service{},
 		tickets:     map[uint64]*ticket{},
-		suspects:    map[uint64]*suspect{},
+		suspects:    suspect.New(),
 		entries:     max(o.Entries, 1),
 	}
 }
@@ -315,11 +333,13 @@
 	s := f.service(request.Service)
 	s.demand.addArrival(now, request)
 	s.retryBudget.Deposit()
-	t := &ticket{Ticket: request, arrivedAt: now}
+	t := &ticket{Ticket: request, arrivedAt: now, traits: request.traits()}
 	f.tickets[request.ID] = t
+	if err := f.quarantined(now, t); err != nil {
+		f.refuse(t, err)
+		return f.takeActions()
+	}
 	switch {
-	case f.quarantined(now, request.Fingerprint):
-		f.refuse(t, result.New(result.Quarantined, result.RanNo, "the same request crashed the upstreams that ran it"))
 	case !s.anyServing():
 		f.refuse(t, result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", request.Service).WithRetry(noUpstreamRetryAfter))
 	case len(s.queue) >= maxQueued:
@@ -340,7 +360,7 @@
 const noUpstreamRetryAfter = time.Second
 
 func (f *Fleet) grant(now clock.Instant, s *service, t *ticket, u *upstreamView, e estimate) {
-	t.state, t.upstream, t.sentAt, t.answerBegan = running, u, now, false
+	t.state, t.upstream, t.sentAt, t.answerBegan, t.sound = running, u, now, false, false
 	t.attempts++
 	t.runs++
 	t.prefillTokens = max(t.PromptTokens-e.cachedTokens, 0)
@@ -362,9 +382,13 @@
 	}
 	t.upstream.lastProgress = now
 	if t.answerBegan {
+		if !t.sound && now-t.beganAt >= soundAfter {
+			t.sound = true
+			f.suspects.Answered(now, t.traits)
+		}
 		return nil
 	}
-	t.answerBegan = true
+	t.answerBegan, t.beganAt = true, now
 	s := f.service(t.Service)
 	t.upstream.prefilled(t)
 	t.upstream.updateSlowness(now-t.sentAt, t.expectedFirstToken)
@@ -409,7 +433,7 @@
 		}
 	}
 	s.demand.addAnswer(inTime)
-	delete(f.suspects, t.Fingerprint)
+	f.suspects.Answered(now, t.traits)
 	f.removeTicket(s, t)
 	f.schedule(now, s)
 	return f.takeActions()
@@ -454,6 +478,9 @@
 }
 
 func (f *Fleet) takeActions() []Action {
+	for trait, crashes := range f.suspects.NewlyQuarantined() {
+		f.pending = append(f.pending, Quarantine{Trait: trait, Crashes: crashes})
+	}
 	actions := f.pending
 	f.pending = nil
 	return actions
@@ -490,7 +517,3 @@
 
 // Open is the number of tickets.
 func (f *Fleet) Open() int { return len(f.tickets) }
-
-// Suspects is the number of requests that were running on upstreams when they
-// crashed.
-func (f *Fleet) Suspects() int { return len(f.suspects) }
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -27,17 +27,10 @@
 		t.runs--
 	}
 	switch {
-	case failure == retry.Broken && !t.answerBegan:
-		u.brokenAttempts = append(u.brokenAttempts, brokenAttempt{t.Fingerprint, now})
+	case failure == retry.Broken && !t.sound:
+		f.brokeOff(now, u, t)
 	case failure == retry.NotSent:
-		// A dial that fails just after broken connections: the upstream
-		// crashed while it ran those requests.
-		for _, broken := range u.brokenAttempts {
-			if now-broken.at < crashWindow {
-				f.recordCrash(now, broken.fingerprint)
-			}
-		}
-		u.brokenAttempts = nil
+		f.upstreamDown(now, u)
 	}
 	t.state, t.upstream = waiting, nil
 	if !f.mayRetry(now, s, t, failure) {
@@ -57,7 +50,7 @@
 // mayRetry reports whether the ticket may go to another upstream, and spends
 // the retry budget unless nothing was sent.
 func (f *Fleet) mayRetry(now clock.Instant, s *service, t *ticket, failure retry.Failure) bool {
-	if f.quarantined(now, t.Fingerprint) || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
+	if f.quarantined(now, t) != nil || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
 		return false
 	}
 	if t.runs >= t.MaxRuns || !s.hasUntried(now, t) {
@@ -98,30 +91,9 @@
 	return result.New(result.Saturated, result.RanNo, "no upstream accepted the request").WithRetry(retryAfter)
 }
 
-// recordCrash counts a crash of an upstream that was running the request.
-func (f *Fleet) recordCrash(now clock.Instant, fingerprint uint64) {
-	request, ok := f.suspects[fingerprint]
-	if !ok {
-		request = &suspect{}
-		f.suspects[fingerprint] = request
-	}
-	request.crashes++
-	request.lastCrash = now
-}
-
-func (f *Fleet) quarantined(now clock.Instant, fingerprint uint64) bool {
-	request, ok := f.suspects[fingerprint]
-	return ok && request.crashes >= quarantineCrashes && now-request.lastCrash < quarantineTime
-}
-
 // Tick grants upstreams to waiting tickets and refuses those that would miss
 // their target or have passed their deadline.
 func (f *Fleet) Tick(now clock.Instant) []Action {
-	for fingerprint, request := range f.suspects {
-		if now-request.lastCrash > quarantineTime {
-			delete(f.suspects, fingerprint)
-		}
-	}
 	for _, s := range f.services {
 		f.schedule(now, s)
 		for _, t := range append([]*ticket(nil), s.queue...) {
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -70,6 +70,7 @@
 // schedule grants upstreams to the queued tickets in order. A ticket for which
 // no upstream has room doesn't block the ones behind it.
 func (f *Fleet) schedule(now clock.Instant, s *service) {
+	f.refuseQuarantined(now, s)
 	remaining := s.queue[:0]
 	for _, t := range s.queue {
 		if u, e := s.choose(now, f.options.Zone, t); u != nil && s.meetsTarget(now, t, e) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -336,7 +337,7 @@
 		f.Failed(now, 1000+round, retry.NotSent)
 		now += 10 * second
 	}
-	for round := uint64(1); round <= quarantineCrashes; round++ {
+	for round := uint64(1); round <= suspect.QuarantineCrashes; round++ {
 		crash(round)
 	}
 	f.Merge(now, []upstream.Member{member("u1", 1, 50)})
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -40,14 +41,19 @@
 	// cachedPrefixes maps the hash of each prefix that is assumed to be cached
 	// to its last use.
 	cachedPrefixes map[uint64]clock.Instant
-	// brokenAttempts are the requests whose connection broke before the first
-	// byte of the answer.
+	// brokenAttempts are requests that broke off while it isn't known whether the
+	// upstream crashed. Until probingUntil a Probe finds that out.
 	brokenAttempts []brokenAttempt
+	probingUntil   clock.Instant
+	// crashed says that it refused a connection at crashedAt, after requests broke
+	// off.
+	crashed   bool
+	crashedAt clock.Instant
 }
 
 type brokenAttempt struct {
-	fingerprint uint64
-	at          clock.Instant
+	traits     []suspect.Trait
+	sentAt, at clock.Instant
 }
 
 // Work is the work at one upstream: its running requests, their prompt tokens
--- a/ingress/dispatcher.go
+++ b/ingress/dispatcher.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // dispatcher owns the fleet: it serialises the calls to it and delivers each
@@ -18,13 +23,35 @@
 	fleet   *fleet.Fleet
 	lastID  uint64
 	waiters map[uint64]chan fleet.Action
+	probes  chan fleet.Probe
 }
 
 // tickInterval is the time between two checks of the waiting requests.
 const tickInterval = 20 * time.Millisecond
 
-func newDispatcher(ctx context.Context, c clock.Clock, f *fleet.Fleet) *dispatcher {
-	d := &dispatcher{clock: c, fleet: f, waiters: map[uint64]chan fleet.Action{}}
+// Bounds of the probes of upstreams: those that run at once, and those that wait.
+const (
+	probeWorkers = 4
+	maxProbes    = 64
+)
+
+// refusesFunc reports whether nothing listens at an address.
+type refusesFunc func(ctx context.Context, address netip.AddrPort) (bool, error)
+
+func newDispatcher(ctx context.Context, c clock.Clock, f *fleet.Fleet, refuses refusesFunc) *dispatcher {
+	d := &dispatcher{clock: c, fleet: f, waiters: map[uint64]chan fleet.Action{}, probes: make(chan fleet.Probe, maxProbes)}
+	for range probeWorkers {
+		go func() {
+			for {
+				select {
+				case p := <-d.probes:
+					d.probe(ctx, p.Upstream, refuses)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
 	go func() {
 		t := time.NewTicker(tickInterval)
 		defer t.Stop()
@@ -57,6 +84,16 @@
 func (d *dispatcher) deliver(a fleet.Action) {
 	var id uint64
 	switch a := a.(type) {
+	case fleet.Probe:
+		select {
+		case d.probes <- a:
+		default:
+			klog.InfoS("upstream not probed: too many probes wait", "upstream", a.Upstream.ID)
+		}
+		return
+	case fleet.Quarantine:
+		klog.InfoS("requests quarantined", "kind", a.Trait.Kind, "hash", strconv.FormatUint(a.Trait.Hash, 16), "crashes", a.Crashes)
+		return
 	case fleet.Grant:
 		id = a.Ticket
 	case fleet.Refuse:
@@ -69,6 +106,20 @@
 	}
 }
 
+// probe dials the upstream after fleet.ProbeDelay and reports whether it refused.
+func (d *dispatcher) probe(ctx context.Context, u upstream.Announcement, refuses refusesFunc) {
+	select {
+	case <-time.After(fleet.ProbeDelay):
+	case <-ctx.Done():
+		return
+	}
+	refused, err := refuses(ctx, u.Address)
+	klog.InfoS("upstream probed as requests broke off", "upstream", u.ID, "incarnation", u.Incarnation, "address", u.Address, "refused", refused, "err", err)
+	d.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+		return f.Probed(now, u.ID, u.Incarnation, refused)
+	})
+}
+
 // submit gives the ticket an ID, submits it to the fleet and returns the ID and
 // the channel of its actions.
 func (d *dispatcher) submit(t fleet.Ticket) (uint64, <-chan fleet.Action) {
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -71,10 +71,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	upstreamClient := exchange.New(func() {})
 	in := &Ingress{
 		options:        Options{Clock: clock.System(), Settings: settings.Ingress{UsageWindow: time.Second}},
-		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1})),
-		upstreamClient: exchange.New(func() {}),
+		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1}), upstreamClient.Refuses),
+		upstreamClient: upstreamClient,
 		link:           link.New(ctx, link.Options{Clock: clock.System(), PeerClient: peer.NewClient(), BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} }}),
 		meters:         newMeters(metrics.NewRegistry()),
 		usage:          usage.NewMeter(),
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -86,14 +86,14 @@
 func New(ctx context.Context, o Options) (*Ingress, error) {
 	in := &Ingress{
 		options: o,
-		dispatcher: newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
-			Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
-		})),
-		meters: newMeters(o.Metrics),
-		quotas: map[string]*quota.LeasedBucket{},
-		usage:  usage.NewMeter(),
+		meters:  newMeters(o.Metrics),
+		quotas:  map[string]*quota.LeasedBucket{},
+		usage:   usage.NewMeter(),
 	}
 	in.upstreamClient = exchange.New(func() { in.meters.dials.Inc(1) })
+	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
+		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
+	}), in.upstreamClient.Refuses)
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
 		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, BuildReport: in.buildReport, OnReply: in.applyReply, BuildUsageReport: in.buildUsageReport,
@@ -203,6 +203,7 @@
 			}
 		}
 		report.Busy = f.Work()
+		report.Suspects = f.Evidence(now)
 		return nil
 	})
 	return report
@@ -231,10 +232,10 @@
 		bucket.Renew(now, askedAt, rate)
 	}
 	in.mu.Unlock()
-	in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		f.SetEntries(reply.Entries)
 		f.SetOtherWork(reply.Others)
-		return nil
+		return f.MergeEvidence(now, reply.Suspects)
 	})
 }
 
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -49,8 +49,8 @@
 	})
 	register("ingress.suspects", func() int64 {
 		suspects := 0
-		in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
-			suspects = f.Suspects()
+		in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+			suspects = f.Suspects(now)
 			return nil
 		})
 		return int64(suspects)
