--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/route"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/share"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -51,7 +52,9 @@
 	Repeatable bool
 	// Fingerprint identifies the caller, the service and the body.
 	Fingerprint uint64
-	Query       route.Query
+	// Parts identify the parts of the prompt that other requests may share.
+	Parts []uint64
+	Query route.Query
 }
 
 // Action is something that the caller of Dispatcher has to do.
@@ -83,7 +86,14 @@
 	Crashes     int
 }
 
+// ReportEvidence asks to tell the other entries of crashes during requests that
+// share a part of their prompts, or of an answer that clears such a part.
+type ReportEvidence struct {
+	Evidence suspect.Evidence
+}
+
 func (ReportSuspect) action()   {}
+func (ReportEvidence) action()  {}
 func (Grant) action()           {}
 func (Refuse) action()          {}
 func (UpstreamLeaving) action() {}
@@ -96,6 +106,8 @@
 	pools     map[string]*pool
 	tickets   map[uint64]*ticket
 	suspects  *suspects
+	// partLedger holds the crashes during requests that share a part.
+	partLedger *suspect.Ledger
 	// pending are the actions that the current call returns.
 	pending []Action
 }
@@ -173,6 +185,8 @@
 		pools:     map[string]*pool{},
 		tickets:   map[uint64]*ticket{},
 		suspects:  newSuspects(),
+
+		partLedger: suspect.New(),
 	}
 }
 
@@ -247,6 +261,10 @@
 		d.refuse(t.ID, result.New(result.Quarantined, result.RanNo, "the same request crashed the upstreams that ran it"))
 		return d.takeActions()
 	}
+	if err := d.partQuarantined(now, &ticket{Ticket: t}); err != nil {
+		d.refuse(t.ID, err)
+		return d.takeActions()
+	}
 	p.retryBudget.Deposit()
 	capacity := d.capacity(now, p)
 	if capacity.Rate <= 0 {
@@ -290,6 +308,9 @@
 		return d.takeActions()
 	}
 	allowed := retry.Allowed(failure, t.Repeatable, t.attempts)
+	if d.partQuarantined(now, t) != nil {
+		allowed = false
+	}
 	if allowed && failure != retry.Reclaimed {
 		allowed = p.retryBudget.Spend(now)
 	}
@@ -344,6 +365,7 @@
 		d.releaseUpstream(now, t, false)
 		p.learnSlotSpeed(t, now)
 		d.suspects.clearAnswered(t.Fingerprint)
+		d.clearParts(now, t)
 	}
 	delete(d.tickets, id)
 	d.schedule(now, p)
--- /dev/null
+++ b/dispatch/dispatch__parts.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/suspect"
+)
+
+// partTraits returns the traits of the ticket's service and shared parts. The
+// request itself is a matter of suspects.
+func (t *ticket) partTraits() []suspect.Trait {
+	if len(t.Parts) == 0 {
+		return suspect.Traits(t.Service, 0, nil)[:1]
+	}
+	traits := suspect.Traits(t.Service, 0, t.Parts)
+	return append(traits[:1], traits[2:]...)
+}
+
+// partQuarantined returns the error of a ticket that shares a part of its prompt
+// with requests that crashed upstreams; nil for any other.
+func (d *Dispatcher) partQuarantined(now clock.Instant, t *ticket) *result.Error {
+	if !d.partLedger.AnyQuarantined() {
+		return nil
+	}
+	trait, left, found := d.partLedger.Quarantined(now, t.partTraits())
+	if !found {
+		return nil
+	}
+	if t.mayHaveRun {
+		return t.finalError()
+	}
+	return result.New(result.PartQuarantined, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
+}
+
+// refuseQuarantined refuses a ticket that waits for an upstream, and reports
+// whether it did: evidence against a part of its prompt may have come meanwhile.
+func (d *Dispatcher) refuseQuarantined(now clock.Instant, t *ticket) bool {
+	err := d.partQuarantined(now, t)
+	if err == nil {
+		return false
+	}
+	d.releaseHold(now, t)
+	delete(d.tickets, t.ID)
+	d.refuse(t.ID, err)
+	return true
+}
+
+// recordPartCrash holds a crash of the ticket's upstream against the parts of its
+// prompt.
+func (d *Dispatcher) recordPartCrash(now clock.Instant, t *ticket) {
+	run := xxhash.Sum64String(t.upstream) ^ t.incarnation
+	traits := t.partTraits()
+	d.partLedger.Crashed(now, run, t.sentAt, now, traits)
+	for _, trait := range traits[1:] {
+		d.pending = append(d.pending, ReportEvidence{suspect.Evidence{Trait: trait, Crashes: []suspect.Crash{{Upstream: run, SinceSent: now - t.sentAt}}}})
+	}
+}
+
+// clearParts clears the parts of an answered ticket, and reports those that were
+// suspected, with the service, whose answers show that it works.
+func (d *Dispatcher) clearParts(now clock.Instant, t *ticket) {
+	traits := t.partTraits()
+	for _, trait := range d.partLedger.Suspected(traits) {
+		d.pending = append(d.pending, ReportEvidence{suspect.Evidence{Trait: trait, Answered: true}})
+	}
+	d.partLedger.Answered(now, traits)
+}
+
+// MergeEvidence adds what another entry has reported.
+func (d *Dispatcher) MergeEvidence(now clock.Instant, e suspect.Evidence) {
+	d.partLedger.Merge(now, []suspect.Evidence{e})
+}
--- a/dispatch/dispatch__place.go
+++ b/dispatch/dispatch__place.go
@@ -22,6 +22,9 @@
 			return
 		}
 		t := d.tickets[r.ID]
+		if d.refuseQuarantined(now, t) {
+			continue
+		}
 		if d.suspects.suspected(now, t.Fingerprint) || !d.placeWaiting(now, p, t, r.OverShare) {
 			// A suspect, or the free slots aren't available to this ticket.
 			t.state = unplaced
@@ -33,7 +36,11 @@
 func (d *Dispatcher) scheduleUnplaced(now clock.Instant, p *pool) {
 	remaining := p.unplaced[:0]
 	for _, id := range p.unplaced {
-		if t := d.tickets[id]; t != nil && !d.placeUnplaced(now, p, t) {
+		t := d.tickets[id]
+		if t == nil || d.refuseQuarantined(now, t) {
+			continue
+		}
+		if !d.placeUnplaced(now, p, t) {
 			remaining = append(remaining, id)
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,6 +142,54 @@
 	g.Expect(refusedWith(submit(d, QuarantineTime, 1, true))).NotTo(gomega.Equal(result.Quarantined))
 }
 
+// TestPartThatCrashesUpstreamsIsRefused guards against incident BUDGET in this
+// core: requests that share one part of their prompts, no two alike, crashed two
+// upstreams each.
+func TestPartThatCrashesUpstreamsIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDispatcher("u", "v", "w", "x", "y", "z")
+	other := newDispatcher("u", "v", "w", "x", "y", "z")
+	ask := func(d *Dispatcher, now clock.Instant, id uint64, parts ...uint64) []Action {
+		return d.Submit(now, Ticket{ID: id, Service: "s", Caller: "c", Cost: 10, Repeatable: true, Fingerprint: id, Parts: parts})
+	}
+	tell := func(now clock.Instant, actions []Action) []Action {
+		for _, a := range actions {
+			if report, ok := a.(ReportEvidence); ok {
+				other.MergeEvidence(now, report.Evidence)
+			}
+		}
+		return actions
+	}
+	const commonPart, badPart, goodPart = 1, 66, 7
+	crashes, now := 0, clock.Instant(0)
+	for id := uint64(1); id <= 10; id++ {
+		now += 5 * time.Second
+		for _, u := range []string{"u", "v", "w", "x", "y", "z"} {
+			d.Announce(now, announcement(u, 1+id, 1, time.Hour))
+		}
+		good := 100 + id
+		granted(g, ask(d, now, good, commonPart, goodPart))
+		now += time.Second
+		tell(now, d.Finish(now, good))
+		actions := ask(d, now, id, commonPart, badPart)
+		for refusedWith(actions) == 0 {
+			now += 3 * time.Second
+			if !slices.ContainsFunc(actions, func(a Action) bool { _, ok := a.(Grant); return ok }) {
+				// A suspect waits for an upstream of its own.
+				actions = tell(now, d.Tick(now))
+				continue
+			}
+			crashes++
+			actions = tell(now, d.Failed(now, id, retry.Broken))
+		}
+	}
+	g.Expect(crashes).To(gomega.BeNumerically("<=", 4), "upstreams that crashed under ten requests")
+	for name, d := range map[string]*Dispatcher{"the same entry": d, "another entry": other} {
+		g.Expect(refusedWith(ask(d, now, 200, commonPart, badPart))).To(gomega.Equal(result.PartQuarantined), name)
+		granted(g, ask(d, now, 201, commonPart, goodPart))
+	}
+}
+
 func TestOutageBlamesNoRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDispatcher("v", "w", "x", "y", "z")
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -33,12 +33,12 @@
 // quarantined, and if the suspect is answered, it is cleared. This clears the
 // requests that only ran beside the one that caused the crash.
 type suspects struct {
-	byFingerprint map[uint64]suspect
+	byFingerprint map[uint64]suspectRequest
 	// recentCrashes are the latest crashes, at most one for each upstream.
 	recentCrashes []crash
 }
 
-type suspect struct {
+type suspectRequest struct {
 	crashes int
 	until   clock.Instant
 }
@@ -48,7 +48,7 @@
 	at       clock.Instant
 }
 
-func newSuspects() *suspects { return &suspects{byFingerprint: map[uint64]suspect{}} }
+func newSuspects() *suspects { return &suspects{byFingerprint: map[uint64]suspectRequest{}} }
 
 func (s *suspects) suspected(now clock.Instant, fingerprint uint64) bool {
 	e, ok := s.byFingerprint[fingerprint]
@@ -70,7 +70,7 @@
 	if now >= e.until {
 		e.crashes = 0
 	}
-	s.byFingerprint[fingerprint] = suspect{crashes: max(e.crashes, crashes), until: now + QuarantineTime}
+	s.byFingerprint[fingerprint] = suspectRequest{crashes: max(e.crashes, crashes), until: now + QuarantineTime}
 }
 
 func (s *suspects) prune(now clock.Instant) {
@@ -115,6 +115,7 @@
 	if d.suspects.isOutage(now, t.upstream) {
 		return false
 	}
+	d.recordPartCrash(now, t)
 	crashes := 1
 	if ranAlone && d.suspects.suspected(now, t.Fingerprint) {
 		crashes = MaxCrashes
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -53,6 +53,7 @@
 			Repeatable: call.Repeatable,
 			Query:      query,
 
+			Parts:       request.sharedParts(),
 			Fingerprint: fingerprint(in.caller, accepted.Document.Name, in.body),
 		},
 	}
--- a/entry/dispatch_actor.go
+++ b/entry/dispatch_actor.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -49,6 +52,8 @@
 	jobs       map[uint64]*job
 	demands    *demandExchange
 	gossip     *gossip.Host
+	// evidenceSequence numbers the published evidence.
+	evidenceSequence uint64
 }
 
 // job is one request that was submitted to the dispatcher, until it is finished,
@@ -212,6 +217,8 @@
 			}
 		case dispatch.ReportSuspect:
 			d.publishSuspect(a)
+		case dispatch.ReportEvidence:
+			d.publishEvidence(a.Evidence)
 		case dispatch.UpstreamLeaving:
 			if j := d.jobs[a.Ticket]; j != nil {
 				j.setLeaving(a.Notice)
@@ -265,7 +272,11 @@
 		case member.Demand:
 			d.demands.store(r)
 		case member.Quarantine:
-			d.recordSuspect(now, r)
+			if strings.HasPrefix(r.ID, evidencePrefix) {
+				d.mergeEvidence(now, r)
+			} else {
+				d.recordSuspect(now, r)
+			}
 		}
 	}
 	for _, r := range c.Ended {
@@ -358,3 +369,46 @@
 	}
 	d.dispatcher.RecordSuspect(now, fingerprint, info.Crashes)
 }
+
+// evidencePrefix begins the IDs of Quarantine records that hold a crash during a
+// request with a certain prompt part, by upstream, or an answer to one, by entry.
+const evidencePrefix = "part/"
+
+// publishEvidence tells the other entries of a crash or an answer.
+func (d *dispatchActor) publishEvidence(e suspect.Evidence) {
+	d.evidenceSequence++
+	source := d.demands.entry
+	if len(e.Crashes) > 0 {
+		source = strconv.FormatUint(e.Crashes[0].Upstream, 16)
+	}
+	klog.InfoS("evidence on a part of prompts", "kind", e.Kind, "hash", strconv.FormatUint(e.Hash, 16), "answered", e.Answered, "source", source)
+	d.gossip.Publish(member.Record{
+		Key:       member.Key{Kind: member.Quarantine, ID: fmt.Sprintf("%s%d/%x/%x/%s", evidencePrefix, e.Kind, e.Service, e.Hash, source)},
+		Version:   member.Version{Incarnation: d.demands.incarnation, Sequence: d.evidenceSequence},
+		Remaining: dispatch.QuarantineTime,
+		Payload:   wire.MustEncode(&e),
+	})
+}
+
+// mergeEvidence adds what another entry has published.
+func (d *dispatchActor) mergeEvidence(now clock.Instant, r member.Record) {
+	var e suspect.Evidence
+	if err := wire.Decode(r.Payload, &e); err != nil {
+		klog.ErrorS(err, "invalid evidence record ignored", "record", r.ID)
+		return
+	}
+	d.dispatcher.MergeEvidence(now, aged(e, dispatch.QuarantineTime-r.Remaining))
+}
+
+// aged returns evidence that has been under way for a time.
+func aged(e suspect.Evidence, underWay time.Duration) suspect.Evidence {
+	underWay = max(underWay, 0)
+	e.SinceAnswer += underWay
+	crashes := make([]suspect.Crash, 0, len(e.Crashes))
+	for _, c := range e.Crashes {
+		c.SinceSent, c.SinceCrash = c.SinceSent+underWay, c.SinceCrash+underWay
+		crashes = append(crashes, c)
+	}
+	e.Crashes = crashes
+	return e
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopladder/hyssopladder/chat"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/route"
@@ -61,6 +63,23 @@
 	return q, float64(output) + prefillWeight*float64(tokens)
 }
 
+// maxSharedParts bounds the messages by which prompts are compared: the first and
+// the last ones, of each half as many.
+const maxSharedParts = 8
+
+// sharedParts returns the hashes of the messages that other prompts may contain
+// too, which are all but the last.
+func (r *chatRequest) sharedParts() []uint64 {
+	earlier := r.Messages[:len(r.Messages)-1]
+	var parts []uint64
+	for i, m := range earlier {
+		if i < maxSharedParts/2 || i >= len(earlier)-maxSharedParts/2 {
+			parts = append(parts, xxhash.Sum64String(m.Role+"\n"+string(m.Content)))
+		}
+	}
+	return parts
+}
+
 // upstreamBody returns the request body for an upstream: it always asks for a
 // stream, and to resume at offset if the caller has already received tokens.
 func (r *chatRequest) upstreamBody(offset int, text string) ([]byte, error) {
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -188,7 +188,7 @@
 	for _, c := range crashes {
 		n := len(counted)
 		switch {
-		case n > 0 && c.sentAt <= counted[n-1].crashedAt:
+		case n > 0 && c.sentAt < counted[n-1].crashedAt:
 			// Both requests ran at once: one outage may have ended both.
 			continue
 		case n > 0 && n < QuarantineCrashes && c.crashedAt-counted[n-1].crashedAt > suspicionRetention:
@@ -239,6 +239,18 @@
 	return t.Kind != Part || l.answeredAt(Trait{Kind: Service, Service: t.Service}) > v.first
 }
 
+// Suspected returns those of the traits that have crashes.
+func (l *Ledger) Suspected(traits []Trait) []Trait {
+	var suspected []Trait
+	for _, t := range traits {
+		own, shared := l.own[t], l.shared[t]
+		if own != nil && len(own.crashes) > 0 || shared != nil && len(shared.crashes) > 0 && shared.crashes[len(shared.crashes)-1].sentAt > l.answeredAt(t) {
+			suspected = append(suspected, t)
+		}
+	}
+	return suspected
+}
+
 // AnyQuarantined reports whether any trait may be quarantined.
 func (l *Ledger) AnyQuarantined() bool { return len(l.convicted) > 0 }
 
