ingress: A stream that ends with its connection before its first event is broken off

An answer may come with neither a length nor chunks. A stream of that kind whose upstream crashed before it wrote anything reached the caller as complete and empty, and counted as an answer that clears its prompt's parts.

--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -215,6 +215,8 @@
 		{"chunks, a part sent", chunkedHead + chunk(large), config.Route{Kind: config.NonIdempotent}, 0},
 		{"stream without its last chunk", chunkedHead + chunk(event(1)), config.Route{Kind: config.Streaming}, 0},
 		{"stream within an event", chunkedHead + chunk(event(1)+"id: 2\nda") + lastChunk, config.Route{Kind: config.Streaming}, 0},
+		{"stream until the connection ends, within an event", answerHead + "\r\n" + event(1) + "id: 2\nda", config.Route{Kind: config.Streaming}, 0},
+		{"stream until the connection ends, before its first event", answerHead + "\r\n", config.Route{Kind: config.Streaming}, 0},
 		{"stream with a gap", chunkedHead + chunk(event(1)+event(3)) + lastChunk, config.Route{Kind: config.Streaming}, 0},
 	}
 	for _, tc := range cases {
@@ -232,6 +234,29 @@
 	}
 }
 
+// TestAnswersMayEndWithTheirConnection relays answers with neither a length nor
+// chunks, which are complete when the connection ends.
+func TestAnswersMayEndWithTheirConnection(t *testing.T) {
+	for name, tc := range map[string]struct {
+		kind config.Kind
+		body string
+	}{
+		"stream":             {config.Streaming, event(1) + event(2)},
+		"events without IDs": {config.Streaming, "data: 1\n\ndata: 2\n\n"},
+		"plain":              {config.NonIdempotent, "the whole body"},
+		"empty":              {config.NonIdempotent, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ending := startUpstream(t, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, answerHead+"\r\n"+tc.body) })
+			status, body, err := get(startEntry(t, config.Route{Kind: tc.kind}, 5*time.Second, ending))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(body).To(gomega.Equal(tc.body))
+		})
+	}
+}
+
 // maxHeapGrowth is by how much one upstream that sends bytes without end may
 // grow the entry's heap.
 const maxHeapGrowth = 20 << 20
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -94,7 +94,7 @@
 		d.w.WriteHeader(response.StatusCode)
 	}
 	flusher, _ := d.w.(http.Flusher)
-	inTime := true
+	inTime, began := true, false
 	var pending []byte
 	chunk := make([]byte, copyBufferBytes)
 	for {
@@ -106,6 +106,7 @@
 		rest, wrote, eventErr := d.writeEvents(pending)
 		if len(rest) < len(pending) {
 			// Bytes that complete no event aren't progress.
+			began = true
 			d.recordProgress()
 		}
 		pending = append(pending[:0], rest...)
@@ -118,6 +119,9 @@
 		switch {
 		case eventErr != nil:
 			return outcome{failure: retry.Broken, cause: eventErr}
+		case errors.Is(err, io.EOF) && !response.Framed() && !began && !d.events.hasLast:
+			// The upstream may have crashed before it wrote anything.
+			return outcome{failure: retry.Broken, cause: errors.New("the connection ended before the first event")}
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
 			d.finish(true, inTime)
 			return outcome{done: true}
