platform, ingress: Log the limits that upstreams name

The log couldn't tell whether a limit is read: attempts have it now, and ingress.limited counts the answers. No logic changes.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -157,6 +157,9 @@
 func (d *forwarding) attempt(requestCtx context.Context, grant fleet.Grant) (o outcome) {
 	in, r := d.in, d.r
 	startedAt := in.options.Clock()
+	// limit is the number of requests per second that the upstream's answer names;
+	// 0 if none.
+	var limit float64
 	defer func() {
 		failure := "none"
 		switch {
@@ -171,7 +174,7 @@
 		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 			"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "number", grant.Attempt,
 			"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
-			"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "err", o.cause)
+			"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
 		if !o.done && o.failure == retry.Broken {
 			klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 				"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
@@ -228,6 +231,10 @@
 		return outcome{failure: failure, cause: err}
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
+	limit = answer.Limit
+	if answer.Limited {
+		in.meters.limited.Inc(1)
+	}
 	switch {
 	case answer.NotRun:
 		response.Skip()
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -16,6 +16,7 @@
 	dials     metrics.Counter
 	requests  metrics.Counter
 	answered  metrics.Counter
+	limited   metrics.Counter
 	firstByte metrics.Timer
 }
 
@@ -25,6 +26,7 @@
 		dials:     metrics.GetOrRegisterCounter("ingress.dials", r),
 		requests:  metrics.GetOrRegisterCounter("ingress.requests", r),
 		answered:  metrics.GetOrRegisterCounter("ingress.answered", r),
+		limited:   metrics.GetOrRegisterCounter("ingress.limited", r),
 		firstByte: metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
 }
