--- /dev/null
+++ b/ingress/limit_test.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/config"
+)
+
+// TestNamedLimitIsKept guards against incident LIMIT: an upstream that named a
+// limit of requests per second in its answers got as many as before.
+func TestNamedLimitIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		limit    = 10.0
+		callers  = 300
+		interval = 5 * time.Millisecond
+	)
+	var atLimited, atOther atomic.Int64
+	answer := func(count *atomic.Int64, header string) func(c net.Conn, _ *http.Request) {
+		return func(c net.Conn, _ *http.Request) {
+			count.Add(1)
+			_, _ = io.WriteString(c, answerHead+header+"Content-Length: 2\r\nConnection: close\r\n\r\nok")
+		}
+	}
+	url := startEntry(t, config.Route{Kind: config.Idempotent}, 5*time.Second,
+		startUpstream(t, answer(&atLimited, fmt.Sprintf("Server-Limit: %v\r\n", limit))), startUpstream(t, answer(&atOther, "")))
+	began := time.Now()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for range callers {
+		status, _, err := get(url)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+		<-ticker.C
+	}
+	allowed := 1.5*limit*time.Since(began).Seconds() + 5
+	g.Expect(float64(atLimited.Load())).To(gomega.BeNumerically("<=", allowed), "the other got %d", atOther.Load())
+	g.Expect(atLimited.Load()).To(gomega.BeNumerically(">=", 5), "it may be used up to its limit")
+}
