e2e: Replicas in need, against real processes

Requests that share a bad part crash at most 8 of 12 replicas behind two entries, and a replica gets no more than the limit it names, until it names it no longer.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -29,6 +29,13 @@
 	cutAfter atomic.Int64
 	// status, if it isn't 0, is the status of every response.
 	status atomic.Int64
+	// crashPart is the part of a prompt that crashes the replica; "" if none does.
+	crashPart string
+	crashed   atomic.Bool
+	// limit, if it isn't 0, is the limit of requests per second that streams name.
+	limit atomic.Int64
+	// stopAnnouncing ends the heartbeats.
+	stopAnnouncing context.CancelFunc
 
 	mu       sync.Mutex
 	received []*http.Request
@@ -42,13 +49,23 @@
 	r := &replica{id: id, service: service, zone: zone}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); r.server.Close() })
-	announce(id, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
+	r.stopAnnouncing = announce(id, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
 	return r
 }
 
+// crash ends the replica as the kernel ends a process: nothing listens any more,
+// and all connections break.
+func (r *replica) crash() {
+	r.crashed.Store(true)
+	r.stopAnnouncing()
+	_ = r.server.Listener.Close()
+	go r.server.CloseClientConnections()
+	panic(http.ErrAbortHandler)
+}
+
 // announce sends the heartbeats of a replica to the keepers in turn, until the
 // test ends.
-func announce(id, service, zone string, address net.Addr, keepers []*process, leaving *atomic.Bool) {
+func announce(id, service, zone string, address net.Addr, keepers []*process, leaving *atomic.Bool) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	born := time.Now().UnixMilli()
@@ -75,6 +92,7 @@
 			}
 		}
 	}()
+	return cancel
 }
 
 func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
@@ -97,6 +115,13 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if limit := r.limit.Load(); limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatInt(limit, 10))
+	}
+	if r.crashPart != "" && strings.Contains(request.Header.Get("X-Prompt-Prefix"), r.crashPart+":") {
+		_ = http.NewResponseController(w).Flush()
+		r.crash()
+	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= eventsPerStream; n++ {
 		if cutAfter := int(r.cutAfter.Load()); cutAfter > 0 && n > cutAfter {
