suspect: Convictions outlive the entries that saw the crashes, and the leader

A new leader learned of crashes only from the entries that had seen them: once those were restarted too, as in a rolling restart, an entry that started then would have let requests with a convicted part through until three more upstreams crashed. Entries repeat the evidence of what they refuse on others' word, and tell a new leader nothing that others have cleared.

TestConvictionsOutliveTheirWitnesses failed before, at the first restart; and after the first draft, which told a new leader of crashes that another entry's answer had cleared. TestTimesOfRepeatedEvidenceStay holds that ages don't drift.

--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -26,21 +26,24 @@
 	// clearedRetention is how long a cleared trait is still shared, so that all
 	// ledgers clear it.
 	clearedRetention = 3 * time.Second
+	// echoMargin is by how much the time of a request may differ when its crash is
+	// heard of again: each message adds its delay to an age.
+	echoMargin = 50 * time.Millisecond
 	// maxCrashes bounds the kept crashes of a trait, maxRecords the traits, which
 	// are pruned from half of that on, each pruneInterval.
 	maxCrashes    = 8
 	maxRecords    = 8192
 	pruneInterval = time.Second
-	// maxTraits, maxServices and maxAsked bound the traits in one exchange, and
+	// maxTraits, maxServices and maxRepeated bound the traits in one exchange, and
 	// maxSentCrashes the crashes of each: about 4 KB, which is rarely reached.
 	maxTraits      = 32
 	maxServices    = 8
-	maxAsked       = 16
+	maxRepeated    = 16
 	maxSentCrashes = QuarantineCrashes
 )
 
 // MaxEvidence is the highest number of traits in one exchange.
-const MaxEvidence = maxTraits + maxServices + maxAsked
+const MaxEvidence = maxTraits + maxServices + maxRepeated
 
 // never is before all instants.
 const never = clock.Instant(math.MinInt64 / 2)
@@ -70,6 +73,11 @@
 		return
 	}
 	r.answeredAt = at
+	r.clear(now, at)
+}
+
+// clear removes the crashes of requests that were sent until at.
+func (r *record) clear(now, at clock.Instant) {
 	before := len(chain(r.crashes))
 	left := slices.DeleteFunc(r.crashes, func(c crash) bool { return c.sentAt <= at })
 	if len(left) < len(r.crashes) {
@@ -86,7 +94,11 @@
 	}
 	for i := range r.crashes {
 		if known := &r.crashes[i]; known.upstream == c.upstream {
-			known.sentAt, known.crashedAt = max(known.sentAt, c.sentAt), min(known.crashedAt, c.crashedAt)
+			if c.sentAt > known.sentAt+echoMargin {
+				// Another request was there too.
+				known.sentAt = c.sentAt
+			}
+			known.crashedAt = min(known.crashedAt, c.crashedAt)
 			return
 		}
 	}
@@ -161,6 +173,10 @@
 		r := find(l.shared, e.Trait)
 		if e.Answered {
 			r.answered(now, now-e.SinceAnswer)
+			if own, ok := l.own[e.Trait]; ok {
+				// What others have cleared isn't told to the next leader.
+				own.clear(now, now-e.SinceAnswer)
+			}
 		}
 		for _, c := range e.Crashes {
 			r.add(crash{c.Upstream, now - c.SinceSent, now - c.SinceCrash})
@@ -299,8 +315,8 @@
 }
 
 // Report returns what this instance has seen of traits with crashes, its own or
-// others', the gravest first. Traits alone ask whether the others have cleared
-// them meanwhile.
+// others', the gravest first. With it come the traits that it refuses on others'
+// word: a new leader learns of them, and an old one tells if they are cleared.
 func (l *Ledger) Report(now clock.Instant) []Evidence {
 	l.prune(now)
 	report := l.evidence(now, l.own, func(t Trait, r *record) int {
@@ -311,14 +327,19 @@
 		}
 		return suspected
 	})
-	asked := 0
+	reported := map[Trait]bool{}
+	for i := range report {
+		reported[report[i].Trait] = true
+	}
+	repeated := 0
 	for t := range l.convicted {
-		if asked == maxAsked {
-			break
-		}
-		if own, ok := l.own[t]; !ok || len(own.crashes) == 0 {
-			report = append(report, Evidence{Trait: t})
-			asked++
+		if shared, ok := l.shared[t]; ok && !reported[t] && repeated < maxRepeated {
+			report = append(report, evidenceOf(now, t, &record{answeredAt: never, crashes: shared.crashes}))
+			repeated++
+			if service := (Trait{Kind: Service, Service: t.Service}); !reported[service] && len(report) < MaxEvidence-maxRepeated {
+				reported[service] = true
+				report = append(report, evidenceOf(now, service, &record{answeredAt: l.answeredAt(service)}))
+			}
 		}
 	}
 	return report
@@ -376,30 +397,32 @@
 	items = items[:min(len(items), maxTraits)]
 	list := make([]Evidence, 0, len(items)+maxServices)
 	services := map[uint64]bool{}
-	add := func(t Trait, r *record) {
-		e := Evidence{Trait: t}
-		if r.answeredAt != never {
-			e.Answered, e.SinceAnswer = true, max(now-r.answeredAt, 0)
-		}
-		counted := chain(r.crashes)
-		for _, c := range counted[max(len(counted)-maxSentCrashes, 0):] {
-			e.Crashes = append(e.Crashes, Crash{Upstream: c.upstream, SinceSent: max(now-c.sentAt, 0), SinceCrash: max(now-c.crashedAt, 0)})
-		}
-		list = append(list, e)
-	}
 	for i := range items {
 		t := items[i].trait
-		add(t, records[t])
+		list = append(list, evidenceOf(now, t, records[t]))
 		if service := (Trait{Kind: Service, Service: t.Service}); !services[t.Service] && len(services) < maxServices {
 			services[t.Service] = true
 			if r, ok := records[service]; ok {
-				add(service, r)
+				list = append(list, evidenceOf(now, service, r))
 			}
 		}
 	}
 	return list
 }
 
+// evidenceOf encodes a record.
+func evidenceOf(now clock.Instant, t Trait, r *record) Evidence {
+	e := Evidence{Trait: t}
+	if r.answeredAt != never {
+		e.Answered, e.SinceAnswer = true, max(now-r.answeredAt, 0)
+	}
+	counted := chain(r.crashes)
+	for _, c := range counted[max(len(counted)-maxSentCrashes, 0):] {
+		e.Crashes = append(e.Crashes, Crash{Upstream: c.upstream, SinceSent: max(now-c.sentAt, 0), SinceCrash: max(now-c.crashedAt, 0)})
+	}
+	return e
+}
+
 // prune forgets what is too old, if there is much.
 func (l *Ledger) prune(now clock.Instant) {
 	if len(l.own)+len(l.shared) < maxRecords/2 || now < l.prunedAt+pruneInterval {
--- a/suspect/ledger_test.go
+++ b/suspect/ledger_test.go
@@ -153,6 +153,65 @@
 	}
 }
 
+// TestConvictionsOutliveTheirWitnesses loses the leader and, one by one, all entries
+// that saw the crashes.
+func TestConvictionsOutliveTheirWitnesses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leader, entries := New(), []*Ledger{New(), New(), New()}
+	now := clock.Instant(second)
+	exchangeAll := func() {
+		for range 3 {
+			for _, l := range entries {
+				now += second / 10
+				exchange(now, l, leader)
+			}
+		}
+	}
+	for i := range uint64(QuarantineCrashes) {
+		now += second
+		entries[0].Crashed(now, i, now-second/10, now, request(i, badPart))
+		entries[1].Answered(now+second/20, request(100+i, 30))
+		exchangeAll()
+	}
+	for i := range entries {
+		leader = New()
+		exchangeAll()
+		entries[i] = New()
+		exchangeAll()
+		g.Expect(refused(entries[i], now, request(200, badPart))).To(gomega.BeTrue(), "entry %d, restarted under a new leader", i)
+		g.Expect(refused(entries[i], now, request(200, 30))).To(gomega.BeFalse(), "entry %d", i)
+	}
+}
+
+// TestTimesOfRepeatedEvidenceStay passes evidence around for long: what was known
+// of its times must not drift, or an answer would no longer clear it.
+func TestTimesOfRepeatedEvidenceStay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leader, entries := New(), []*Ledger{New(), New()}
+	now := clock.Instant(second)
+	for i := range uint64(QuarantineCrashes) {
+		now += second
+		entries[0].Crashed(now, i, now-second/10, now, request(i, badPart))
+		entries[0].Answered(now+second/20, request(100+i, 30))
+	}
+	answered := now + second/20
+	const delay = 20 * time.Millisecond
+	for range 200 {
+		for _, l := range entries {
+			report := l.Report(now)
+			leader.Merge(now+delay, report)
+			l.Merge(now+2*delay, leader.Shared(now+delay, report))
+			now += 150 * time.Millisecond
+		}
+	}
+	g.Expect(refused(entries[1], now, request(200, badPart))).To(gomega.BeTrue())
+	leader.Merge(now, []Evidence{{Trait: request(1, badPart)[3], Answered: true, SinceAnswer: now - answered - 200*time.Millisecond}})
+	for _, l := range entries {
+		exchange(now, l, leader)
+		g.Expect(refused(l, now, request(200, badPart))).To(gomega.BeFalse())
+	}
+}
+
 // TestLedgersAgainstAnOracle runs random crashes and answers at several entries:
 // after an exchange a part that was answered since its last crash is free, and
 // evidence stays within its bounds on the wire.
