fleet, result: Refuse suspected requests with 503 and a time to come back

A request that is refused by circumstances, not by a trial alone, may be sound: 422 says that the request is improper and keeps callers from ever asking again. Now that entries share their evidence it would be said often. 3006, 503 with Retry-After, for whole requests as well as for parts. TestCrashingRequestIsRefused expects that code instead of 3003; what it asks for is the same.

--- a/dispatch/dispatch__parts.go
+++ b/dispatch/dispatch__parts.go
@@ -31,7 +31,7 @@
 	if t.mayHaveRun {
 		return t.finalError()
 	}
-	return result.New(result.PartQuarantined, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
+	return result.New(result.Suspected, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
 }
 
 // refuseQuarantined refuses a ticket that waits for an upstream, and reports
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -185,7 +185,7 @@
 	}
 	g.Expect(crashes).To(gomega.BeNumerically("<=", 4), "upstreams that crashed under ten requests")
 	for name, d := range map[string]*Dispatcher{"the same entry": d, "another entry": other} {
-		g.Expect(refusedWith(ask(d, now, 200, commonPart, badPart))).To(gomega.Equal(result.PartQuarantined), name)
+		g.Expect(refusedWith(ask(d, now, 200, commonPart, badPart))).To(gomega.Equal(result.Suspected), name)
 		granted(g, ask(d, now, 201, commonPart, goodPart))
 	}
 }
--- a/e2e/need_test.go
+++ b/e2e/need_test.go
@@ -81,7 +81,7 @@
 		for i := range d.entries {
 			status, body := d.ask(i, badPart)
 			gomega.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
-			gomega.Expect(body).To(gomega.ContainSubstring("partQuarantined"))
+			gomega.Expect(body).To(gomega.ContainSubstring("suspected"))
 			for n := range 10 {
 				status, body = d.ask(i, fmt.Sprint(10+n%5))
 				gomega.Expect(status).To(gomega.Equal(http.StatusOK))
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -240,7 +240,7 @@
 			e.run(e.tickets[a.Ticket], e.engines[a.Upstream.ID])
 		case Refuse:
 			e.refused++
-			if t := e.tickets[a.Ticket]; a.Err.Code == result.PartQuarantined || a.Err.Code == result.Quarantined {
+			if t := e.tickets[a.Ticket]; a.Err.Code == result.Suspected {
 				t.kind.quarantined++
 			}
 			delete(e.tickets, a.Ticket)
--- a/fleet/fleet__suspect.go
+++ b/fleet/fleet__suspect.go
@@ -27,9 +27,9 @@
 	case !found:
 		return nil
 	case trait.Kind == suspect.Request:
-		return result.New(result.Quarantined, result.RanNo, "the same request crashed the upstreams that ran it")
+		return result.New(result.Suspected, result.RanNo, "the same request crashed the upstreams that ran it").WithRetry(left)
 	default:
-		return result.New(result.PartQuarantined, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
+		return result.New(result.Suspected, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -343,7 +343,7 @@
 	f.Merge(now, []upstream.Member{member("u1", 1, 50)})
 	bad := newTicket(5000)
 	bad.Fingerprint = 666
-	g.Expect(destination(f.Submit(now, bad))).To(gomega.Equal(result.Quarantined.String()))
+	g.Expect(destination(f.Submit(now, bad))).To(gomega.Equal(result.Suspected.String()))
 	neighbour := newTicket(5001)
 	neighbour.Fingerprint = 3
 	g.Expect(destination(f.Submit(now, neighbour))).To(gomega.Equal("u1"))
--- a/result/code.go
+++ b/result/code.go
@@ -31,7 +31,7 @@
 	Quarantined         Code = 3003
 	UpstreamRefused     Code = 3004
 	TimedOut            Code = 3005
-	PartQuarantined     Code = 3006
+	Suspected           Code = 3006
 	ClaimNoQuorum       Code = 4001
 	ClaimPending        Code = 4002
 	ClaimUnknown        Code = 4003
@@ -87,7 +87,7 @@
 	Quarantined:         {"quarantined", 422, false},
 	UpstreamRefused:     {"upstreamRefused", 503, true},
 	TimedOut:            {"timedOut", 504, false},
-	PartQuarantined:     {"partQuarantined", 503, true},
+	Suspected:           {"suspected", 503, true},
 	ClaimNoQuorum:       {"claimNoQuorum", 503, true},
 	ClaimPending:        {"claimPending", 409, true},
 	ClaimUnknown:        {"claimUnknown", 409, false},
