suspect, dispatch: Spare parts that were answered just before

A caller whose prompts begin with a part of few requests lost all of them for ten minutes as soon as some of them contained a bad part too: three crashes passed without an answer to the rare part. A part with an answer in the minute before takes six crashes, crashes that a convicted part without answers explains don't count, and it is tried again after 10 s, 20 s and so on.

In dispatch an entry that has such an answer says so when it hears of crashes. An answer that broke off after its head no longer clears anything (TestBrokenAnswerClearsNothing).

--- a/dispatch/dispatch__parts.go
+++ b/dispatch/dispatch__parts.go
@@ -68,7 +68,12 @@
 	d.partLedger.Answered(now, traits)
 }
 
-// MergeEvidence adds what another entry has reported.
-func (d *Dispatcher) MergeEvidence(now clock.Instant, e suspect.Evidence) {
+// MergeEvidence adds what another entry has reported, and may return an answer of
+// this entry that weighs against it.
+func (d *Dispatcher) MergeEvidence(now clock.Instant, e suspect.Evidence) []Action {
 	d.partLedger.Merge(now, []suspect.Evidence{e})
+	if proof, ok := d.partLedger.Proof(now, e.Trait); ok && !e.Answered {
+		d.pending = append(d.pending, ReportEvidence{proof})
+	}
+	return d.takeActions()
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -190,6 +190,38 @@
 	}
 }
 
+// TestPartThatAnotherEntryAnsweredIsNotBlamedSoon has crashes beside requests with a
+// part that another entry has got answers to just before.
+func TestPartThatAnotherEntryAnsweredIsNotBlamedSoon(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, other := newDispatcher("u", "v", "w", "x", "y", "z"), newDispatcher("u", "v", "w", "x", "y", "z")
+	const part = 66
+	ask := func(d *Dispatcher, now clock.Instant, id uint64, parts ...uint64) []Action {
+		return d.Submit(now, Ticket{ID: id, Service: "s", Caller: "c", Cost: 10, Fingerprint: id, Parts: parts})
+	}
+	tell := func(now clock.Instant, to, from *Dispatcher, actions []Action) {
+		for _, a := range actions {
+			if report, ok := a.(ReportEvidence); ok {
+				for _, reply := range to.MergeEvidence(now, report.Evidence) {
+					from.MergeEvidence(now, reply.(ReportEvidence).Evidence)
+				}
+			}
+		}
+	}
+	granted(g, ask(other, time.Second, 1, part))
+	other.Finish(2*time.Second, 1)
+	now := 10 * time.Second
+	for id := uint64(10); id < 13; id++ {
+		granted(g, ask(d, now, 100+id, 30))
+		granted(g, ask(d, now, id, part))
+		now += 3 * time.Second
+		tell(now, other, d, d.Failed(now, id, retry.Broken))
+		d.Finish(now+time.Second, 100+id)
+		now += 2 * time.Second
+	}
+	granted(g, ask(d, now, 20, part))
+}
+
 func TestOutageBlamesNoRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDispatcher("v", "w", "x", "y", "z")
--- a/entry/dispatch_actor.go
+++ b/entry/dispatch_actor.go
@@ -397,7 +397,7 @@
 		klog.ErrorS(err, "invalid evidence record ignored", "record", r.ID)
 		return
 	}
-	d.dispatcher.MergeEvidence(now, aged(e, dispatch.QuarantineTime-r.Remaining))
+	d.perform(d.dispatcher.MergeEvidence(now, aged(e, dispatch.QuarantineTime-r.Remaining)))
 }
 
 // aged returns evidence that has been under way for a time.
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -7,7 +7,11 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/suspect"
 )
 
 // contactTime is within which the entries must act on the evidence of all.
@@ -56,3 +60,64 @@
 		}
 	}
 }
+
+// TestRarePartsBesideABadOneAreServed has a caller whose prompts begin with a part
+// of few requests, some of which contain a part that crashes engines: the sound
+// ones must not be refused with them.
+func TestRarePartsBesideABadOneAreServed(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 0.6, 1.5, 4} {
+		for seed := uint64(1); seed <= 10; seed++ {
+			t.Run(fmt.Sprintf("%v a second, seed %d", perSecond, seed), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				kind := func(perSecond float64, documents int, commonID uint64) *requestKind {
+					return &requestKind{
+						perSecond: perSecond, target: 2 * second, commonTokens: 130, documents: documents, documentTokens: 300, ownTokens: 600, outputTokens: 300,
+						commonID: commonID,
+					}
+				}
+				const rarePart = 77
+				most, rare, crashing := kind(54, 300, 0), kind(perSecond, 10, rarePart), kind(0, 1, rarePart)
+				crashing.perSecond, crashing.crashes = 1e-9, true
+				e := newEmulation(seed, 6, 18, most, rare, crashing)
+				e.simulate(0, 20*second)
+				crashing.perSecond = 1.2
+				e.scheduleArrivals(crashing)
+				for len(e.crashes) < 5 && e.now < 40*second {
+					e.simulate(0, 100*time.Millisecond)
+				}
+				e.simulate(2*contactTime, 40*second)
+				g.Expect(float64(rare.started)).To(gomega.BeNumerically(">=", 0.5*float64(rare.arrivals)), "of the requests with the rare part; %d were suspected", rare.quarantined)
+			})
+		}
+	}
+}
+
+// TestBrokenAnswerClearsNothing ends requests with the bad part by answers that broke
+// off after their head had reached the caller.
+func TestBrokenAnswerClearsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := engineFleet(8, 100_000, member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1), member("u4", 4, 1))
+	ask := func(now clock.Instant, id, part uint64) string {
+		t := newTicket(id)
+		t.Repeatable = false
+		t.PromptParts = []call.PromptPart{{ID: part, Tokens: 10}, {ID: 1 << 40, Tokens: 10}}
+		return destination(f.Submit(now, t))
+	}
+	now := clock.Instant(second)
+	for id := uint64(1); id <= suspect.QuarantineCrashes; id++ {
+		at := ask(now, id, 66)
+		now += second / 10
+		f.Failed(now, id, retry.Broken)
+		f.Probed(now, at, 1, true)
+		now += second / 10
+		ask(now, 100+id, 7)
+		f.Finish(now+second/10, 100+id, true, true)
+		now += second
+		ask(now, 200+id, 8)
+		f.Finish(now, 200+id, false, false)
+		ask(now, 300+id, 66)
+		f.Finish(now+second/10, 300+id, false, false)
+		now += second
+	}
+	g.Expect(ask(now, 999, 66)).To(gomega.Equal(result.Suspected.String()))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -434,7 +434,9 @@
 		}
 	}
 	s.demand.addAnswer(inTime)
-	f.suspects.Answered(now, t.traits)
+	if success {
+		f.suspects.Answered(now, t.traits)
+	}
 	f.removeTicket(s, t)
 	f.schedule(now, s)
 	return f.takeActions()
--- a/suspect/ledger.go
+++ b/suspect/ledger.go
@@ -12,17 +12,22 @@
 
 // Limits of a ledger.
 const (
-	// QuarantineCrashes is the number of crashes at which a trait is quarantined.
+	// QuarantineCrashes is the number of crashes at which a trait is quarantined,
+	// provenCrashes that for one with an answer within provenTime before them.
 	QuarantineCrashes = 3
+	provenCrashes     = 2 * QuarantineCrashes
+	provenTime        = time.Minute
 	// QuarantineTime is how long a trait is quarantined after its last crash.
-	// After that requests are tried again, and one more crash is enough.
-	QuarantineTime = 10 * time.Minute
+	// After that requests are tried again, and one more crash is enough. A proven
+	// trait is tried after provenQuarantineTime, which each crash doubles.
+	QuarantineTime       = 10 * time.Minute
+	provenQuarantineTime = 10 * time.Second
 	// convictionRetention is how long the crashes of a trait that was quarantined
 	// are kept after the last one, suspicionRetention those of the others, and
 	// answerRetention the time of an answer.
 	convictionRetention = 2 * QuarantineTime
 	suspicionRetention  = 2 * time.Minute
-	answerRetention     = 30 * time.Second
+	answerRetention     = provenTime
 	// clearedRetention is how long a cleared trait is still shared, so that all
 	// ledgers clear it.
 	clearedRetention = 3 * time.Second
@@ -35,11 +40,11 @@
 	maxRecords    = 8192
 	pruneInterval = time.Second
 	// maxTraits, maxServices and maxRepeated bound the traits in one exchange, and
-	// maxSentCrashes the crashes of each: about 4 KB, which is rarely reached.
+	// maxSentCrashes the crashes of each: about 7 KB, which is rarely reached.
 	maxTraits      = 32
 	maxServices    = 8
 	maxRepeated    = 16
-	maxSentCrashes = QuarantineCrashes
+	maxSentCrashes = provenCrashes
 )
 
 // MaxEvidence is the highest number of traits in one exchange.
@@ -114,8 +119,8 @@
 type Ledger struct {
 	// own is what this instance has seen, and shared what it was told.
 	own, shared map[Trait]*record
-	// convicted holds the traits with QuarantineCrashes or more, and announced
-	// those that NewlyQuarantined has returned.
+	// convicted holds the traits with enough crashes, and announced those that
+	// NewlyQuarantined has returned.
 	convicted map[Trait]verdict
 	announced map[Trait]bool
 	prunedAt  clock.Instant
@@ -127,6 +132,24 @@
 	// first and last crash.
 	crashes     int
 	first, last clock.Instant
+	// proven says that the trait was answered within provenTime before the first.
+	proven bool
+}
+
+// convicts reports whether the crashes are enough.
+func (v verdict) convicts() bool {
+	if v.proven {
+		return v.crashes >= provenCrashes
+	}
+	return v.crashes >= QuarantineCrashes
+}
+
+// quarantine is how long the trait is refused after the last crash.
+func (v verdict) quarantine() time.Duration {
+	if !v.proven {
+		return QuarantineTime
+	}
+	return min(provenQuarantineTime<<max(v.crashes-provenCrashes, 0), QuarantineTime)
 }
 
 // New returns an empty ledger.
@@ -215,7 +238,9 @@
 	return counted
 }
 
-// verdictOn weighs the evidence of a trait.
+// verdictOn weighs the evidence of a trait. Crashes don't count against a proven one
+// if a convicted part that never was answered explains them: requests with that
+// part have others in common too.
 func (l *Ledger) verdictOn(t Trait) verdict {
 	all := newRecord()
 	all.answeredAt = l.answeredAt(t)
@@ -226,11 +251,37 @@
 			}
 		}
 	}
-	counted := chain(all.crashes)
+	v := newVerdict(all)
+	if v.proven && v.crashes >= QuarantineCrashes {
+		all.crashes = slices.DeleteFunc(all.crashes, func(c crash) bool { return l.explained(t, c) })
+		v = newVerdict(all)
+	}
+	return v
+}
+
+func newVerdict(r *record) verdict {
+	counted := chain(r.crashes)
 	if len(counted) == 0 {
 		return verdict{}
 	}
-	return verdict{crashes: len(counted), first: counted[0].crashedAt, last: counted[len(counted)-1].crashedAt}
+	first, last := counted[0].crashedAt, counted[len(counted)-1].crashedAt
+	return verdict{crashes: len(counted), first: first, last: last, proven: first-r.answeredAt <= provenTime}
+}
+
+// explained reports whether another part that was convicted, and not proven, was
+// there when the upstream crashed.
+func (l *Ledger) explained(t Trait, c crash) bool {
+	for other, v := range l.convicted {
+		if other == t || other.Kind != Part || other.Service != t.Service || v.proven {
+			continue
+		}
+		for _, records := range []map[Trait]*record{l.own, l.shared} {
+			if r, ok := records[other]; ok && slices.ContainsFunc(r.crashes, func(o crash) bool { return o.upstream == c.upstream }) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // judge updates whether the trait is convicted.
@@ -240,7 +291,7 @@
 	if t.Kind == Service || !convicted && (own == nil || len(own.crashes) == 0) && (shared == nil || len(shared.crashes) == 0) {
 		return
 	}
-	if v := l.verdictOn(t); v.crashes >= QuarantineCrashes {
+	if v := l.verdictOn(t); v.convicts() {
 		l.convicted[t] = v
 		return
 	}
@@ -255,6 +306,16 @@
 	return t.Kind != Part || l.answeredAt(Trait{Kind: Service, Service: t.Service}) > v.first
 }
 
+// Proof returns this instance's own answer to a request with the trait, if others
+// may convict it for lack of one.
+func (l *Ledger) Proof(now clock.Instant, t Trait) (Evidence, bool) {
+	own, ok := l.own[t]
+	if !ok || own.answeredAt == never || now-own.answeredAt > provenTime || l.verdictOn(t).crashes < QuarantineCrashes-1 {
+		return Evidence{}, false
+	}
+	return evidenceOf(now, t, &record{answeredAt: own.answeredAt}), true
+}
+
 // Suspected returns those of the traits that have crashes.
 func (l *Ledger) Suspected(traits []Trait) []Trait {
 	var suspected []Trait
@@ -277,8 +338,8 @@
 		return Trait{}, 0, false
 	}
 	for _, t := range traits {
-		if v, ok := l.convicted[t]; ok && now-v.last < QuarantineTime && l.explains(t, v) {
-			return t, QuarantineTime - (now - v.last), true
+		if v, ok := l.convicted[t]; ok && now-v.last < v.quarantine() && l.explains(t, v) {
+			return t, v.quarantine() - (now - v.last), true
 		}
 	}
 	return Trait{}, 0, false
@@ -436,7 +497,7 @@
 			maps.DeleteFunc(records, func(_ Trait, r *record) bool { return len(r.crashes) == 0 })
 		}
 	}
-	maps.DeleteFunc(l.convicted, func(t Trait, _ verdict) bool { return l.verdictOn(t).crashes < QuarantineCrashes })
+	maps.DeleteFunc(l.convicted, func(t Trait, _ verdict) bool { return !l.verdictOn(t).convicts() })
 }
 
 func (l *Ledger) expired(now clock.Instant, t Trait, r *record) bool {
