--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,51 +51,6 @@
 	Fingerprint uint64
 }
 
-// Action is something that the caller of Fleet has to do.
-type Action interface{ action() }
-
-// Grant asks to send the ticket's request to an upstream.
-type Grant struct {
-	Ticket   uint64
-	Upstream upstream.Announcement
-	// Attempt counts the grants of the ticket, from 1.
-	Attempt int
-	// CachedTokens is the estimated number of prompt tokens in the upstream's
-	// cache.
-	CachedTokens int
-	// Estimate is the expected time to the first token, with the penalties and
-	// bonuses by which the upstream was chosen.
-	Estimate time.Duration
-}
-
-// Refuse asks to answer the ticket's request with an error.
-type Refuse struct {
-	Ticket uint64
-	Err    *result.Error
-}
-
-// Probe asks to find out, after ProbeDelay, whether the upstream refuses
-// connections, and to report that by Probed: requests broke off there.
-type Probe struct {
-	Upstream upstream.Announcement
-}
-
-// Quarantine says that requests with the trait are refused from now on, since
-// that many upstreams crashed during such requests. It needs no action.
-type Quarantine struct {
-	Trait   suspect.Trait
-	Crashes int
-}
-
-// ProbeDelay is the time from when a connection breaks off until a crashed
-// upstream certainly refuses new ones.
-const ProbeDelay = 50 * time.Millisecond
-
-func (Grant) action()      {}
-func (Refuse) action()     {}
-func (Probe) action()      {}
-func (Quarantine) action() {}
-
 // Fleet schedules tickets on upstreams. It isn't safe for concurrent use.
 type Fleet struct {
 	options     Options
