--- /dev/null
+++ b/control/account_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/limit"
+	"github.com/hyssopladder/hyssopladder/suspect"
+)
+
+// TestEvidenceAndLimitsReachAllEntries passes what three entries report through a
+// leader, in the form in which it travels.
+func TestEvidenceAndLimitsReachAllEntries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const badPart = 66
+	state := newLeaderState(0, 1, 0)
+	entries := map[string]*suspect.Ledger{"a": suspect.New(), "b": suspect.New(), "c": suspect.New()}
+	names := []string{"a", "b", "c"}
+	now := clock.Instant(time.Second)
+	shares := map[string]float64{}
+	report := func(name string, limits ...limit.Observation) {
+		now += 100 * time.Millisecond
+		request := AccountRequest{
+			Entry: name, Zone: "z", Incarnation: 1, Loads: map[string]Load{"s": {Arrivals: 5}}, Suspects: entries[name].Report(now), Limits: limits,
+		}
+		var received AccountRequest
+		g.Expect(wire.Decode(wire.MustEncode(&request), &received)).To(gomega.Succeed())
+		var reply AccountReply
+		g.Expect(wire.Decode(wire.MustEncode(state.applyReport(now, received)), &reply)).To(gomega.Succeed())
+		entries[name].Merge(now, reply.Suspects)
+		for _, s := range reply.Limits {
+			shares[name] = s.Share
+		}
+	}
+	for i, name := range names {
+		now += time.Second
+		traits := suspect.Traits("s", uint64(i), []uint64{1, badPart})
+		entries[name].Crashed(now, uint64(i), now-time.Second/10, now, traits)
+		for _, other := range names {
+			report(other)
+		}
+		entries[names[0]].Answered(now, suspect.Traits("s", uint64(100+i), []uint64{1, 30}))
+	}
+	for range 2 {
+		for _, name := range names {
+			report(name, limit.Observation{Upstream: "u", Incarnation: 1, Service: "s", Zone: "z", Rate: 1.5, Limited: true})
+		}
+	}
+	sum := 0.0
+	for _, name := range names {
+		_, _, bad := entries[name].Quarantined(now, suspect.Traits("s", 200, []uint64{1, badPart}))
+		_, _, sound := entries[name].Quarantined(now, suspect.Traits("s", 201, []uint64{1, 30}))
+		g.Expect([]bool{bad, sound}).To(gomega.Equal([]bool{true, false}), "entry %s", name)
+		sum += shares[name]
+	}
+	g.Expect(sum).To(gomega.Equal(1.5), "of one limit, at all entries")
+}
