--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -175,7 +175,7 @@
 			"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "number", grant.Attempt,
 			"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
 			"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
-		if !o.done && o.failure == retry.Broken {
+		if failure == retry.Broken.String() {
 			klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 				"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
 		}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -30,7 +30,16 @@
 
 // String returns the kind's name.
 func (k Kind) String() string {
-	return [...]string{"unknown", "service", "request", "part"}[min(int(k), int(Part))%4]
+	switch k {
+	case Service:
+		return "service"
+	case Request:
+		return "request"
+	case Part:
+		return "part"
+	default:
+		return "unknown"
+	}
 }
 
 // Trait is something that requests of one service may have in common.
