control, dispatch: Check lists of reports in one place; drop a branch that does nothing

The evidence and the limits of a report and of its reply were checked by two loops of the same shape: checkList serves both, with the same bounds. partTraits handled a request without parts apart, which its general line already does.

--- a/control/message.go
+++ b/control/message.go
@@ -153,15 +153,16 @@
 	if r.Entry == "" || len(r.Usage) > maxWindows || len(r.Demands) > maxItems || len(r.Loads) > maxItems {
 		return errors.New("account request without an entry, or with too many usage windows, demands or loads")
 	}
-	if err := checkLimits(r.Limits, (*limit.Observation).Check); err != nil {
+	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Observation).Check); err != nil {
 		return err
 	}
-	return checkSuspects(r.Suspects)
+	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
-func checkLimits[T any](list []T, check func(*T) error) error {
-	if len(list) > limit.MaxObservations {
-		return errors.Errorf("limits of %d upstreams", len(list))
+// checkList verifies a decoded list of at most most values.
+func checkList[T any](list []T, most int, check func(*T) error) error {
+	if len(list) > most {
+		return errors.Errorf("list of %d values, want at most %d", len(list), most)
 	}
 	for i := range list {
 		if err := check(&list[i]); err != nil {
@@ -171,18 +172,6 @@
 	return nil
 }
 
-func checkSuspects(list []suspect.Evidence) error {
-	if len(list) > suspect.MaxEvidence {
-		return errors.Errorf("evidence of %d suspects", len(list))
-	}
-	for i := range list {
-		if err := list[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // AccountReply answers an entry's report.
 type AccountReply struct {
 	// Leading says that this keeper leads and that the report wasn't
@@ -216,10 +205,10 @@
 	if r.Lease < 0 || r.NextReport < 0 || r.NextReport > maxReportInterval || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
 		return errors.New("account reply with a negative lease, an invalid time of the next report, or too many rates or upstreams")
 	}
-	if err := checkLimits(r.Limits, (*limit.Share).Check); err != nil {
+	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Share).Check); err != nil {
 		return err
 	}
-	return checkSuspects(r.Suspects)
+	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
 // ReserveRequest asks for the cost of one request from the leader's pool.
--- a/dispatch/dispatch__parts.go
+++ b/dispatch/dispatch__parts.go
@@ -11,9 +11,6 @@
 // partTraits returns the traits of the ticket's service and shared parts. The
 // request itself is a matter of suspects.
 func (t *ticket) partTraits() []suspect.Trait {
-	if len(t.Parts) == 0 {
-		return suspect.Traits(t.Service, 0, nil)[:1]
-	}
 	traits := suspect.Traits(t.Service, 0, t.Parts)
 	return append(traits[:1], traits[2:]...)
 }
