--- a/fleet/action.go
+++ b/fleet/action.go
@@ -37,6 +37,15 @@
 	Upstream upstream.Announcement
 }
 
+// Crash says that an upstream crashed during a request. It needs no action.
+type Crash struct {
+	Upstream upstream.Announcement
+	// Request is the request's trait, Known the number of its known crashes and
+	// Counted how many of them count towards a quarantine.
+	Request        suspect.Trait
+	Known, Counted int
+}
+
 // Quarantine says that requests with the trait are refused from now on, since
 // that many upstreams crashed during such requests. It needs no action.
 type Quarantine struct {
@@ -51,4 +60,5 @@
 func (Grant) action()      {}
 func (Refuse) action()     {}
 func (Probe) action()      {}
+func (Crash) action()      {}
 func (Quarantine) action() {}
--- a/fleet/fleet__suspect.go
+++ b/fleet/fleet__suspect.go
@@ -57,7 +57,7 @@
 	case !u.serves():
 		// It is leaving, which isn't the requests' doing.
 	case u.crashed && now-u.crashedAt < crashWindow:
-		f.suspects.Crashed(now, u.runHash(), b.sentAt, b.at, b.traits)
+		f.recordCrash(now, u, b)
 	default:
 		u.brokenAttempts = append(u.brokenAttempts, b)
 		if now >= u.probingUntil {
@@ -88,12 +88,23 @@
 	for _, b := range u.brokenAttempts {
 		if now-b.at < crashWindow {
 			u.crashed, u.crashedAt = true, now
-			f.suspects.Crashed(now, u.runHash(), b.sentAt, b.at, b.traits)
+			f.recordCrash(now, u, b)
 		}
 	}
 	u.brokenAttempts = nil
 }
 
+// recordCrash holds the crash against the traits of a request that ran there.
+func (f *Fleet) recordCrash(now clock.Instant, u *upstreamView, b brokenAttempt) {
+	f.suspects.Crashed(now, u.runHash(), b.sentAt, b.at, b.traits)
+	for _, t := range b.traits {
+		if t.Kind == suspect.Request {
+			known, counted := f.suspects.Crashes(t)
+			f.pending = append(f.pending, Crash{Upstream: u.Announcement, Request: t, Known: known, Counted: counted})
+		}
+	}
+}
+
 // runHash identifies this run of the upstream.
 func (u *upstreamView) runHash() uint64 { return mixHash(xxhash.Sum64String(u.ID) ^ u.Incarnation) }
 
--- a/ingress/dispatcher.go
+++ b/ingress/dispatcher.go
@@ -91,6 +91,10 @@
 			klog.InfoS("upstream not probed: too many probes wait", "upstream", a.Upstream.ID)
 		}
 		return
+	case fleet.Crash:
+		klog.InfoS("upstream crashed during a request", "upstream", a.Upstream.ID, "incarnation", a.Upstream.Incarnation,
+			"hash", strconv.FormatUint(a.Request.Hash, 16), "crashes", a.Known, "counted", a.Counted)
+		return
 	case fleet.Quarantine:
 		klog.InfoS("requests quarantined", "kind", a.Trait.Kind, "hash", strconv.FormatUint(a.Trait.Hash, 16), "crashes", a.Crashes)
 		return
--- a/suspect/ledger__verdict.go
+++ b/suspect/ledger__verdict.go
@@ -37,6 +37,17 @@
 // if a convicted part that never was answered explains them: requests with that
 // part have others in common too.
 func (l *Ledger) verdictOn(t Trait) verdict {
+	all := l.record(t)
+	v := newVerdict(all)
+	if v.proven && v.crashes >= QuarantineCrashes {
+		all.crashes = slices.DeleteFunc(all.crashes, func(c crash) bool { return l.explained(t, c) })
+		v = newVerdict(all)
+	}
+	return v
+}
+
+// record joins this instance's record of the trait with that of the others.
+func (l *Ledger) record(t Trait) *record {
 	all := newRecord()
 	all.answeredAt = l.answeredAt(t)
 	for _, records := range []map[Trait]*record{l.own, l.shared} {
@@ -46,12 +57,7 @@
 			}
 		}
 	}
-	v := newVerdict(all)
-	if v.proven && v.crashes >= QuarantineCrashes {
-		all.crashes = slices.DeleteFunc(all.crashes, func(c crash) bool { return l.explained(t, c) })
-		v = newVerdict(all)
-	}
-	return v
+	return all
 }
 
 func newVerdict(r *record) verdict {
@@ -101,6 +107,12 @@
 	return t.Kind != Part || l.answeredAt(Trait{Kind: Service, Service: t.Service}) > v.first
 }
 
+// Crashes returns the number of known crashes of a trait, and how many of them count.
+func (l *Ledger) Crashes(t Trait) (known, counted int) {
+	all := l.record(t)
+	return len(all.crashes), newVerdict(all).crashes
+}
+
 // Proof returns this instance's own answer to a request with the trait, if others
 // may convict it for lack of one.
 func (l *Ledger) Proof(now clock.Instant, t Trait) (Evidence, bool) {
