--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -190,6 +190,40 @@
 	}
 }
 
+// TestRequestThatCrashesUpstreamsAtOnceIsRefused guards against incident BUDGET of
+// plain services in this core: copies of one request that ran at several upstreams at
+// once passed for an outage each time, and were never refused.
+func TestRequestThatCrashesUpstreamsAtOnceIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	upstreams := []string{"u", "v", "w", "x"}
+	d := newDispatcher(upstreams...)
+	const fingerprint = 99
+	crashes, now := 0, clock.Instant(0)
+	for round := range uint64(10) {
+		now += 5 * time.Second
+		for _, u := range upstreams {
+			d.Announce(now, announcement(u, 2+round, 1, time.Hour))
+		}
+		var running []uint64
+		for copies := range uint64(4) {
+			id := 1 + 10*round + copies
+			for _, a := range d.Submit(now, Ticket{ID: id, Service: "s", Caller: fmt.Sprint("c", copies), Cost: 10, Fingerprint: fingerprint}) {
+				if grant, ok := a.(Grant); ok {
+					running = append(running, grant.Ticket)
+				}
+			}
+		}
+		for _, id := range running {
+			now += time.Millisecond
+			crashes++
+			d.Failed(now, id, retry.Broken)
+		}
+	}
+	g.Expect(crashes).To(gomega.BeNumerically("<=", 7), "of requests that broke off; after the third, three more may")
+	g.Expect(refusedWith(d.Submit(now, Ticket{ID: 1000, Service: "s", Caller: "c", Cost: 10, Fingerprint: fingerprint}))).To(gomega.Equal(result.Quarantined))
+	granted(g, d.Submit(now+time.Minute, Ticket{ID: 1001, Service: "s", Caller: "c", Cost: 10, Fingerprint: 7}))
+}
+
 // TestPartThatAnotherEntryAnsweredIsNotBlamedSoon has crashes beside requests with a
 // part that another entry has got answers to just before.
 func TestPartThatAnotherEntryAnsweredIsNotBlamedSoon(t *testing.T) {
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -61,6 +61,42 @@
 	}
 }
 
+// TestRequestThatCrashesUpstreamsIsRefusedByAllEntries guards against incident BUDGET
+// of plain services: one request that came again at any entry, also several times at
+// once, ended all upstreams of its service over and over.
+func TestRequestThatCrashesUpstreamsIsRefusedByAllEntries(t *testing.T) {
+	for _, c := range []struct {
+		entries, upstreams int
+		perSecond          float64
+		burst              int
+	}{{6, 4, 0.7, 1}, {6, 4, 4, 1}, {6, 4, 30, 1}, {6, 4, 1, 4}, {6, 4, 3, 8}, {40, 12, 2, 12}} {
+		for seed := uint64(1); seed <= 10; seed++ {
+			t.Run(fmt.Sprintf("%d entries, %v a second in bursts of %d, seed %d", c.entries, c.perSecond, c.burst, seed), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				sound := &requestKind{perSecond: 5 * float64(c.upstreams), target: 2 * second, commonTokens: 130, documents: 30, documentTokens: 300, ownTokens: 600, outputTokens: 10}
+				crashing := &requestKind{
+					perSecond: c.perSecond, target: 2 * second, documents: 1, crashes: true, same: true, burst: c.burst, crashAfter: 60 * time.Millisecond,
+				}
+				e := newEmulation(seed, c.entries, c.upstreams, sound, crashing)
+				for len(e.crashes) < suspect.QuarantineCrashes && e.now < 60*second {
+					e.simulate(0, 10*time.Millisecond)
+				}
+				g.Expect(len(e.crashes)).To(gomega.BeNumerically(">=", suspect.QuarantineCrashes))
+				third := e.crashes[suspect.QuarantineCrashes-1]
+				e.simulate(contactTime, 20*second)
+				late := 0
+				for _, at := range crashing.received {
+					if at > third+contactTime {
+						late++
+					}
+				}
+				g.Expect(late).To(gomega.BeNumerically("<=", 3), "upstreams that received the crashing request, %d crashed", len(e.crashes))
+				g.Expect(float64(sound.quarantined)).To(gomega.BeNumerically("<=", 0.01*float64(sound.arrivals)), "sound requests that were blamed")
+			})
+		}
+	}
+}
+
 // TestRarePartsBesideABadOneAreServed has a caller whose prompts begin with a part
 // of few requests, some of which contain a part that crashes engines: the sound
 // ones must not be refused with them.
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -48,6 +48,12 @@
 	// and commonID, if it isn't 0, replaces the ID of the common part.
 	crashes  bool
 	commonID uint64
+	// same says that all requests are one that comes again and has no prompt, burst
+	// how many of them come at once, and crashAfter how long each runs before the
+	// upstream crashes.
+	same       bool
+	burst      int
+	crashAfter time.Duration
 	// arrivals counts the requests, and started those whose first attempt
 	// reached an engine. received are the times at which engines received one.
 	arrivals, started int
@@ -185,7 +191,9 @@
 
 func (e *emulation) scheduleArrivals(k *requestKind) {
 	e.schedule(time.Duration(e.random.ExpFloat64()/k.perSecond*float64(second)), func() {
-		e.arrive(k)
+		for range max(k.burst, 1) {
+			e.arrive(k)
+		}
 		e.scheduleArrivals(k)
 	})
 }
@@ -227,6 +235,9 @@
 		ID: e.lastID, Service: "s", Rank: k.rank, MaxRuns: 2, Target: k.target, Deadline: e.now + 15*second,
 		PromptTokens: parts[0].Tokens + parts[1].Tokens + parts[2].Tokens, OutputTokens: around(k.outputTokens), PromptParts: parts, Fingerprint: e.lastID,
 	}
+	if k.same {
+		t.Fingerprint, t.Repeatable, t.PromptTokens, t.OutputTokens, t.PromptParts = k.idBase, true, 0, 0, nil
+	}
 	f := e.entries[e.random.IntN(len(e.entries))]
 	k.arrivals++
 	e.tickets[t.ID] = &emulatedTicket{Ticket: t, kind: k, entry: f, arrivedAt: e.now}
@@ -291,7 +302,7 @@
 		return true
 	})
 	n.prefillFreeAt = start + time.Duration(float64(uncached)/enginePrefillRate*float64(time.Millisecond))
-	untilFirstToken := n.prefillFreeAt + engineStepTime - e.now
+	untilFirstToken := n.prefillFreeAt + engineStepTime + t.kind.crashAfter - e.now
 	e.schedule(untilFirstToken, func() {
 		if n.tickets[t.ID] != t || t.attempts != attempt {
 			return
