suspect: Count crashes at once against a request that ran at all of them

Callers saw: a request that crashes its upstreams, some copies of which come at the same time, ended all upstreams of a plain service over and over; the other requests of the service were refused meanwhile. Cause: several upstreams that fail at once counted as one crash, whatever ran there. For a part that many prompts share that is right, as an outage takes them all. The same request at each of them is no coincidence, unless it is one that others ask too and get answers to, which its earlier answers show. Entries exchange the crashes of a request all, and the receiver weighs them.

--- a/suspect/ledger__exchange.go
+++ b/suspect/ledger__exchange.go
@@ -36,10 +36,10 @@
 func (l *Ledger) Report(now clock.Instant) []Evidence {
 	l.prune(now)
 	report := l.evidence(now, l.own, func(t Trait, r *record) int {
-		suspected := len(chain(r.crashes))
+		suspected := len(r.counted(t.Kind))
 		if shared, ok := l.shared[t]; ok && r.answeredAt != never {
 			// The others don't know that this instance got an answer.
-			suspected = max(suspected, len(chain(shared.crashes)))
+			suspected = max(suspected, len(shared.counted(t.Kind)))
 		}
 		return suspected
 	})
@@ -70,7 +70,7 @@
 		asked[report[i].Trait] = true
 	}
 	return l.evidence(now, l.shared, func(t Trait, r *record) int {
-		suspected := len(chain(r.crashes))
+		suspected := len(r.counted(t.Kind))
 		if asked[t] || now-clearedRetention < r.clearedAt {
 			suspected = max(suspected, r.cleared)
 		}
@@ -132,8 +132,8 @@
 	if r.answeredAt != never {
 		e.Answered, e.SinceAnswer = true, max(now-r.answeredAt, 0)
 	}
-	counted := chain(r.crashes)
-	for _, c := range counted[max(len(counted)-maxSentCrashes, 0):] {
+	crashes := r.shared(t.Kind)
+	for _, c := range crashes[max(len(crashes)-maxSentCrashes, 0):] {
 		e.Crashes = append(e.Crashes, Crash{Upstream: c.upstream, SinceSent: max(now-c.sentAt, 0), SinceCrash: max(now-c.crashedAt, 0)})
 	}
 	return e
--- a/suspect/ledger__verdict.go
+++ b/suspect/ledger__verdict.go
@@ -9,8 +9,8 @@
 
 // verdict is what follows from the crashes of a trait.
 type verdict struct {
-	// crashes is the length of the chain, first and last are the times of its
-	// first and last crash.
+	// crashes is the number of those that count, first and last are the times of the
+	// first and last of them.
 	crashes     int
 	first, last clock.Instant
 	// proven says that the trait was answered within provenTime before the first.
@@ -38,10 +38,10 @@
 // part have others in common too.
 func (l *Ledger) verdictOn(t Trait) verdict {
 	all := l.record(t)
-	v := newVerdict(all)
+	v := newVerdict(t.Kind, all)
 	if v.proven && v.crashes >= QuarantineCrashes {
 		all.crashes = slices.DeleteFunc(all.crashes, func(c crash) bool { return l.explained(t, c) })
-		v = newVerdict(all)
+		v = newVerdict(t.Kind, all)
 	}
 	return v
 }
@@ -60,13 +60,13 @@
 	return all
 }
 
-func newVerdict(r *record) verdict {
-	counted := chain(r.crashes)
+func newVerdict(k Kind, r *record) verdict {
+	counted := r.counted(k)
 	if len(counted) == 0 {
 		return verdict{}
 	}
 	first, last := counted[0].crashedAt, counted[len(counted)-1].crashedAt
-	return verdict{crashes: len(counted), first: first, last: last, proven: first-r.answeredAt <= provenTime}
+	return verdict{crashes: len(counted), first: first, last: last, proven: provenBefore(first, r.answeredAt)}
 }
 
 // explained reports whether another part that was convicted, and not proven, was
@@ -110,7 +110,7 @@
 // Crashes returns the number of known crashes of a trait, and how many of them count.
 func (l *Ledger) Crashes(t Trait) (known, counted int) {
 	all := l.record(t)
-	return len(all.crashes), newVerdict(all).crashes
+	return len(all.crashes), newVerdict(t.Kind, all).crashes
 }
 
 // Proof returns this instance's own answer to a request with the trait, if others
--- a/suspect/ledger_test.go
+++ b/suspect/ledger_test.go
@@ -115,6 +115,30 @@
 	}
 }
 
+// TestSameRequestAtSeveralUpstreamsThatCrashAtOnce tells copies of one bad request
+// from an outage that ends a request which others ask too.
+func TestSameRequestAtSeveralUpstreamsThatCrashAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	leader, entries := New(), []*Ledger{New(), New(), New(), New()}
+	const bad, popular = 1000, 2000
+	entries[0].Answered(8*second, request(popular))
+	for i, l := range entries {
+		at := 10*second + clock.Instant(i)
+		l.Crashed(10*second, uint64(i), 9*second, at, request(bad))
+		l.Crashed(10*second, uint64(i), 9*second, at, request(popular))
+	}
+	for now := 11 * second; now < 13*second; now += second / 4 {
+		for _, l := range entries {
+			exchange(now, l, leader)
+		}
+	}
+	for i, l := range entries {
+		g.Expect(refused(l, 13*second, request(bad))).To(gomega.BeTrue(), "entry %d", i)
+		g.Expect(refused(l, 13*second, request(popular))).To(gomega.BeFalse(), "entry %d, answered just before", i)
+		g.Expect(refused(l, 13*second, request(3000))).To(gomega.BeFalse(), "entry %d, the common part", i)
+	}
+}
+
 // TestEvidenceOfAllEntriesCounts spreads crashes and answers over entries, whose
 // leader changes.
 func TestEvidenceOfAllEntriesCounts(t *testing.T) {
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -22,8 +22,7 @@
 	answeredAt clock.Instant
 	// crashes are those of requests that were sent after answeredAt, in order.
 	crashes []crash
-	// clearedAt is when an answer last removed crashes, cleared the length of
-	// their chain.
+	// clearedAt is when an answer last removed crashes, cleared their number.
 	clearedAt clock.Instant
 	cleared   int
 }
@@ -41,7 +40,7 @@
 
 // clear removes the crashes of requests that were sent until at.
 func (r *record) clear(now, at clock.Instant) {
-	before := len(chain(r.crashes))
+	before := len(r.crashes)
 	left := slices.DeleteFunc(r.crashes, func(c crash) bool { return c.sentAt <= at })
 	if len(left) < len(r.crashes) {
 		r.clearedAt, r.cleared = now, before
@@ -72,6 +71,44 @@
 	}
 }
 
+// counted returns the crashes that count against a trait of the kind. Several
+// upstreams that fail at once have one cause, unless the same request ran at all of
+// them, and isn't one that others ask too and get answers to.
+func (r *record) counted(k Kind) []crash {
+	if k == Request {
+		if all := latest(r.crashes); len(all) > 0 && !provenBefore(all[0].crashedAt, r.answeredAt) {
+			return all
+		}
+	}
+	return chain(r.crashes)
+}
+
+// shared returns the crashes to tell the others, who may know of answers.
+func (r *record) shared(k Kind) []crash {
+	if k == Request {
+		return r.crashes
+	}
+	return chain(r.crashes)
+}
+
+// latest returns the crashes since the last long time without any, unless those
+// before convict already.
+func latest(crashes []crash) []crash {
+	first := 0
+	for i := 1; i < len(crashes); i++ {
+		if i-first < QuarantineCrashes && crashes[i].crashedAt-crashes[i-1].crashedAt > suspicionRetention {
+			first = i
+		}
+	}
+	return crashes[first:]
+}
+
+// provenBefore reports whether an answer at answeredAt makes a trait proven at a
+// crash.
+func provenBefore(crashedAt, answeredAt clock.Instant) bool {
+	return crashedAt-answeredAt <= provenTime
+}
+
 // chain returns the crashes that can't have one cause besides the trait: each is
 // that of another upstream and of a request that was sent after the crash before.
 // A long time without any begins a new chain, unless the chain convicts already.
