--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,8 +106,8 @@
 	pools     map[string]*pool
 	tickets   map[uint64]*ticket
 	suspects  *suspects
-	// partLedger holds the crashes during requests that share a part.
-	partLedger *suspect.Ledger
+	// ledger holds the crashes during requests that share a part, or are the same.
+	ledger *suspect.Ledger
 	// pending are the actions that the current call returns.
 	pending []Action
 }
@@ -185,8 +185,7 @@
 		pools:     map[string]*pool{},
 		tickets:   map[uint64]*ticket{},
 		suspects:  newSuspects(),
-
-		partLedger: suspect.New(),
+		ledger:    suspect.New(),
 	}
 }
 
@@ -365,7 +364,7 @@
 		d.releaseUpstream(now, t, false)
 		p.learnSlotSpeed(t, now)
 		d.suspects.clearAnswered(t.Fingerprint)
-		d.clearParts(now, t)
+		d.clearTraits(now, t)
 	}
 	delete(d.tickets, id)
 	d.schedule(now, p)
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -112,12 +112,16 @@
 // recordCrash records a crash of the ticket's upstream, and reports whether the
 // ticket is quarantined.
 func (d *Dispatcher) recordCrash(now clock.Instant, t *ticket, ranAlone bool) bool {
-	if d.suspects.isOutage(now, t.upstream) {
+	outage := d.suspects.isOutage(now, t.upstream)
+	crashedOthers := d.recordRequestCrash(now, t)
+	if outage && !crashedOthers {
 		return false
 	}
-	d.recordPartCrash(now, t)
+	if !outage {
+		d.recordPartCrash(now, t)
+	}
 	crashes := 1
-	if ranAlone && d.suspects.suspected(now, t.Fingerprint) {
+	if crashedOthers || ranAlone && d.suspects.suspected(now, t.Fingerprint) {
 		crashes = MaxCrashes
 	}
 	d.suspects.record(now, t.Fingerprint, crashes)
