--- a/call/request.go
+++ b/call/request.go
@@ -24,6 +24,9 @@
 	// Resumes is set.
 	LastEvent uint64
 	Resumes   bool
+	// ResumedID is the ID of the caller's attempt that brought the first event of the
+	// resumed stream, "" if it isn't stated.
+	ResumedID string
 	// PromptTokens is the length of the prompt and MaxTokens the maximum length
 	// of the answer; valid if Counted is set.
 	PromptTokens, MaxTokens int
--- a/control/control.go
+++ b/control/control.go
@@ -156,7 +156,7 @@
 			if c.registry.apply(now, a) {
 				changed = true
 				klog.InfoS("upstream changed", "upstream", a.ID, "service", a.Services, "address", a.Address,
-					"zone", a.Zone, "incarnation", a.Incarnation, "number", a.Sequence, "leaving", a.Leaving, "notice", a.Notice)
+					"zone", a.Zone, "release", a.Release, "incarnation", a.Incarnation, "number", a.Sequence, "leaving", a.Leaving, "notice", a.Notice)
 			}
 		}
 		for _, r := range change.Ended {
--- a/control/registry.go
+++ b/control/registry.go
@@ -63,7 +63,7 @@
 // differs reports whether two announcements differ in what entries use. Load,
 // lease and sequence number are ignored.
 func differs(a, b upstream.Announcement) bool {
-	return a.Incarnation != b.Incarnation || a.Address != b.Address || a.Leaving != b.Leaving ||
+	return a.Incarnation != b.Incarnation || a.Address != b.Address || a.Release != b.Release || a.Leaving != b.Leaving ||
 		a.Slots != b.Slots || a.Zone != b.Zone || a.Reclaimable != b.Reclaimable ||
 		!slices.Equal(a.Services, b.Services) ||
 		(a.Cold > 0) != (b.Cold > 0)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -172,7 +172,7 @@
 			failure = o.failure.String()
 		}
 		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
-			"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "number", grant.Attempt,
+			"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
 			"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
 			"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
 		if failure == retry.Broken.String() {
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -18,6 +18,8 @@
 	MaxLease = time.Minute
 	MaxSlots = 4096
 	maxNames = 256
+	// maxReleaseBytes bounds the name of a release.
+	maxReleaseBytes = 100
 )
 
 // Announcement is the state that an upstream reports repeatedly, to renew its
@@ -31,6 +33,9 @@
 	Address  netip.AddrPort `json:"address"`
 	Zone     string         `json:"zone"`
 	Class    string         `json:"class"`
+	// Release is the version of the upstream's software, "" if it doesn't say.
+	// Answers of different releases can't be joined.
+	Release string `json:"release,omitempty"`
 	// Reclaimable says that the platform may reclaim the instance at any time.
 	Reclaimable bool         `json:"reclaimable"`
 	Kind        service.Kind `json:"kind"`
@@ -103,6 +108,8 @@
 		return errors.New("announcement: the ID must have 1 to 100 bytes")
 	case !a.Address.IsValid() || a.Address.Port() == 0:
 		return errors.New("announcement: the address must have an IP and a port")
+	case len(a.Release) > maxReleaseBytes:
+		return errors.Errorf("announcement: release of %d bytes, want at most %d", len(a.Release), maxReleaseBytes)
 	case !service.ValidName(a.Zone):
 		return errors.Errorf("announcement: zone %q is not a name", a.Zone)
 	case a.Lease < MinLease || a.Lease > MaxLease:
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -87,7 +87,7 @@
 // equalExceptLoad reports whether two announcements of an incarnation are equal,
 // apart from their load and lease. Fields that don't affect routing are ignored.
 func equalExceptLoad(a, b Announcement) bool {
-	return a.Address == b.Address && a.Zone == b.Zone && a.Class == b.Class && a.Kind == b.Kind &&
+	return a.Address == b.Address && a.Zone == b.Zone && a.Class == b.Class && a.Kind == b.Kind && a.Release == b.Release &&
 		a.Leaving == b.Leaving && a.Slots == b.Slots &&
 		slices.Equal(a.Models, b.Models) && slices.Equal(a.Services, b.Services)
 }
