--- a/e2e/confirm_test.go
+++ b/e2e/confirm_test.go
@@ -56,7 +56,7 @@
 			go d.serve(c.(*net.TCPConn), rand.New(rand.NewPCG(seed, n)))
 		}
 	}()
-	announce(id, "booking", zone, l.Addr(), keepers, &atomic.Bool{})
+	announce(id, firstRelease, "booking", zone, l.Addr(), keepers, &atomic.Bool{})
 	return d
 }
 
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -23,10 +23,16 @@
 // replica is an upstream of the platform that runs in the test's process.
 type replica struct {
 	id, service, zone string
-	server            *httptest.Server
-	leaving           atomic.Bool
+	// release is the version of its software, whose name is in its streams unless it
+	// is the first one.
+	release string
+	server  *httptest.Server
+	leaving atomic.Bool
 	// cutAfter breaks streams off after that many events; 0 means never.
 	cutAfter atomic.Int64
+	// holdAfter is the event after which streams wait for release of hold; 0 means none.
+	holdAfter atomic.Int64
+	hold      chan struct{}
 	// status, if it isn't 0, is the status of every response.
 	status atomic.Int64
 	// crashPart is the part of a prompt that crashes the replica; "" if none does.
@@ -44,12 +50,21 @@
 // eventsPerStream is the number of events of a complete stream.
 const eventsPerStream = 6
 
+// firstRelease is the version of the software of most replicas.
+const firstRelease = "v1"
+
 func startReplica(id, service, zone string, keepers []*process) *replica {
 	ginkgo.GinkgoHelper()
-	r := &replica{id: id, service: service, zone: zone}
+	return startReplicaOf(firstRelease, id, service, zone, keepers)
+}
+
+// startReplicaOf starts a replica with a version of the software.
+func startReplicaOf(release, id, service, zone string, keepers []*process) *replica {
+	ginkgo.GinkgoHelper()
+	r := &replica{id: id, service: service, zone: zone, release: release, hold: make(chan struct{})}
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); r.server.Close() })
-	r.stopAnnouncing = announce(id, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
+	r.stopAnnouncing = announce(id, release, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
 	return r
 }
 
@@ -65,7 +80,7 @@
 
 // announce sends the heartbeats of a replica to the keepers in turn, until the
 // test ends.
-func announce(id, service, zone string, address net.Addr, keepers []*process, leaving *atomic.Bool) context.CancelFunc {
+func announce(id, release, service, zone string, address net.Addr, keepers []*process, leaving *atomic.Bool) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	born := time.Now().UnixMilli()
@@ -78,8 +93,8 @@
 			if leaving.Load() {
 				state = "draining"
 			}
-			body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`,
-				service, address, zone, state, seq, born)
+			body := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":%q,"slots":4,"state":%q,"coldLeftMs":0,"seq":%d,"born":%d}`,
+				service, address, zone, release, state, seq, born)
 			keeper := keepers[seq%len(keepers)]
 			response, err := http.Post(fmt.Sprintf("http://%s/v1/replicas/%s/heartbeat", keeper.Peers, id), "application/json", strings.NewReader(body))
 			if err == nil {
@@ -122,6 +137,10 @@
 		_ = http.NewResponseController(w).Flush()
 		r.crash()
 	}
+	suffix := ""
+	if r.release != firstRelease {
+		suffix = " of " + r.release
+	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= eventsPerStream; n++ {
 		if cutAfter := int(r.cutAfter.Load()); cutAfter > 0 && n > cutAfter {
@@ -130,8 +149,15 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: word %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: word %d%s\n\n", n, n, suffix)
 		_ = http.NewResponseController(w).Flush()
+		if n == int(r.holdAfter.Load()) {
+			select {
+			case <-r.hold:
+			case <-request.Context().Done():
+				return
+			}
+		}
 	}
 }
 
