fleet: Bind a stream to the release that began it

Callers saw: streams whose replica crashed went on at replicas of another version of the software, whole, signed and joined from two texts. Cause: an entry chose among all upstreams of the service; their release wasn't known. Now the head that goes to the caller binds the request to its upstream's release, and no attempt, move off a silent upstream or count of those untried takes any other.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,10 @@
 	PromptParts []call.PromptPart
 	// Fingerprint identifies the caller, the path and the body.
 	Fingerprint uint64
+	// Release is the only release that may run the request, if Bound is set: it began
+	// the stream that the request resumes.
+	Release string
+	Bound   bool
 }
 
 // Fleet schedules tickets on upstreams. It isn't safe for concurrent use.
@@ -295,8 +299,8 @@
 		return f.takeActions()
 	}
 	switch {
-	case !s.anyServing():
-		f.refuse(t, result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", request.Service).WithRetry(noUpstreamRetryAfter))
+	case !s.anyServing(t):
+		f.refuse(t, t.noUpstreamError().WithRetry(noUpstreamRetryAfter))
 	case len(s.queue) >= maxQueued:
 		f.refuse(t, f.saturatedError(s, t))
 	default:
@@ -370,6 +374,18 @@
 	s.prefillRate += weight * (rate - s.prefillRate)
 }
 
+// Bind binds a running ticket to the release of its upstream, which has begun the
+// caller's stream, and returns the release. From now on no other may run the ticket,
+// as answers of two releases don't fit together.
+func (f *Fleet) Bind(id uint64) (release string, running bool) {
+	t, ok := f.tickets[id]
+	if !ok || t.upstream == nil {
+		return "", false
+	}
+	t.Release, t.Bound = t.upstream.Release, true
+	return t.Release, true
+}
+
 // Finish ends a ticket that was answered in full. success is false for an error
 // answer, and inTime says that the caller was served within the target: with the
 // first event of a stream, or with the whole of another response.
@@ -456,17 +472,18 @@
 	s := f.service(t.Service)
 	others := 0
 	for _, u := range s.upstreams {
-		if u != t.upstream && u.usable(now) && !t.hasFailedOn(u.ID) {
+		if u != t.upstream && u.usable(now) && t.mayRunOn(u) {
 			others++
 		}
 	}
 	return others > 0 && t.Repeatable && t.runs < t.MaxRuns && s.retryBudget.Remaining() >= 1
 }
 
-// anyServing reports whether any upstream serves, also if it is in backoff.
-func (s *service) anyServing() bool {
+// anyServing reports whether any upstream serves that may run the ticket, also if it
+// is in backoff.
+func (s *service) anyServing(t *ticket) bool {
 	for _, u := range s.upstreams {
-		if u.serves() {
+		if u.serves() && t.mayRunOn(u) {
 			return true
 		}
 	}
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -59,17 +59,30 @@
 	return failure == retry.NotSent || s.retryBudget.Spend(now)
 }
 
-// hasUntried reports whether there is a usable upstream that hasn't failed the
-// ticket.
+// hasUntried reports whether there is a usable upstream that may run the ticket.
 func (s *service) hasUntried(now clock.Instant, t *ticket) bool {
 	for _, u := range s.upstreams {
-		if u.usable(now) && !t.hasFailedOn(u.ID) {
+		if u.usable(now) && t.mayRunOn(u) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayRunOn reports whether the upstream hasn't failed the ticket, and is of the
+// release that the ticket is bound to.
+func (t *ticket) mayRunOn(u *upstreamView) bool {
+	return !t.hasFailedOn(u.ID) && (!t.Bound || u.Release == t.Release)
+}
+
+// noUpstreamError refuses a ticket that no upstream may run.
+func (t *ticket) noUpstreamError() *result.Error {
+	if t.Bound {
+		return result.New(result.NoUpstream, result.RanNo, "no upstream of release %q, which began the stream, serves %q now", t.Release, t.Service)
+	}
+	return result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", t.Service)
+}
+
 func (t *ticket) hasFailedOn(id string) bool {
 	for _, other := range t.failedOn {
 		if other == id {
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -269,7 +269,7 @@
 	var bestEstimate estimate
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
-		if !u.usable(now) || t.hasFailedOn(u.ID) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
+		if !u.usable(now) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
 			continue
 		}
 		e := s.estimate(now, zone, u, t)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -8,8 +8,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/exchange"
+	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/retry"
 )
 
@@ -88,6 +90,7 @@
 // relayStream relays the events of one attempt's response.
 func (d *forwarding) relayStream(response *exchange.Response) outcome {
 	if !d.headSent {
+		d.bind()
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
 		d.w.Header().Del("Content-Length")
@@ -133,6 +136,14 @@
 	}
 }
 
+// bind binds the stream to the release that has begun it.
+func (d *forwarding) bind() {
+	d.in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
+		f.Bind(d.ticket)
+		return nil
+	})
+}
+
 // writeEvents writes the complete events at the start of b to the caller and
 // returns the rest of b.
 func (d *forwarding) writeEvents(b []byte) (rest []byte, wrote bool, err error) {
