origin, link, ingress: A stream that its caller takes up goes on at the release that began it

Callers saw: a stream taken up at another entry, or after all entries were killed, went on at any release; nothing in the answer showed it. Cause: only the entry that began a stream could know its release, and lost it with the connection. Now entries tell two keepers the origin of each resumable stream when its head goes to the caller, in batches of 40 ms; an entry that gets a request with Resumes asks its own book, then the keepers. A stream of which nothing is known is refused with 503 (3007), unless all upstreams of the last 30 s were of one release. The route's split doesn't send a stream to another service either. Weighed: the release in the stream (its bytes are the upstream's), by a hash of the ID (changes with each release), gossip among entries (lost when all are killed).

--- a/config/table.go
+++ b/config/table.go
@@ -83,3 +83,13 @@
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
+
+// Allows reports whether requests of the route may go to the service.
+func (r *Route) Allows(service string) bool {
+	for _, b := range r.Backends {
+		if b.Service == service && b.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/control/control.go
+++ b/control/control.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/member"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -73,6 +74,8 @@
 	// before the first.
 	leaderState *leaderState
 	usageCounts *usageCounts
+	// origins are the streams that entries have begun.
+	origins *origin.Book
 	// changed is closed and replaced when the registry has changed.
 	changed chan struct{}
 	// wakePending says that changed will be closed after wakeDelay.
@@ -88,11 +91,12 @@
 // New registers the handlers and starts the background work, which ends with
 // ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), changed: make(chan struct{})}
+	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{})}
 	o.Gossip.Subscribe(c.applyGossip)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
 	o.Server.On(peer.Reserve, c.serveReserve)
+	o.Server.On(peer.Origins, c.serveOrigins)
 	o.Server.Handle(platform.HeartbeatPattern, http.HandlerFunc(c.serveHeartbeat))
 	o.Server.Handle(platform.DeregisterPattern, http.HandlerFunc(c.serveDeregister))
 	o.Server.Handle(platform.PutConfigPattern, http.HandlerFunc(c.servePutConfig))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -84,6 +84,9 @@
 	// failureRate is the fraction of failed answers, over all upstreams.
 	failureRate float64
 	demand      demandCounters
+	// releases holds when upstreams of each release last changed, as far as those are
+	// known to have served.
+	releases map[string]clock.Instant
 }
 
 type ticket struct {
@@ -191,6 +194,7 @@
 			retryBudget: retry.NewBudgetPart(f.options.RetryRatio*ratioFraction, f.maxSavedRetries()),
 			prefillRate: initialPrefillRate,
 			slotTime:    initialSlotTime,
+			releases:    map[string]clock.Instant{},
 		}
 		f.services[name] = s
 	}
@@ -233,21 +237,25 @@
 	switch {
 	case ok && m.Incarnation == u.Incarnation && m.Sequence == u.Sequence && m.Leaving == u.Leaving:
 		u.Silent, u.Ended = m.Silent, m.Ended
+		f.noteRelease(now, u)
 		return
 	case ok && !m.Newer(&u.Announcement):
 		return
 	case m.Ended && !ok:
 		return
 	case ok && m.Incarnation == u.Incarnation:
+		f.noteRelease(now, u)
 		u.Member = m
 	default:
 		if ok {
+			f.noteRelease(now, u)
 			f.remove(u)
 		}
 		u = newUpstreamView(now, m)
 		f.upstreams[m.ID] = u
 		if len(m.Services) > 0 {
 			s := f.service(m.Services[0])
+			s.releases[m.Release] = now
 			s.upstreams = append(s.upstreams, u)
 			sort.Slice(s.upstreams, func(i, j int) bool { return s.upstreams[i].ID < s.upstreams[j].ID })
 		}
@@ -255,6 +263,43 @@
 	f.assignAddress(u)
 }
 
+// noteRelease records that the release of the upstream served until now.
+func (f *Fleet) noteRelease(now clock.Instant, u *upstreamView) {
+	if len(u.Services) > 0 {
+		f.service(u.Services[0]).releases[u.Release] = now
+	}
+}
+
+// OnlyRelease returns the release of all upstreams that have served the service within
+// the time, if there is exactly one.
+func (f *Fleet) OnlyRelease(now clock.Instant, name string, within time.Duration) (string, bool) {
+	s, ok := f.services[name]
+	if !ok {
+		return "", false
+	}
+	served := map[string]bool{}
+	for _, u := range s.upstreams {
+		if !u.Ended {
+			served[u.Release] = true
+		}
+	}
+	for release, at := range s.releases {
+		switch {
+		case now-at <= within:
+			served[release] = true
+		case !served[release]:
+			delete(s.releases, release)
+		}
+	}
+	if len(served) != 1 {
+		return "", false
+	}
+	for release := range served {
+		return release, true
+	}
+	return "", false
+}
+
 // assignAddress marks all but the newest upstream that announced an address as
 // replaced.
 func (f *Fleet) assignAddress(u *upstreamView) {
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -25,6 +25,7 @@
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/link"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -79,6 +80,7 @@
 		link:           link.New(ctx, link.Options{Clock: clock.System(), PeerClient: peer.NewClient(), BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} }}),
 		meters:         newMeters(metrics.NewRegistry()),
 		usage:          usage.NewMeter(),
+		origins:        origin.New(),
 	}
 	var members []upstream.Member
 	for i, address := range upstreams {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/link"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
@@ -79,6 +80,8 @@
 	// quotas are the entry's parts of the quotas, by organisation.
 	quotas map[string]*quota.LeasedBucket
 	usage  *usage.Meter
+	// origins are the streams that this entry has begun.
+	origins *origin.Book
 }
 
 // New listens for callers and for the load balancer's readiness checks, and
@@ -89,6 +92,7 @@
 		meters:  newMeters(o.Metrics),
 		quotas:  map[string]*quota.LeasedBucket{},
 		usage:   usage.NewMeter(),
+		origins: origin.New(),
 	}
 	in.upstreamClient = exchange.New(func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
--- /dev/null
+++ b/ingress/origin.go
@@ -0,0 +1,100 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/origin"
+	"github.com/hyssopladder/hyssopladder/result"
+)
+
+// unknownOriginRetryAfter is the Retry-After of a stream that can't go on as nothing is
+// known of its origin: a keeper that was out of reach may know it.
+const unknownOriginRetryAfter = time.Second
+
+// streamID identifies the stream that the request begins or resumes.
+func (r *request) streamID() origin.Stream {
+	if r.Resumes && r.ResumedID != "" {
+		return origin.StreamOf(r.organisation(), r.ResumedID)
+	}
+	return origin.StreamOf(r.organisation(), r.ID)
+}
+
+// findOrigin binds a request that resumes a stream to what began the stream.
+func (in *Ingress) findOrigin(ctx context.Context, r *request) error {
+	if !r.Resumes || !r.isStream() {
+		return nil
+	}
+	o, source := in.originOf(ctx, r)
+	klog.InfoS("stream resumed", "request", r.ID, "route", r.routeName(), "stream", r.ResumedID, "lastEvent", r.LastEvent,
+		"service", o.Service, "release", o.Release, "source", source)
+	if source == originUnknown {
+		return result.New(result.OriginUnknown, result.RanNo, "nothing is known of the release that began the stream %q", r.ResumedID).WithRetry(unknownOriginRetryAfter)
+	}
+	if !r.route.Allows(o.Service) {
+		return result.New(result.NoUpstream, result.RanNo, "the route no longer leads to the service %q, which began the stream", o.Service).WithRetry(unknownOriginRetryAfter)
+	}
+	r.service, r.release, r.bound = o.Service, o.Release, true
+	return nil
+}
+
+// originSource says where an origin was found.
+type originSource string
+
+const (
+	originUnknown originSource = "unknown"
+	originOwn     originSource = "entry"
+	originKeeper  originSource = "keeper"
+	// originOnly means that all upstreams that may have begun the stream were of one
+	// release.
+	originOnly originSource = "only release"
+)
+
+// originOf finds out what began the stream that the request resumes.
+func (in *Ingress) originOf(ctx context.Context, r *request) (origin.Origin, originSource) {
+	if r.ResumedID != "" {
+		in.mu.Lock()
+		o, ok := in.origins.Find(in.options.Clock(), r.streamID())
+		in.mu.Unlock()
+		if ok {
+			return o, originOwn
+		}
+		if o, ok = in.link.FindOrigin(ctx, r.streamID()); ok {
+			return o, originKeeper
+		}
+	}
+	if len(r.route.Backends) != 1 || in.link.DirectoryFollowed() < origin.Retention {
+		return origin.Origin{}, originUnknown
+	}
+	o, source := origin.Origin{Service: r.service}, originUnknown
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+		if release, ok := f.OnlyRelease(now, r.service, origin.Retention); ok {
+			o.Release, source = release, originOnly
+		}
+		return nil
+	})
+	return o, source
+}
+
+// bind binds the stream to the release that has begun it, and tells the keepers, as the
+// caller may take it up at another entry.
+func (d *forwarding) bind() {
+	var release string
+	var running bool
+	d.in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
+		release, running = f.Bind(d.ticket)
+		return nil
+	})
+	if !running || !d.r.route.Repeatable() {
+		return
+	}
+	s, o := d.r.streamID(), origin.Origin{Service: d.r.service, Release: release}
+	d.in.mu.Lock()
+	d.in.origins.Record(d.in.options.Clock(), s, o)
+	d.in.mu.Unlock()
+	d.in.link.StreamBegan(s, o)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -40,6 +40,9 @@
 	route    *config.Route
 	org      *config.Organisation
 	service  string
+	// release is the only one that may run the request, if bound is set.
+	release  string
+	bound    bool
 	rank     int
 	revision uint64
 	// charged is the cost that was taken from the organisation's quota at
@@ -138,6 +141,9 @@
 	r.deadline = r.arrived + timeout
 	r.service = r.route.Pick(hashFraction(r.ID))
 	r.rank = rank(r.route, r.org)
+	if err := in.findOrigin(httpRequest.Context(), r); err != nil {
+		return r, err
+	}
 	return r, in.charge(httpRequest.Context(), r)
 }
 
@@ -289,6 +295,7 @@
 		t.OutputTokens = min(r.LengthHint, r.MaxTokens)
 	}
 	t.Fingerprint = r.fingerprint()
+	t.Release, t.Bound = r.release, r.bound
 	return t
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -8,10 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/exchange"
-	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/retry"
 )
 
@@ -136,14 +134,6 @@
 	}
 }
 
-// bind binds the stream to the release that has begun it.
-func (d *forwarding) bind() {
-	d.in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
-		f.Bind(d.ticket)
-		return nil
-	})
-}
-
 // writeEvents writes the complete events at the start of b to the caller and
 // returns the rest of b.
 func (d *forwarding) writeEvents(b []byte) (rest []byte, wrote bool, err error) {
--- a/link/link.go
+++ b/link/link.go
@@ -103,6 +103,14 @@
 	// and of the keepers' clocks.
 	ownWall     clock.Wall
 	keeperWalls map[netip.AddrPort]*clock.Wall
+	// directorySince is when the directory began to be followed without a gap, and
+	// directoryAt when a keeper last brought it up to date; 0 before the first time.
+	directorySince, directoryAt clock.Instant
+
+	// begun are the streams to tell the keepers, by loop, and finds the origins to ask
+	// for.
+	begun [syncLoopCount]chan begunStream
+	finds chan findRequest
 }
 
 // New starts the loops that call the keepers; they end with ctx.
@@ -114,6 +122,7 @@
 	for i := range syncLoopCount {
 		go l.syncLoop(ctx, i)
 	}
+	l.startOrigins(ctx)
 	go l.reportLoop(ctx)
 	go func() {
 		for {
@@ -273,6 +282,7 @@
 	l.synced.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.followDirectory(l.options.Clock())
 	delete(l.failedAt, cursor.address)
 	l.setLeader(reply.Leader, reply.Term)
 	if len(reply.Peers) > 0 {
@@ -288,6 +298,31 @@
 	return nil
 }
 
+// maxDirectoryGap is how long no keeper may have answered for the directory to count as
+// followed all the time. Keepers list upstreams that have ended for longer.
+const maxDirectoryGap = 10 * time.Second
+
+// followDirectory records that a keeper has just brought the directory up to date. The
+// caller holds l.mu.
+func (l *Link) followDirectory(now clock.Instant) {
+	if l.directoryAt == 0 || now-l.directoryAt > maxDirectoryGap {
+		l.directorySince = now
+	}
+	l.directoryAt = now
+}
+
+// DirectoryFollowed is for how long the directory has been followed without a gap; 0 if
+// it isn't now.
+func (l *Link) DirectoryFollowed() time.Duration {
+	now := l.options.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.directoryAt == 0 || now-l.directoryAt > maxDirectoryGap {
+		return 0
+	}
+	return now - l.directorySince
+}
+
 // forgetClocks drops the clocks of keepers that are gone, which nothing corrects
 // any more. The caller holds l.mu.
 func (l *Link) forgetClocks() {
--- /dev/null
+++ b/link/link__origin.go
@@ -0,0 +1,195 @@
+package link
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/common/pace"
+	"github.com/hyssopladder/hyssopladder/origin"
+	"github.com/hyssopladder/hyssopladder/peer"
+)
+
+// Intervals, timeouts and bounds of the origins of streams.
+const (
+	// originInterval is the time between two messages to a keeper with the streams
+	// that have begun; what began within it is unknown if the entry is killed.
+	originInterval = 40 * time.Millisecond
+	originTimeout  = 300 * time.Millisecond
+	// findInterval is the time between two requests for origins, which callers wait
+	// for.
+	findInterval = 10 * time.Millisecond
+	// maxPendingOrigins bounds the streams that wait to be sent to one keeper, and the
+	// callers that wait for an origin.
+	maxPendingOrigins = 2048
+)
+
+// begunStream is a stream that this entry has begun.
+type begunStream struct {
+	stream origin.Stream
+	origin origin.Origin
+}
+
+// foundOrigin is the answer to a findRequest; found says that a keeper knows the origin.
+type foundOrigin struct {
+	origin origin.Origin
+	found  bool
+}
+
+// findRequest asks for the origin of a stream. done has room for the answer.
+type findRequest struct {
+	stream origin.Stream
+	done   chan foundOrigin
+}
+
+// startOrigins starts the loops that send and find origins.
+func (l *Link) startOrigins(ctx context.Context) {
+	for i := range l.begun {
+		l.begun[i] = make(chan begunStream, maxPendingOrigins)
+		go pace.Batches(ctx, l.begun[i], originInterval, func(batch []begunStream) { l.sendOrigins(ctx, i, batch) })
+	}
+	l.finds = make(chan findRequest, maxPendingOrigins)
+	go pace.Batches(ctx, l.finds, findInterval, func(batch []findRequest) { go l.findOrigins(ctx, batch) })
+}
+
+// StreamBegan tells keepers the origin of a stream. It doesn't wait.
+func (l *Link) StreamBegan(s origin.Stream, o origin.Origin) {
+	for i := range l.begun {
+		select {
+		case l.begun[i] <- begunStream{s, o}:
+		default:
+			klog.InfoS("origin of a stream not told: too many wait", "stream", uint64(s), "release", o.Release, "loop", i)
+		}
+	}
+}
+
+// FindOrigin asks the keepers for the origin of a stream.
+func (l *Link) FindOrigin(ctx context.Context, s origin.Stream) (origin.Origin, bool) {
+	request := findRequest{s, make(chan foundOrigin, 1)}
+	select {
+	case l.finds <- request:
+	default:
+		klog.InfoS("origin of a stream not asked for: too many wait", "stream", uint64(s))
+		return origin.Origin{}, false
+	}
+	select {
+	case f := <-request.done:
+		return f.origin, f.found
+	case <-ctx.Done():
+		return origin.Origin{}, false
+	}
+}
+
+// sendOrigins sends the batch to the keeper of the sync loop, or to another one if
+// that fails.
+func (l *Link) sendOrigins(ctx context.Context, loop int, batch []begunStream) {
+	for len(batch) > 0 {
+		n := min(len(batch), origin.MaxStreams)
+		var groups origin.Groups
+		for _, b := range batch[:n] {
+			groups.Add(b.stream, b.origin)
+		}
+		batch = batch[n:]
+		request := &origin.Request{Begun: groups.List()}
+		current, others := l.originKeepers()
+		keepers := others
+		if loop < len(current) {
+			keepers = append([]netip.AddrPort{current[loop]}, others...)
+		}
+		sent := false
+		for _, address := range keepers[:min(len(keepers), 2)] {
+			if sent = l.callOrigins(ctx, address, request, nil); sent {
+				break
+			}
+		}
+		if !sent && ctx.Err() == nil {
+			klog.InfoS("origins of streams lost for one keeper", "streams", n, "loop", loop, "keepers", len(keepers))
+		}
+	}
+}
+
+// originKeepers returns the keepers of the sync loops and the other ones.
+func (l *Link) originKeepers() (current, others []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, address := range l.currentKeepers {
+		if address.IsValid() && !slices.Contains(current, address) {
+			current = append(current, address)
+		}
+	}
+	for _, p := range l.keepers {
+		if !slices.Contains(current, p.Address) {
+			others = append(others, p.Address)
+		}
+	}
+	return current, others
+}
+
+func (l *Link) callOrigins(ctx context.Context, address netip.AddrPort, request *origin.Request, reply *origin.Reply) bool {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	if reply == nil {
+		reply = &origin.Reply{}
+	}
+	if err := l.options.PeerClient.Call(ctx, address, peer.Origins, request, reply); err != nil {
+		klog.V(1).InfoS("call for origins failed", "keeper", address, "begun", len(request.Begun), "find", len(request.Find), "err", err)
+		return false
+	}
+	return true
+}
+
+// findOrigins asks the keepers of the sync loops, then all others for what those don't
+// know.
+func (l *Link) findOrigins(ctx context.Context, batch []findRequest) {
+	current, others := l.originKeepers()
+	open := map[origin.Stream][]findRequest{}
+	for _, r := range batch {
+		open[r.stream] = append(open[r.stream], r)
+	}
+	for _, keepers := range [][]netip.AddrPort{current, others} {
+		if len(open) > 0 {
+			l.askForOrigins(ctx, keepers, open)
+		}
+	}
+	for _, requests := range open {
+		for _, r := range requests {
+			r.done <- foundOrigin{}
+		}
+	}
+}
+
+// askForOrigins asks the keepers at once, and answers and removes the requests whose
+// origin one of them knows.
+func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) {
+	request := &origin.Request{}
+	for s := range open {
+		if len(request.Find) < origin.MaxStreams {
+			request.Find = append(request.Find, s)
+		}
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, address := range keepers {
+		wait.Go(func() {
+			var reply origin.Reply
+			if !l.callOrigins(ctx, address, request, &reply) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, g := range reply.Found {
+				for _, s := range g.Streams {
+					for _, r := range open[s] {
+						r.done <- foundOrigin{g.Origin, true}
+					}
+					delete(open, s)
+				}
+			}
+		})
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/origin/message.go
@@ -0,0 +1,85 @@
+package origin
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/common/wire"
+)
+
+// Limits of a message.
+const (
+	// MaxStreams is the highest number of streams in one message.
+	MaxStreams = 4096
+	// maxNameBytes bounds the names of services and releases.
+	maxNameBytes = 200
+)
+
+// Group is the streams of one origin.
+type Group struct {
+	Origin
+	Streams []Stream `json:"i"`
+}
+
+// Request tells a keeper which streams have begun, and asks for the origins of others.
+type Request struct {
+	Begun []Group  `json:"b,omitempty"`
+	Find  []Stream `json:"f,omitempty"`
+}
+
+// Reply holds the origins that the keeper knows of those that were asked for.
+type Reply struct {
+	Found []Group `json:"f,omitempty"`
+}
+
+// Check verifies a decoded request.
+func (r *Request) Check() error {
+	if len(r.Find) > MaxStreams {
+		return errors.Errorf("request for %d origins, want at most %d", len(r.Find), MaxStreams)
+	}
+	return checkGroups(r.Begun)
+}
+
+// Check verifies a decoded reply.
+func (r *Reply) Check() error { return checkGroups(r.Found) }
+
+func checkGroups(groups []Group) error {
+	streams := 0
+	for _, g := range groups {
+		streams += len(g.Streams)
+		if g.Service == "" || len(g.Service) > maxNameBytes || len(g.Release) > maxNameBytes {
+			return errors.Errorf("origin with a service of %d bytes and a release of %d", len(g.Service), len(g.Release))
+		}
+	}
+	if streams > MaxStreams || len(groups) > MaxStreams {
+		return errors.Errorf("%d streams of %d origins, want at most %d", streams, len(groups), MaxStreams)
+	}
+	return nil
+}
+
+// Groups collects streams by origin, in the order in which the origins came first.
+type Groups struct {
+	list  []Group
+	index map[Origin]int
+}
+
+// Add adds a stream.
+func (g *Groups) Add(s Stream, o Origin) {
+	if g.index == nil {
+		g.index = map[Origin]int{}
+	}
+	i, ok := g.index[o]
+	if !ok {
+		i = len(g.list)
+		g.index[o] = i
+		g.list = append(g.list, Group{Origin: o})
+	}
+	g.list[i].Streams = append(g.list[i].Streams, s)
+}
+
+// List returns the groups.
+func (g *Groups) List() []Group { return g.list }
+
+var (
+	_ wire.Checker = (*Request)(nil)
+	_ wire.Checker = (*Reply)(nil)
+)
--- a/peer/client.go
+++ b/peer/client.go
@@ -42,6 +42,7 @@
 	Sync
 	Account
 	Reserve
+	Origins
 )
 
 // Client calls other nodes by address. A call that times out drops every pooled
@@ -131,6 +132,8 @@
 		return p.stub.Account(ctx, f)
 	case Reserve:
 		return p.stub.Reserve(ctx, f)
+	case Origins:
+		return p.stub.Origins(ctx, f)
 	default:
 		return nil, errors.Errorf("unknown method %d", int(m))
 	}
@@ -204,3 +207,7 @@
 func (s *rpcService) Reserve(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
 	return s.serve(ctx, Reserve, f)
 }
+
+func (s *rpcService) Origins(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
+	return s.serve(ctx, Origins, f)
+}
--- a/peer/rpc/peer.twirp.go
+++ b/peer/rpc/peer.twirp.go
@@ -55,6 +55,10 @@
 	// Reserve takes a request's cost from the leader's pool:
 	// control.ReserveRequest, control.ReserveReply.
 	Reserve(context.Context, *Frame) (*Frame, error)
+
+	// Origins tells a keeper which releases began streams, and asks for those of
+	// others: origin.Request, origin.Reply.
+	Origins(context.Context, *Frame) (*Frame, error)
 }
 
 // ====================
@@ -63,7 +67,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -91,7 +95,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hyssopladder.peer", "Peer")
-	urls := [7]string{
+	urls := [8]string{
 		serviceURL + "Exchange",
 		serviceURL + "Step",
 		serviceURL + "Propose",
@@ -99,6 +103,7 @@
 		serviceURL + "Sync",
 		serviceURL + "Account",
 		serviceURL + "Reserve",
+		serviceURL + "Origins",
 	}
 
 	return &peerProtobufClient{
@@ -431,13 +436,59 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Origins(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Origins")
+	caller := c.callOrigins
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callOrigins(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callOrigins(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [8]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -465,7 +516,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "hyssopladder.peer", "Peer")
-	urls := [7]string{
+	urls := [8]string{
 		serviceURL + "Exchange",
 		serviceURL + "Step",
 		serviceURL + "Propose",
@@ -473,6 +524,7 @@
 		serviceURL + "Sync",
 		serviceURL + "Account",
 		serviceURL + "Reserve",
+		serviceURL + "Origins",
 	}
 
 	return &peerJSONClient{
@@ -805,6 +857,52 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Origins(ctx context.Context, in *Frame) (*Frame, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "hyssopladder.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Origins")
+	caller := c.callOrigins
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return c.callOrigins(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callOrigins(ctx context.Context, in *Frame) (*Frame, error) {
+	out := new(Frame)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -923,6 +1021,9 @@
 	case "Reserve":
 		s.serveReserve(ctx, resp, req)
 		return
+	case "Origins":
+		s.serveOrigins(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -2190,6 +2291,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveOrigins(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveOriginsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveOriginsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveOriginsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Origins")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Frame)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Origins
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Origins(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Origins. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveOriginsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Origins")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Frame)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Origins
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Frame) (*Frame, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Frame)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Frame) when calling interceptor")
+					}
+					return s.Peer.Origins(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Frame)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Frame) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Frame
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Frame and nil error while calling Origins. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2771,18 +3052,18 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 197 bytes of a gzipped FileDescriptorProto
+	// 207 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0x12, 0x2e, 0x48, 0x4d, 0x2d,
 	0xd2, 0x2f, 0x2a, 0x48, 0xd6, 0x07, 0x31, 0xf4, 0x0a, 0x8a, 0xf2, 0x4b, 0xf2, 0x85, 0x04, 0x33,
 	0x2a, 0x8b, 0x8b, 0xf3, 0x0b, 0x72, 0x12, 0x53, 0x52, 0x40, 0x62, 0xa9, 0xa9, 0x45, 0x4a, 0xd2,
 	0x5c, 0xac, 0x6e, 0x45, 0x89, 0xb9, 0xa9, 0x42, 0x42, 0x5c, 0x2c, 0x49, 0xf9, 0x29, 0x95, 0x12,
-	0x8c, 0x0a, 0x8c, 0x1a, 0x3c, 0x41, 0x60, 0xb6, 0xd1, 0x76, 0x66, 0x2e, 0x96, 0x80, 0xd4, 0xd4,
+	0x8c, 0x0a, 0x8c, 0x1a, 0x3c, 0x41, 0x60, 0xb6, 0xd1, 0x37, 0x66, 0x2e, 0x96, 0x80, 0xd4, 0xd4,
 	0x22, 0x21, 0x3b, 0x2e, 0x0e, 0xd7, 0x8a, 0xe4, 0x8c, 0xc4, 0xbc, 0xf4, 0x54, 0x21, 0x09, 0x3d,
 	0x0c, 0x53, 0xf4, 0xc0, 0x46, 0x48, 0xe1, 0x94, 0x11, 0xb2, 0xe2, 0x62, 0x09, 0x2e, 0x49, 0x2d,
 	0x20, 0x4b, 0xaf, 0x2d, 0x17, 0x7b, 0x40, 0x51, 0x7e, 0x41, 0x7e, 0x31, 0xd9, 0x56, 0x07, 0xa5,
 	0x26, 0xa6, 0x90, 0xed, 0xec, 0xca, 0xbc, 0x64, 0x72, 0x9d, 0xed, 0x98, 0x9c, 0x9c, 0x5f, 0x9a,
-	0x57, 0x42, 0xae, 0xf6, 0xa0, 0xd4, 0xe2, 0xd4, 0xa2, 0x32, 0xb2, 0x7c, 0xed, 0xa4, 0x1f, 0xa5,
-	0x9b, 0x9e, 0x59, 0x92, 0x51, 0x9a, 0xa4, 0x97, 0x9c, 0x9f, 0xab, 0x8f, 0xac, 0x0a, 0x95, 0x03,
-	0x4b, 0x25, 0x49, 0x6c, 0xe0, 0x14, 0x62, 0x0c, 0x08, 0x00, 0x00, 0xff, 0xff, 0x66, 0x31, 0x82,
-	0xcc, 0x38, 0x02, 0x00, 0x00,
+	0x57, 0x42, 0xae, 0xf6, 0xa0, 0xd4, 0xe2, 0xd4, 0xa2, 0xb2, 0x54, 0x72, 0xb5, 0xfb, 0x17, 0x65,
+	0xa6, 0x67, 0xe6, 0x15, 0x93, 0xa3, 0xdd, 0x49, 0x3f, 0x4a, 0x37, 0x3d, 0xb3, 0x24, 0xa3, 0x34,
+	0x49, 0x2f, 0x39, 0x3f, 0x57, 0x1f, 0x59, 0x15, 0x2a, 0x07, 0x96, 0xc8, 0x92, 0xd8, 0xc0, 0x09,
+	0xcc, 0x18, 0x10, 0x00, 0x00, 0xff, 0xff, 0xd5, 0x73, 0xc0, 0xb9, 0x77, 0x02, 0x00, 0x00,
 }
--- a/result/code.go
+++ b/result/code.go
@@ -32,6 +32,7 @@
 	UpstreamRefused     Code = 3004
 	TimedOut            Code = 3005
 	Suspected           Code = 3006
+	OriginUnknown       Code = 3007
 	ClaimNoQuorum       Code = 4001
 	ClaimPending        Code = 4002
 	ClaimUnknown        Code = 4003
@@ -88,6 +89,7 @@
 	UpstreamRefused:     {"upstreamRefused", 503, true},
 	TimedOut:            {"timedOut", 504, false},
 	Suspected:           {"suspected", 503, true},
+	OriginUnknown:       {"originUnknown", 503, true},
 	ClaimNoQuorum:       {"claimNoQuorum", 503, true},
 	ClaimPending:        {"claimPending", 409, true},
 	ClaimUnknown:        {"claimUnknown", 409, false},
