dispatch, entry: Bind a stream to the release that began it

TestStreamGoesOnAtItsReleaseOnly failed at its first request. Here the IDs of events are ours, so that they carry the release; an ID without one fits engines that state none.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/admission"
@@ -286,6 +287,10 @@
 	}
 	t.Query.Zone = d.options.Zone
 	d.tickets[t.ID] = &ticket{Ticket: t}
+	if d.refuseWithoutRelease(now, p, d.tickets[t.ID]) {
+		p.scheduler.Remove(t.Caller, t.ID)
+		return d.takeActions()
+	}
 	d.schedule(now, p)
 	return d.takeActions()
 }
@@ -344,7 +349,7 @@
 	u.Finish()
 	if t.runsAlone {
 		t.runsAlone = false
-		u.Release()
+		u.EndHold()
 	}
 	if backOff {
 		u.Avoid(now + failureBackoff)
@@ -353,6 +358,22 @@
 	d.updateUpstream(now, u)
 }
 
+// Bind binds a ticket to the release that has begun its stream. From now on no other
+// may run it, as answers of two releases don't fit together.
+func (d *Dispatcher) Bind(id uint64, release string) {
+	if t, ok := d.tickets[id]; ok {
+		t.Query.Release, t.Query.Bound = release, true
+	}
+}
+
+// lacksRelease reports whether the ticket is bound to a release that no usable upstream
+// has.
+func (d *Dispatcher) lacksRelease(now clock.Instant, p *pool, t *ticket) bool {
+	return t.Query.Bound && !slices.ContainsFunc(d.candidates(now, p), func(u *upstream.Upstream) bool {
+		return u.Usable(now) && t.Query.Fits(u)
+	})
+}
+
 // Finish ends a ticket that was answered.
 func (d *Dispatcher) Finish(now clock.Instant, id uint64) []Action {
 	t, ok := d.tickets[id]
--- a/dispatch/dispatch__place.go
+++ b/dispatch/dispatch__place.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/route"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -37,7 +40,7 @@
 	remaining := p.unplaced[:0]
 	for _, id := range p.unplaced {
 		t := d.tickets[id]
-		if t == nil || d.refuseQuarantined(now, t) {
+		if t == nil || d.refuseQuarantined(now, t) || d.refuseWithoutRelease(now, p, t) {
 			continue
 		}
 		if !d.placeUnplaced(now, p, t) {
@@ -47,6 +50,22 @@
 	p.unplaced = remaining
 }
 
+// refuseWithoutRelease refuses a ticket whose release has no upstream any more, and
+// reports whether it did.
+func (d *Dispatcher) refuseWithoutRelease(now clock.Instant, p *pool, t *ticket) bool {
+	if !d.lacksRelease(now, p, t) {
+		return false
+	}
+	d.releaseHold(now, t)
+	delete(d.tickets, t.ID)
+	err := t.finalError()
+	if !t.mayHaveRun {
+		err = result.New(result.NoUpstream, result.RanNo, "no upstream of release %q, which began the stream, serves %q now", t.Query.Release, t.Service).WithRetry(time.Second)
+	}
+	d.refuse(t.ID, err)
+	return true
+}
+
 // overcommit is the number of requests beyond its slots that an upstream may
 // get from callers that are not over their share. If there are other entries,
 // reports of free slots are outdated on arrival. A short queue at the upstream,
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/route"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -260,6 +261,54 @@
 	granted(g, ask(d, now, 20, part))
 }
 
+// announcementOf is an announcement of a release.
+func announcementOf(release, id string) upstream.Announcement {
+	a := announcement(id, 1, 1, time.Hour)
+	a.Release = release
+	return a
+}
+
+// TestStreamGoesOnAtItsReleaseOnly guards against incident ORDER in this core: streams
+// went on at upstreams of another release than the one that began them.
+func TestStreamGoesOnAtItsReleaseOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDispatcher()
+	for id, release := range map[string]string{"u": "v1", "v": "v2", "w": "v1", "x": "v2"} {
+		d.Announce(0, announcementOf(release, id))
+	}
+	releases := map[string]string{"u": "v1", "v": "v2", "w": "v1", "x": "v2"}
+	now := clock.Instant(0)
+	for id := uint64(1); id <= 20; id++ {
+		now += 30 * time.Second
+		release := releases[granted(g, submit(d, now, id, true))]
+		d.Bind(id, release)
+		for range 2 {
+			now += 5 * time.Second
+			g.Expect(releases[granted(g, d.Failed(now, id, retry.Silent))]).To(gomega.Equal(release), "request %d", id)
+		}
+		d.Finish(now, id)
+	}
+	// A crash makes a suspect of the request, which has to run alone, of its release.
+	now += time.Minute
+	release := releases[granted(g, submit(d, now, 30, true))]
+	d.Bind(30, release)
+	g.Expect(releases[granted(g, d.Failed(now, 30, retry.Broken))]).To(gomega.Equal(release))
+	d.Finish(now, 30)
+
+	now += time.Minute
+	ask := func(id uint64, release string) []Action {
+		return d.Submit(now, Ticket{ID: id, Service: "s", Caller: "c", Cost: 10, Repeatable: true, Fingerprint: id, Query: route.Query{Release: release, Bound: true}})
+	}
+	g.Expect(releases[granted(g, ask(40, "v2"))]).To(gomega.Equal("v2"))
+	g.Expect(refusedWith(ask(41, "v3"))).To(gomega.Equal(result.NoUpstream), "a stream whose release is gone")
+	for _, id := range []string{"v", "x"} {
+		leaving := announcementOf("v2", id)
+		leaving.Sequence, leaving.Leaving = 2, true
+		d.Announce(now, leaving)
+	}
+	g.Expect(refusedWith(d.Failed(now, 40, retry.Reclaimed))).To(gomega.Equal(result.UpstreamUnknown))
+}
+
 func TestOutageBlamesNoRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDispatcher("v", "w", "x", "y", "z")
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -153,7 +153,7 @@
 // exclusiveUpstream returns the upstream that is held for the suspect. If there
 // is none yet, it holds the least busy one.
 func (d *Dispatcher) exclusiveUpstream(now clock.Instant, p *pool, t *ticket) *upstream.Upstream {
-	if u, ok := d.directory.Get(t.heldUpstream); ok && u.Usable(now) && u.Held() {
+	if u, ok := d.directory.Get(t.heldUpstream); ok && u.Usable(now) && u.Held() && t.Query.Fits(u) {
 		return u
 	}
 	if t.suspectSince == 0 {
@@ -161,7 +161,7 @@
 	}
 	var best *upstream.Upstream
 	for _, u := range d.candidates(now, p) {
-		if !u.Usable(now) || u.Avoided(now) || u.Held() || (best != nil && u.Busy() >= best.Busy()) {
+		if !u.Usable(now) || u.Avoided(now) || u.Held() || !t.Query.Fits(u) || (best != nil && u.Busy() >= best.Busy()) {
 			continue
 		}
 		if d.ownsSuspectsAt(p, u.ID) || now-t.suspectSince >= ownUpstreamTimeout {
@@ -192,7 +192,7 @@
 // releaseHold releases the upstream that is held for a withdrawn ticket.
 func (d *Dispatcher) releaseHold(now clock.Instant, t *ticket) {
 	if u, ok := d.directory.Get(t.heldUpstream); ok && t.heldUpstream != "" {
-		u.Release()
+		u.EndHold()
 		d.updateUpstream(now, u)
 	}
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -39,6 +39,10 @@
 		return result.New(result.UnknownCall, result.RanNo, "service %s has no call %q", accepted.Document.Name, r.Header.Get(headerCall))
 	}
 	query, cost := request.query()
+	last, resumes := parseEventID(r.Header.Get(headerLastEvent))
+	if resumes = resumes && request.Stream; resumes {
+		query.Release, query.Bound = last.release, true
+	}
 	c := &chatCall{
 		entry:            e,
 		request:          request,
@@ -57,7 +61,7 @@
 			Fingerprint: fingerprint(in.caller, accepted.Document.Name, in.body),
 		},
 	}
-	c.out = newSink(w, request, r.Header.Get(headerLastEvent), e.options.Settings.WriteTimeout)
+	c.out = newSink(w, request, last, resumes, e.options.Settings.WriteTimeout)
 	return c.run(ctx)
 }
 
@@ -132,7 +136,7 @@
 		return true, err
 	case c.stream.Ended():
 		e.meters.answered.Inc(1)
-		return true, c.out.end(c.stream.Offset(), u.ID)
+		return true, c.out.end(c.stream.Offset(), &u)
 	case ctx.Err() != nil:
 		return true, result.New(result.Expired, result.RanUnknown, "the caller closed the connection")
 	}
@@ -180,7 +184,7 @@
 				return retry.Broken, nil
 			}
 		}
-		if failure, err := c.accept(chunk, u.ID); failure != nil || err != nil || c.stream.Ended() {
+		if failure, err := c.accept(chunk, &u); failure != nil || err != nil || c.stream.Ended() {
 			if failure != nil {
 				return *failure, err
 			}
@@ -191,16 +195,17 @@
 
 // accept sends a chunk to the caller unless the stream drops it. A gap in the
 // stream is a failure of the upstream.
-func (c *chatCall) accept(chunk relay.Chunk, upstreamID string) (*retry.Failure, error) {
+func (c *chatCall) accept(chunk relay.Chunk, u *upstream.Announcement) (*retry.Failure, error) {
 	switch c.stream.Accept(chunk) {
 	case relay.Emit:
 		if chunk.Offset == 0 {
+			c.entry.dispatch.bind(c.job, u.Release)
 			c.entry.meters.firstToken.UpdateSince(c.began)
 			c.entry.inTime.add(c.entry.dispatch.clock(), c.ticket.Service, c.call.Rank, time.Since(c.began) <= c.firstTokenTarget)
 		}
 		c.text.WriteString(chunk.Text)
 		c.emitted.Store(int64(c.stream.Offset()))
-		return nil, c.out.token(chunk.Offset, chunk.Text, upstreamID)
+		return nil, c.out.token(chunk.Offset, chunk.Text, u)
 	case relay.Gap:
 		broken := retry.Broken
 		return &broken, nil
--- a/entry/dispatch_actor.go
+++ b/entry/dispatch_actor.go
@@ -86,7 +86,11 @@
 	submit   struct{ job *job }
 	finish   struct{ id uint64 }
 	withdraw struct{ id uint64 }
-	failed   struct {
+	bind     struct {
+		id      uint64
+		release string
+	}
+	failed struct {
 		id      uint64
 		failure retry.Failure
 	}
@@ -145,6 +149,7 @@
 
 func (d *dispatchActor) finish(j *job)                  { d.ref.Send(finish{j.ticket.ID}) }
 func (d *dispatchActor) withdraw(j *job)                { d.ref.Send(withdraw{j.ticket.ID}) }
+func (d *dispatchActor) bind(j *job, release string)    { d.ref.Send(bind{j.ticket.ID, release}) }
 func (d *dispatchActor) failed(j *job, f retry.Failure) { d.ref.Send(failed{j.ticket.ID, f}) }
 
 func (d *dispatchActor) document(name string) (service.Accepted, bool) {
@@ -187,6 +192,8 @@
 	case withdraw:
 		d.removeJob(m.id)
 		d.perform(d.dispatcher.Withdraw(now, m.id))
+	case bind:
+		d.dispatcher.Bind(m.id, m.release)
 	case failed:
 		d.perform(d.dispatcher.Failed(now, m.id, m.failure))
 	case recordsChanged:
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// TestEventIDsNameTheRelease guards against incident ORDER: a caller takes its stream
+// up at the release that began it, which only the ID of its last event tells.
+func TestEventIDsNameTheRelease(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, p := range []position{{0, ""}, {9, ""}, {12, "v2"}, {3, "a@b\n\nid: 7"}, {4, "%"}} {
+		id := eventID(p.offset, p.release)
+		g.Expect(id).NotTo(gomega.ContainSubstring("\n"))
+		got, ok := parseEventID(id)
+		g.Expect(ok).To(gomega.BeTrue(), id)
+		g.Expect(got).To(gomega.Equal(p))
+	}
+	for _, text := range []string{"", "-1", "x", "@v1", "4@%zz"} {
+		_, ok := parseEventID(text)
+		g.Expect(ok).To(gomega.BeFalse(), text)
+	}
+}
+
 func TestHeldKeyResponses(t *testing.T) {
 	body := &claim.Answer{Status: 201, ContentType: "text/plain", Body: []byte("booked")}
 	cases := []struct {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -11,14 +12,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // sink writes the answer of a chat call to the caller.
 type sink interface {
-	// token adds a token to the answer.
-	token(offset int, text, upstreamID string) error
+	// token adds a token of the upstream to the answer.
+	token(offset int, text string, u *upstream.Announcement) error
 	// end completes the answer; offset is its number of tokens.
-	end(offset int, upstreamID string) error
+	end(offset int, u *upstream.Announcement) error
 	// fail ends an answer that has begun by sending an error.
 	fail(err *result.Error)
 	// begun reports whether the response has started, so that an error can no
@@ -26,13 +28,44 @@
 	begun() bool
 }
 
-func newSink(w http.ResponseWriter, r *chatRequest, lastEvent string, timeout time.Duration) sink {
+// position is the place in a stream up to which a caller has it, as the ID of the last
+// event says.
+type position struct {
+	offset  int
+	release string
+}
+
+// releaseSeparator stands before the release in the ID of an event. It isn't there if
+// the upstream doesn't state one.
+const releaseSeparator = "@"
+
+// eventID returns the ID of the event of a token by a release.
+func eventID(offset int, release string) string {
+	if release == "" {
+		return strconv.Itoa(offset)
+	}
+	return strconv.Itoa(offset) + releaseSeparator + url.QueryEscape(release)
+}
+
+// parseEventID reads the ID of the last event that a caller has; ok isn't set if the
+// text isn't one.
+func parseEventID(text string) (p position, ok bool) {
+	number, escaped, _ := strings.Cut(text, releaseSeparator)
+	offset, err := strconv.Atoi(number)
+	if err != nil || offset < 0 {
+		return position{}, false
+	}
+	release, err := url.QueryUnescape(escaped)
+	return position{offset, release}, err == nil
+}
+
+func newSink(w http.ResponseWriter, r *chatRequest, last position, resumes bool, timeout time.Duration) sink {
 	if !r.Stream {
 		return &bufferedSink{w: w, model: r.Model}
 	}
 	s := &streamSink{w: w, control: http.NewResponseController(w), model: r.Model, timeout: timeout}
-	if n, err := strconv.Atoi(lastEvent); err == nil && n >= 0 {
-		s.firstOffset = n + 1
+	if resumes {
+		s.firstOffset = last.offset + 1
 	}
 	return s
 }
@@ -70,14 +103,14 @@
 	CompletionTokens int `json:"completion_tokens"`
 }
 
-func (s *bufferedSink) token(_ int, text, _ string) error {
+func (s *bufferedSink) token(_ int, text string, _ *upstream.Announcement) error {
 	s.text.WriteString(text)
 	return nil
 }
 
-func (s *bufferedSink) end(offset int, upstreamID string) error {
+func (s *bufferedSink) end(offset int, u *upstream.Announcement) error {
 	s.w.Header().Set("Content-Type", "application/json")
-	s.w.Header().Set(headerServedBy, upstreamID)
+	s.w.Header().Set(headerServedBy, u.ID)
 	_ = json.NewEncoder(s.w).Encode(completion{
 		ID:     "chatcmpl",
 		Object: "chat.completion",
@@ -108,7 +141,7 @@
 
 var _ sink = (*streamSink)(nil)
 
-func (s *streamSink) begin(upstreamID string) {
+func (s *streamSink) begin(u *upstream.Announcement) {
 	if s.started {
 		return
 	}
@@ -116,11 +149,11 @@
 	h := s.w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
-	h.Set(headerServedBy, upstreamID)
+	h.Set(headerServedBy, u.ID)
 }
 
-func (s *streamSink) token(offset int, text, upstreamID string) error {
-	s.begin(upstreamID)
+func (s *streamSink) token(offset int, text string, u *upstream.Announcement) error {
+	s.begin(u)
 	if offset < s.firstOffset {
 		return nil
 	}
@@ -133,12 +166,12 @@
 	if err != nil {
 		return err
 	}
-	return s.write("id: %d\ndata: %s\n\n", offset, data)
+	return s.write("id: %s\ndata: %s\n\n", eventID(offset, u.Release), data)
 }
 
-func (s *streamSink) end(offset int, upstreamID string) error {
-	s.begin(upstreamID)
-	return s.write("id: %d\ndata: [DONE]\n\n", offset)
+func (s *streamSink) end(offset int, u *upstream.Announcement) error {
+	s.begin(u)
+	return s.write("id: %s\ndata: [DONE]\n\n", eventID(offset, u.Release))
 }
 
 func (s *streamSink) fail(err *result.Error) {
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -198,8 +198,8 @@
 	}
 }
 
-// Release ends a hold.
-func (u *Upstream) Release() { u.held = false }
+// EndHold ends a hold.
+func (u *Upstream) EndHold() { u.held = false }
 
 // Held reports whether the upstream is reserved for a suspect.
 func (u *Upstream) Held() bool { return u.held }
