--- a/e2e/release_test.go
+++ b/e2e/release_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -94,7 +95,7 @@
 		gomega.Expect(whole).To(gomega.BeNumerically(">=", 54), "of 60 streams, as another replica of each release serves")
 	})
 
-	ginkgo.It("go on at their release only when callers take them up, after all entries were killed", func() {
+	takeUp := func(killKeepers bool) {
 		const streams = 12
 		d, old := startSpeech(2)
 		all := append(old, startReplicaOf("v2", "i-n0", "speech", "a", d.keepers), startReplicaOf("v2", "i-n1", "speech", "b", d.keepers))
@@ -124,9 +125,23 @@
 		gomega.Expect(byRelease).To(gomega.HaveLen(2), "releases at which streams began")
 		// What entries tell the keepers is on its way for a moment.
 		gomega.Consistently(d.ready, 300*time.Millisecond).Should(gomega.HaveLen(2))
-		for i, e := range d.entries {
-			e.Kill().Wait()
-			d.entries[i] = e.restart()
+		killed := d.entries
+		if killKeepers {
+			killed = append(slices.Clone(killed), d.keepers...)
+		}
+		for _, p := range killed {
+			p.Kill()
+		}
+		for _, p := range killed {
+			p.Wait()
+		}
+		if killKeepers {
+			for i, p := range d.keepers {
+				d.keepers[i] = p.restart()
+			}
+		}
+		for i, p := range d.entries {
+			d.entries[i] = p.restart()
 		}
 		for _, r := range all {
 			r.holdAfter.Store(0)
@@ -167,5 +182,9 @@
 				g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), body)
 			}
 		}, startLimit).Should(gomega.Succeed())
-	})
+	}
+
+	ginkgo.It("go on at their release only when callers take them up, after all entries were killed", func() { takeUp(false) })
+
+	ginkgo.It("go on at their release only when callers take them up, after all entries and keepers were killed", func() { takeUp(true) })
 })
