wal, control: Keepers write the origins of streams to their disks

Callers saw: after entries and keepers had restarted, no stream could be taken up, though engines of its release served. Cause: keepers knew origins in memory only.

--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 // Times of the control server.
@@ -60,6 +61,8 @@
 	// QuotaSlack is the number of units by which all entries together may
 	// exceed an organisation's quota.
 	QuotaSlack float64
+	// Folder is the keeper's data folder.
+	Folder wal.FS
 }
 
 // Control serves operators, upstreams and entries on a keeper's instance.
@@ -75,7 +78,8 @@
 	leaderState *leaderState
 	usageCounts *usageCounts
 	// origins are the streams that entries have begun.
-	origins *origin.Book
+	origins     *origin.Book
+	originStore *originStore
 	// changed is closed and replaced when the registry has changed.
 	changed chan struct{}
 	// wakePending says that changed will be closed after wakeDelay.
@@ -92,6 +96,7 @@
 // ctx.
 func New(ctx context.Context, o Options) *Control {
 	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{})}
+	c.originStore = newOriginStore(ctx, o.Folder, o.Clock, c.origins)
 	o.Gossip.Subscribe(c.applyGossip)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
--- a/control/plugin.go
+++ b/control/plugin.go
@@ -7,6 +7,7 @@
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/wal"
 )
 
 var _ kernel.Plugin = (*Control)(nil)
@@ -28,6 +29,10 @@
 	if err != nil {
 		return nil, err
 	}
+	folder, err := kernel.Require[wal.FS](h)
+	if err != nil {
+		return nil, err
+	}
 	return New(ctx, Options{
 		Name:        h.Settings.Node.Name,
 		Incarnation: h.Incarnation,
@@ -38,6 +43,7 @@
 		Clock:       h.Clock,
 		Cloud:       h.Settings.Cloud,
 		QuotaSlack:  h.Settings.Keeper.QuotaSlack,
+		Folder:      folder,
 	}), nil
 }
 
--- a/keeper/plugin.go
+++ b/keeper/plugin.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
+	kernel.Provide(h, folder)
 	journal, stored, err := wal.Open(folder, func() consensus.ID { return consensus.ID(randomID()) })
 	if err != nil {
 		_ = folder.Close()
