--- a/consensus/node.go
+++ b/consensus/node.go
@@ -101,6 +101,9 @@
 	// leadership.
 	transferTarget ID
 
+	// refusals are the votes that this node has refused since they were last taken.
+	refusals []Refusal
+
 	// pendingSnapshot is a received snapshot that isn't stored yet.
 	pendingSnapshot *Snapshot
 	messages        []Message
--- a/consensus/node__election.go
+++ b/consensus/node__election.go
@@ -177,16 +177,28 @@
 	if m.Kind == PreVote {
 		grant := upToDate && m.Term > n.hardState.Term && !n.winsPreVoteTie(m)
 		term := n.hardState.Term
-		if grant {
+		switch {
+		case grant:
 			term = m.Term
+		case !upToDate:
+			n.refuse(m, LogBehind)
+		case m.Term <= n.hardState.Term:
+			n.refuse(m, OldTerm)
+		default:
+			n.refuse(m, Tied)
 		}
 		n.send(Message{Kind: PreVoteReply, To: m.From, Term: max(term, 1), Reject: !grant})
 		return
 	}
 	grant := upToDate && (n.hardState.Vote == None || n.hardState.Vote == m.From) && n.role == Follower
-	if grant {
+	switch {
+	case grant:
 		n.hardState.Vote = m.From
 		n.resetElectionTimeout()
+	case !upToDate:
+		n.refuse(m, LogBehind)
+	default:
+		n.refuse(m, Voted)
 	}
 	n.send(Message{Kind: VoteReply, To: m.From, Reject: !grant})
 }
--- a/consensus/node__replication.go
+++ b/consensus/node__replication.go
@@ -40,6 +40,7 @@
 		if (m.Kind == Vote || m.Kind == PreVote) && !m.Force && n.leader != None && n.electionElapsed < n.options.ElectionTicks {
 			// This node leads, or was in contact with its leader within the
 			// election timeout, so it ignores the candidate.
+			n.refuse(m, LeaderAlive)
 			return false
 		}
 		if m.Kind == PreVote || (m.Kind == PreVoteReply && !m.Reject) {
@@ -57,6 +58,7 @@
 			// Tells a leader of an older term to step down.
 			n.send(Message{Kind: AppendReply, To: m.From, Index: m.Index, Reject: true, Hint: n.log.last()})
 		case PreVote:
+			n.refuse(m, OldTerm)
 			n.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
 		default:
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -108,6 +108,10 @@
 	lastAdvance   clock.Instant
 	syncTimes     metrics.Timer
 	syncedEntries metrics.Histogram
+	// tickDelays are the times from a tick to its handling; late says that the last
+	// one was over slowBound.
+	tickDelays metrics.Timer
+	late       bool
 
 	// confirmRequests holds the callers of Confirm that wait for the next read
 	// round.
@@ -122,7 +126,7 @@
 
 // The messages of the keeper's actor; others are beside the code that sends them.
 type (
-	tick           struct{}
+	tick           struct{ sentAt clock.Instant }
 	nodesUpdate    struct{ nodes []member.NodeInfo }
 	flush          struct{}
 	batchReceived  struct{ batch Batch }
@@ -151,6 +155,7 @@
 		pending:       map[uint64]pendingProposal{},
 		zones:         map[consensus.ID]string{},
 		syncTimes:     metrics.GetOrRegisterTimer("keeper.sync", o.Metrics),
+		tickDelays:    metrics.GetOrRegisterTimer("keeper.tickDelay", o.Metrics),
 		syncedEntries: metrics.GetOrRegisterHistogram("keeper.entriesPerSync", o.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 	node, err := consensus.New(consensus.Options{
@@ -191,7 +196,7 @@
 		for {
 			select {
 			case <-ticks.C:
-				k.ref.Send(tick{})
+				k.ref.Send(tick{k.options.Clock()})
 			case <-nodeChecks.C:
 				k.ref.Send(nodesUpdate{k.options.Gossip.Nodes(ctx)})
 			case <-ctx.Done():
@@ -239,6 +244,7 @@
 func (k *Keeper) receive(message any) {
 	switch m := message.(type) {
 	case tick:
+		k.noteDelay(m.sentAt)
 		k.tick()
 	case nodesUpdate:
 		k.updateNodes(m.nodes)
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -34,8 +34,7 @@
 				return
 			}
 			k.noteSaved()
-			k.syncTimes.UpdateSince(start)
-			k.syncedEntries.Update(int64(len(r.Entries)))
+			k.noteSync(time.Since(start), len(r.Entries))
 		}
 		k.send(r.Messages)
 		if err := k.applyReady(r); err != nil {
@@ -124,6 +123,7 @@
 	if k.failure != nil {
 		return
 	}
+	k.logRefusals()
 	if k.node.Status().Role != consensus.Leader.String() {
 		k.dropPending()
 	}
