keeper: A client doesn't spend a call on keepers that stand still

Cause: each attempt waited up to a second of a claim's two, and each pass began again with keepers that hadn't answered; the record has a Propose that b0 didn't answer when the call's time was up. Now an attempt of a claim waits 0.4 s, and keepers that left an attempt unanswered come only after the others, unless one of these names them as leader.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +12,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
-	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -18,7 +20,10 @@
 
 // Timeouts and delays of a client's attempts.
 const (
+	// attemptTimeout bounds the wait for one keeper; a call waits for it no longer than
+	// a minAttempts-th of its time, as that keeper may stand still.
 	attemptTimeout = time.Second
+	minAttempts    = 5
 	retryDelay     = 50 * time.Millisecond
 	applyTimeout   = 8 * time.Second
 	claimTimeout   = 2 * time.Second
@@ -28,8 +33,8 @@
 // Client sends commands to the keeper that leads. Commands may be repeated, so
 // the client retries until a keeper has applied the command or the time is up.
 type Client struct {
-	gossip *gossip.Host
-	peers  *peer.Client
+	nodes nodeLister
+	peers *peer.Client
 
 	mu     sync.Mutex
 	leader consensus.ID
@@ -37,9 +42,14 @@
 	addresses map[consensus.ID]netip.AddrPort
 }
 
-// NewClient returns a client that finds keepers by gossip.
-func NewClient(g *gossip.Host, peers *peer.Client) *Client {
-	return &Client{gossip: g, peers: peers, addresses: map[consensus.ID]netip.AddrPort{}}
+// nodeLister lists the living nodes, as gossip does.
+type nodeLister interface {
+	Nodes(ctx context.Context) []member.NodeInfo
+}
+
+// NewClient returns a client that finds keepers among the nodes.
+func NewClient(nodes nodeLister, peers *peer.Client) *Client {
+	return &Client{nodes: nodes, peers: peers, addresses: map[consensus.ID]netip.AddrPort{}}
 }
 
 // Apply writes a document. After an error it may or may not be written.
@@ -94,16 +104,20 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var lastErr error
+	// unanswered counts the attempts that a keeper hasn't answered.
+	unanswered := map[consensus.ID]int{}
 	for {
-		for _, to := range c.candidates(ctx) {
-			reply, err := c.proposeTo(ctx, to, command)
+		for _, to := range c.candidates(ctx, unanswered) {
+			reply, err := c.proposeTo(ctx, to, command, min(attemptTimeout, timeout/minAttempts))
 			if err == nil && !reply.NotLeader {
 				c.setLeader(to)
 				return reply, nil
 			}
 			c.setLeader(reply.Leader)
 			lastErr = err
-			if err == nil {
+			if err != nil {
+				unanswered[to]++
+			} else {
 				lastErr = result.New(result.NoQuorum, result.RanUnknown, "keeper %v isn't the leader %s", to, reply.Detail)
 			}
 			if reply.Leader != consensus.None && reply.Leader != to {
@@ -121,11 +135,11 @@
 	}
 }
 
-func (c *Client) proposeTo(ctx context.Context, to consensus.ID, command Command) (Reply, error) {
+func (c *Client) proposeTo(ctx context.Context, to consensus.ID, command Command, timeout time.Duration) (Reply, error) {
 	c.mu.Lock()
 	address := c.addresses[to]
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
 	err := c.peers.Call(ctx, address, peer.Propose, command, &reply)
@@ -138,9 +152,10 @@
 	c.leader = id
 }
 
-// candidates lists the known keepers, with the presumed leader first.
-func (c *Client) candidates(ctx context.Context) []consensus.ID {
-	nodes := c.gossip.Nodes(ctx)
+// candidates lists the presumed leader, and then those of the known keepers that have
+// left the fewest attempts of the call unanswered.
+func (c *Client) candidates(ctx context.Context, unanswered map[consensus.ID]int) []consensus.ID {
+	nodes := c.nodes.Nodes(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []consensus.ID
@@ -152,6 +167,11 @@
 		c.addresses[id] = n.Address
 		list = append(list, id)
 	}
+	fewest := math.MaxInt
+	for _, id := range list {
+		fewest = min(fewest, unanswered[id])
+	}
+	list = slices.DeleteFunc(list, func(id consensus.ID) bool { return unanswered[id] > fewest && id != c.leader })
 	for i, id := range list {
 		if id == c.leader {
 			list[0], list[i] = list[i], list[0]
