wal: A failed append to a spool costs only its own records

Each append after a failed one dropped the older file, so that a disk that is full for 0.2 s lost all. The file is cut to its intact part instead.

--- a/wal/spool.go
+++ b/wal/spool.go
@@ -14,8 +14,8 @@
 	fs   FS
 	name string
 	file File
-	// size is the length of the current file's intact part. If broken is set, the file
-	// has more than that, and the next Append begins a new one.
+	// size is the length of the current file's intact part. If broken is set, the file may
+	// have more than that, which has to be cut before the next record.
 	size   int64
 	broken bool
 }
@@ -87,10 +87,8 @@
 
 // Append writes and syncs the records.
 func (s *Spool) Append(records ...[]byte) error {
-	if s.broken {
-		if err := s.Turn(); err != nil {
-			return err
-		}
+	if err := s.repair(); err != nil {
+		return err
 	}
 	var b []byte
 	for _, r := range records {
@@ -108,22 +106,33 @@
 	return nil
 }
 
+// repair makes the current file ready for the next record.
+func (s *Spool) repair() error {
+	if s.file == nil {
+		return s.open()
+	}
+	if !s.broken {
+		return nil
+	}
+	if err := s.fs.Truncate(s.name, s.size); err != nil {
+		return errors.Wrapf(err, "truncate %s", s.name)
+	}
+	s.broken = false
+	return nil
+}
+
 // Turn drops the older file, and begins a new one.
 func (s *Spool) Turn() error {
-	if s.file != nil {
-		_ = s.file.Close()
-		s.file = nil
+	if err := s.repair(); err != nil {
+		return err
 	}
-	s.broken = true
+	_ = s.file.Close()
+	s.file = nil
 	if err := s.fs.Rename(s.name, s.name+oldSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return errors.Wrapf(err, "turn %s", s.name)
 	}
 	s.size = 0
-	if err := s.open(); err != nil {
-		return err
-	}
-	s.broken = false
-	return nil
+	return s.open()
 }
 
 // Close closes the current file.
