ingress: Tell the origin of a long stream again before it is forgotten

Origins are kept for 30 s at least; a stream that goes on for longer could no longer be taken up. Streams of the published deployments end within 15 s.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
@@ -37,6 +38,10 @@
 	countedAt clock.Instant
 	// mayHaveRun says that an earlier attempt may have run the request.
 	mayHaveRun bool
+	// origin is what began the stream, nil if nobody may resume it; it was last told to
+	// the keepers at originToldAt.
+	origin       *origin.Origin
+	originToldAt clock.Instant
 }
 
 // Limits of what is read of an upstream's response.
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -92,9 +92,23 @@
 	if !running || !d.r.route.Repeatable() {
 		return
 	}
-	s, o := d.r.streamID(), origin.Origin{Service: d.r.service, Release: release}
+	d.origin = &origin.Origin{Service: d.r.service, Release: release}
+	d.tellOrigin()
+}
+
+// tellOrigin records the stream's origin, and tells the keepers.
+func (d *forwarding) tellOrigin() {
+	now, s := d.in.options.Clock(), d.r.streamID()
+	d.originToldAt = now
 	d.in.mu.Lock()
-	d.in.origins.Record(d.in.options.Clock(), s, o)
+	d.in.origins.Record(now, s, *d.origin)
 	d.in.mu.Unlock()
-	d.in.link.StreamBegan(s, o)
+	d.in.link.StreamBegan(s, *d.origin)
+}
+
+// keepOrigin tells the origin of a long stream again before it is forgotten.
+func (d *forwarding) keepOrigin() {
+	if d.origin != nil && d.in.options.Clock()-d.originToldAt >= origin.Retention/2 {
+		d.tellOrigin()
+	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -109,6 +109,7 @@
 			// Bytes that complete no event aren't progress.
 			began = true
 			d.recordProgress()
+			d.keepOrigin()
 		}
 		pending = append(pending[:0], rest...)
 		if wrote && flusher != nil {
