--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -106,7 +106,8 @@
 				break
 			}
 		}
-		if !sent && ctx.Err() == nil {
+		// Where there is one keeper, only the first loop has any to send to.
+		if !sent && ctx.Err() == nil && len(keepers) > 0 {
 			klog.InfoS("origins of streams lost for one keeper", "streams", n, "loop", loop, "keepers", len(keepers))
 		}
 	}
