upstream, fleet, dispatch: Keep one binding to a release, and one refusal of suspects

Both decision cores, the entry's request and the query wrote the pair of release and flag, the check against an upstream and the refusal's text each for itself; so did both cores with the refusal of quarantined traits. upstream.Binding and suspect.Ledger.Refusal serve all. fleet asked twice for another upstream that may run a ticket, and kept a second set of releases beside the map that has them. No behaviour changes, but that dispatch names the release when a service has no capacity left for a bound request.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -268,8 +268,7 @@
 	p.retryBudget.Deposit()
 	capacity := d.capacity(now, p)
 	if capacity.Rate <= 0 {
-		err := result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", t.Service)
-		d.refuse(t.ID, err.WithRetry(time.Second))
+		d.refuse(t.ID, t.Query.NoUpstream(t.Service).WithRetry(time.Second))
 		return d.takeActions()
 	}
 	decision := p.scheduler.Offer(now, admission.Request{
@@ -362,7 +361,7 @@
 // may run it, as answers of two releases don't fit together.
 func (d *Dispatcher) Bind(id uint64, release string) {
 	if t, ok := d.tickets[id]; ok {
-		t.Query.Release, t.Query.Bound = release, true
+		t.Query.Binding = upstream.BoundTo(release)
 	}
 }
 
@@ -370,7 +369,7 @@
 // has.
 func (d *Dispatcher) lacksRelease(now clock.Instant, p *pool, t *ticket) bool {
 	return t.Query.Bound && !slices.ContainsFunc(d.candidates(now, p), func(u *upstream.Upstream) bool {
-		return u.Usable(now) && t.Query.Fits(u)
+		return u.Usable(now) && t.Query.Fits(&u.Announcement)
 	})
 }
 
--- a/dispatch/dispatch__parts.go
+++ b/dispatch/dispatch__parts.go
@@ -28,14 +28,11 @@
 	if !d.ledger.AnyQuarantined() {
 		return nil
 	}
-	trait, left, found := d.ledger.Quarantined(now, t.partTraits())
-	if !found {
-		return nil
-	}
-	if t.mayHaveRun {
+	err := d.ledger.Refusal(now, t.partTraits())
+	if err != nil && t.mayHaveRun {
 		return t.finalError()
 	}
-	return result.New(result.Suspected, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
+	return err
 }
 
 // refuseQuarantined refuses a ticket that waits for an upstream, and reports
@@ -45,9 +42,7 @@
 	if err == nil {
 		return false
 	}
-	d.releaseHold(now, t)
-	delete(d.tickets, t.ID)
-	d.refuse(t.ID, err)
+	d.drop(now, t, err)
 	return true
 }
 
--- a/dispatch/dispatch__place.go
+++ b/dispatch/dispatch__place.go
@@ -56,14 +56,19 @@
 	if !d.lacksRelease(now, p, t) {
 		return false
 	}
+	err := t.Query.NoUpstream(t.Service).WithRetry(time.Second)
+	if t.mayHaveRun {
+		err = t.finalError()
+	}
+	d.drop(now, t, err)
+	return true
+}
+
+// drop refuses a ticket that waits for an upstream.
+func (d *Dispatcher) drop(now clock.Instant, t *ticket, err *result.Error) {
 	d.releaseHold(now, t)
 	delete(d.tickets, t.ID)
-	err := t.finalError()
-	if !t.mayHaveRun {
-		err = result.New(result.NoUpstream, result.RanNo, "no upstream of release %q, which began the stream, serves %q now", t.Query.Release, t.Service).WithRetry(time.Second)
-	}
 	d.refuse(t.ID, err)
-	return true
 }
 
 // overcommit is the number of requests beyond its slots that an upstream may
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -297,7 +297,7 @@
 
 	now += time.Minute
 	ask := func(id uint64, release string) []Action {
-		return d.Submit(now, Ticket{ID: id, Service: "s", Caller: "c", Cost: 10, Repeatable: true, Fingerprint: id, Query: route.Query{Release: release, Bound: true}})
+		return d.Submit(now, Ticket{ID: id, Service: "s", Caller: "c", Cost: 10, Repeatable: true, Fingerprint: id, Query: route.Query{Binding: upstream.BoundTo(release)}})
 	}
 	g.Expect(releases[granted(g, ask(40, "v2"))]).To(gomega.Equal("v2"))
 	g.Expect(refusedWith(ask(41, "v3"))).To(gomega.Equal(result.NoUpstream), "a stream whose release is gone")
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -153,7 +153,7 @@
 // exclusiveUpstream returns the upstream that is held for the suspect. If there
 // is none yet, it holds the least busy one.
 func (d *Dispatcher) exclusiveUpstream(now clock.Instant, p *pool, t *ticket) *upstream.Upstream {
-	if u, ok := d.directory.Get(t.heldUpstream); ok && u.Usable(now) && u.Held() && t.Query.Fits(u) {
+	if u, ok := d.directory.Get(t.heldUpstream); ok && u.Usable(now) && u.Held() && t.Query.Fits(&u.Announcement) {
 		return u
 	}
 	if t.suspectSince == 0 {
@@ -161,7 +161,7 @@
 	}
 	var best *upstream.Upstream
 	for _, u := range d.candidates(now, p) {
-		if !u.Usable(now) || u.Avoided(now) || u.Held() || !t.Query.Fits(u) || (best != nil && u.Busy() >= best.Busy()) {
+		if !u.Usable(now) || u.Avoided(now) || u.Held() || !t.Query.Fits(&u.Announcement) || (best != nil && u.Busy() >= best.Busy()) {
 			continue
 		}
 		if d.ownsSuspectsAt(p, u.ID) || now-t.suspectSince >= ownUpstreamTimeout {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -41,7 +41,7 @@
 	query, cost := request.query()
 	last, resumes := parseEventID(r.Header.Get(headerLastEvent))
 	if resumes = resumes && request.Stream; resumes {
-		query.Release, query.Bound = last.release, true
+		query.Binding = upstream.BoundTo(last.release)
 	}
 	c := &chatCall{
 		entry:            e,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -49,10 +50,8 @@
 	PromptParts []call.PromptPart
 	// Fingerprint identifies the caller, the path and the body.
 	Fingerprint uint64
-	// Release is the only release that may run the request, if Bound is set: it began
-	// the stream that the request resumes.
-	Release string
-	Bound   bool
+	// Binding is that of a request that resumes a stream.
+	upstream.Binding
 }
 
 // Fleet schedules tickets on upstreams. It isn't safe for concurrent use.
@@ -84,8 +83,7 @@
 	// failureRate is the fraction of failed answers, over all upstreams.
 	failureRate float64
 	demand      demandCounters
-	// releases holds when upstreams of each release last changed, as far as those are
-	// known to have served.
+	// releases holds when upstreams of each release were last known to serve.
 	releases map[string]clock.Instant
 }
 
@@ -255,7 +253,7 @@
 		f.upstreams[m.ID] = u
 		if len(m.Services) > 0 {
 			s := f.service(m.Services[0])
-			s.releases[m.Release] = now
+			f.noteRelease(now, u)
 			s.upstreams = append(s.upstreams, u)
 			sort.Slice(s.upstreams, func(i, j int) bool { return s.upstreams[i].ID < s.upstreams[j].ID })
 		}
@@ -272,32 +270,24 @@
 
 // OnlyRelease returns the release of all upstreams that have served the service within
 // the time, if there is exactly one.
-func (f *Fleet) OnlyRelease(now clock.Instant, name string, within time.Duration) (string, bool) {
+func (f *Fleet) OnlyRelease(now clock.Instant, name string, within time.Duration) (release string, ok bool) {
 	s, ok := f.services[name]
 	if !ok {
 		return "", false
 	}
-	served := map[string]bool{}
 	for _, u := range s.upstreams {
 		if !u.Ended {
-			served[u.Release] = true
-		}
-	}
-	for release, at := range s.releases {
-		switch {
-		case now-at <= within:
-			served[release] = true
-		case !served[release]:
-			delete(s.releases, release)
+			f.noteRelease(now, u)
 		}
 	}
-	if len(served) != 1 {
+	maps.DeleteFunc(s.releases, func(_ string, at clock.Instant) bool { return now-at > within })
+	if len(s.releases) != 1 {
 		return "", false
 	}
-	for release := range served {
-		return release, true
+	for only := range s.releases {
+		release = only
 	}
-	return "", false
+	return release, true
 }
 
 // assignAddress marks all but the newest upstream that announced an address as
@@ -339,13 +329,13 @@
 	s.retryBudget.Deposit()
 	t := &ticket{Ticket: request, arrivedAt: now, traits: request.traits()}
 	f.tickets[request.ID] = t
-	if err := f.quarantined(now, t); err != nil {
+	if err := f.suspects.Refusal(now, t.traits); err != nil {
 		f.refuse(t, err)
 		return f.takeActions()
 	}
 	switch {
 	case !s.anyServing(t):
-		f.refuse(t, t.noUpstreamError().WithRetry(noUpstreamRetryAfter))
+		f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
 	case len(s.queue) >= maxQueued:
 		f.refuse(t, f.saturatedError(s, t))
 	default:
@@ -427,7 +417,7 @@
 	if !ok || t.upstream == nil {
 		return "", false
 	}
-	t.Release, t.Bound = t.upstream.Release, true
+	t.Binding = upstream.BoundTo(t.upstream.Release)
 	return t.Release, true
 }
 
@@ -515,13 +505,7 @@
 		return false
 	}
 	s := f.service(t.Service)
-	others := 0
-	for _, u := range s.upstreams {
-		if u != t.upstream && u.usable(now) && t.mayRunOn(u) {
-			others++
-		}
-	}
-	return others > 0 && t.Repeatable && t.runs < t.MaxRuns && s.retryBudget.Remaining() >= 1
+	return s.hasUntried(now, t) && t.Repeatable && t.runs < t.MaxRuns && s.retryBudget.Remaining() >= 1
 }
 
 // anyServing reports whether any upstream serves that may run the ticket, also if it
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -50,7 +51,7 @@
 // mayRetry reports whether the ticket may go to another upstream, and spends
 // the retry budget unless nothing was sent.
 func (f *Fleet) mayRetry(now clock.Instant, s *service, t *ticket, failure retry.Failure) bool {
-	if f.quarantined(now, t) != nil || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
+	if f.suspects.Refusal(now, t.traits) != nil || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
 		return false
 	}
 	if t.runs >= t.MaxRuns || !s.hasUntried(now, t) {
@@ -59,37 +60,18 @@
 	return failure == retry.NotSent || s.retryBudget.Spend(now)
 }
 
-// hasUntried reports whether there is a usable upstream that may run the ticket.
+// hasUntried reports whether there is a usable upstream, other than the ticket's present
+// one, that may run the ticket.
 func (s *service) hasUntried(now clock.Instant, t *ticket) bool {
-	for _, u := range s.upstreams {
-		if u.usable(now) && t.mayRunOn(u) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.upstreams, func(u *upstreamView) bool {
+		return u != t.upstream && u.usable(now) && t.mayRunOn(u)
+	})
 }
 
 // mayRunOn reports whether the upstream hasn't failed the ticket, and is of the
 // release that the ticket is bound to.
 func (t *ticket) mayRunOn(u *upstreamView) bool {
-	return !t.hasFailedOn(u.ID) && (!t.Bound || u.Release == t.Release)
-}
-
-// noUpstreamError refuses a ticket that no upstream may run.
-func (t *ticket) noUpstreamError() *result.Error {
-	if t.Bound {
-		return result.New(result.NoUpstream, result.RanNo, "no upstream of release %q, which began the stream, serves %q now", t.Release, t.Service)
-	}
-	return result.New(result.NoUpstream, result.RanNo, "no upstream serves %q now", t.Service)
-}
-
-func (t *ticket) hasFailedOn(id string) bool {
-	for _, other := range t.failedOn {
-		if other == id {
-			return true
-		}
-	}
-	return false
+	return !slices.Contains(t.failedOn, u.ID) && t.Fits(&u.Announcement)
 }
 
 // finalError is the answer to a ticket that isn't retried.
--- a/fleet/fleet__suspect.go
+++ b/fleet/fleet__suspect.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
-	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/suspect"
 )
@@ -19,27 +18,13 @@
 	return suspect.Traits(t.Service, t.Fingerprint, shared)
 }
 
-// quarantined returns the error of a ticket whose request, or a part of whose
-// prompt, has crashed upstreams; nil for any other.
-func (f *Fleet) quarantined(now clock.Instant, t *ticket) *result.Error {
-	trait, left, found := f.suspects.Quarantined(now, t.traits)
-	switch {
-	case !found:
-		return nil
-	case trait.Kind == suspect.Request:
-		return result.New(result.Suspected, result.RanNo, "the same request crashed the upstreams that ran it").WithRetry(left)
-	default:
-		return result.New(result.Suspected, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
-	}
-}
-
 // refuseQuarantined refuses the queued tickets that are quarantined.
 func (f *Fleet) refuseQuarantined(now clock.Instant, s *service) {
 	if !f.suspects.AnyQuarantined() {
 		return
 	}
 	for _, t := range append([]*ticket(nil), s.queue...) {
-		if err := f.quarantined(now, t); err != nil {
+		if err := f.suspects.Refusal(now, t.traits); err != nil {
 			f.dequeue(s, t)
 			if t.mayHaveRun {
 				err = t.finalError(retry.Broken)
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // unknownOriginRetryAfter is the Retry-After of a stream that can't go on as nothing is
@@ -38,7 +39,7 @@
 	if !r.route.Allows(o.Service) {
 		return result.New(result.NoUpstream, result.RanNo, "the route no longer leads to the service %q, which began the stream", o.Service).WithRetry(unknownOriginRetryAfter)
 	}
-	r.service, r.release, r.bound = o.Service, o.Release, true
+	r.service, r.binding = o.Service, upstream.BoundTo(o.Release)
 	return nil
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // defaultMaxBodyBytes limits request bodies where the configuration doesn't.
@@ -40,9 +41,8 @@
 	route    *config.Route
 	org      *config.Organisation
 	service  string
-	// release is the only one that may run the request, if bound is set.
-	release  string
-	bound    bool
+	// binding is that of a request that resumes a stream.
+	binding  upstream.Binding
 	rank     int
 	revision uint64
 	// charged is the cost that was taken from the organisation's quota at
@@ -295,7 +295,7 @@
 		t.OutputTokens = min(r.LengthHint, r.MaxTokens)
 	}
 	t.Fingerprint = r.fingerprint()
-	t.Release, t.Bound = r.release, r.bound
+	t.Binding = r.binding
 	return t
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -22,10 +22,8 @@
 	PromptTokens int
 	// Exclude are upstreams that already failed the request.
 	Exclude []string
-	// Release is the only release that may run the request, if Bound is set: it began
-	// the stream.
-	Release string
-	Bound   bool
+	// Binding is that of a request whose stream has begun.
+	upstream.Binding
 	// NeedFreeSlot requires a free slot, and NeedOwnSlot one that is assigned
 	// to this entry by OwnSlots.
 	NeedFreeSlot, NeedOwnSlot bool
@@ -36,9 +34,6 @@
 	OwnSlots upstream.SlotRange
 }
 
-// Fits reports whether the upstream is of the release that the request is bound to.
-func (q *Query) Fits(u *upstream.Upstream) bool { return !q.Bound || u.Release == q.Release }
-
 // Costs are the delays that make up the time to the first token.
 type Costs struct {
 	// OtherZone is the added latency to another availability zone.
@@ -61,7 +56,7 @@
 	var bestHash uint64
 	seed := promptSeed(q.Prefixes)
 	for _, u := range candidates {
-		if !u.Usable(now) || u.Avoided(now) || u.Held() || !q.Fits(u) || excluded(q.Exclude, u.ID) || (q.NeedFreeSlot && u.Busy() >= u.Slots+q.Overcommit) || (q.NeedOwnSlot && u.OwnFree(q.OwnSlots) <= 0) {
+		if !u.Usable(now) || u.Avoided(now) || u.Held() || !q.Fits(&u.Announcement) || excluded(q.Exclude, u.ID) || (q.NeedFreeSlot && u.Busy() >= u.Slots+q.Overcommit) || (q.NeedOwnSlot && u.OwnFree(q.OwnSlots) <= 0) {
 			continue
 		}
 		cost := timeToFirstToken(q, u, hints, c)
--- a/suspect/ledger__verdict.go
+++ b/suspect/ledger__verdict.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
 // verdict is what follows from the crashes of a trait.
@@ -152,6 +153,19 @@
 	return Trait{}, 0, false
 }
 
+// Refusal returns the error of a request with a quarantined trait, nil for any other.
+func (l *Ledger) Refusal(now clock.Instant, traits []Trait) *result.Error {
+	trait, left, found := l.Quarantined(now, traits)
+	switch {
+	case !found:
+		return nil
+	case trait.Kind == Request:
+		return result.New(result.Suspected, result.RanNo, "the same request crashed the upstreams that ran it").WithRetry(left)
+	default:
+		return result.New(result.Suspected, result.RanNo, "requests with the part %x of the prompt crashed the upstreams that ran them", trait.Hash).WithRetry(left)
+	}
+}
+
 // NewlyQuarantined returns the traits that have been quarantined since the last
 // call, with the number of crashes that convict them.
 func (l *Ledger) NewlyQuarantined() map[Trait]int {
