wal, control: A spool opens its file itself, with the first record

Two layers kept trying to open the file, and a flag said again what a closed file says: after a failed write the file is closed, and opening it cuts it to its intact part. The start of a keeper reads only now. Messages of entries are written as they came rather than encoded once more, on the way of each stream. Spool.Close had no caller.

--- a/control/control.go
+++ b/control/control.go
@@ -78,8 +78,8 @@
 	leaderState *leaderState
 	usageCounts *usageCounts
 	// origins are the streams that entries have begun.
-	origins     *origin.Book
-	originStore *originStore
+	origins   *origin.Book
+	originLog *originLog
 	// changed is closed and replaced when the registry has changed.
 	changed chan struct{}
 	// wakePending says that changed will be closed after wakeDelay.
@@ -96,7 +96,7 @@
 // ctx.
 func New(ctx context.Context, o Options) *Control {
 	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{})}
-	c.originStore = newOriginStore(ctx, o.Folder, o.Clock, c.origins)
+	c.originLog = newOriginLog(ctx, o.Folder, o.Clock, c.origins)
 	o.Gossip.Subscribe(c.applyGossip)
 	o.Server.On(peer.Sync, c.serveSync)
 	o.Server.On(peer.Account, c.serveAccount)
--- a/control/origin.go
+++ b/control/origin.go
@@ -19,30 +19,28 @@
 	// originSyncInterval is the time between two syncs: the streams that began within
 	// it are unknown after a loss of power.
 	originSyncInterval = 100 * time.Millisecond
-	// originReopenInterval is the time between two tries to open the file.
-	originReopenInterval = time.Second
 	// maxPendingOrigins bounds the messages of entries that wait to be written.
 	maxPendingOrigins = 1024
 )
 
-// originStore holds the origins of streams that entries have begun, and writes them to
-// disk without making entries wait: callers take streams up after all nodes have
-// restarted, too.
-type originStore struct {
-	folder  wal.FS
+// originLog writes the origins of streams to disk without making entries wait: callers
+// take streams up after all nodes have restarted, too.
+type originLog struct {
 	clock   clock.Clock
 	pending chan []byte
-	// spool is nil while the file can't be opened; it was last tried at openedAt, and
-	// turned at turnedAt. Only write uses these.
-	spool              *wal.Spool
-	openedAt, turnedAt clock.Instant
+	// spool was last turned at turnedAt. Only write uses these.
+	spool    *wal.Spool
+	turnedAt clock.Instant
 }
 
-// newOriginStore opens the file and puts what it holds into the book, and writes until
-// ctx ends.
-func newOriginStore(ctx context.Context, folder wal.FS, c clock.Clock, book *origin.Book) *originStore {
-	s := &originStore{folder: folder, clock: c, pending: make(chan []byte, maxPendingOrigins), turnedAt: c()}
-	for _, record := range s.open() {
+// newOriginLog puts what the files hold into the book, and writes until ctx ends.
+func newOriginLog(ctx context.Context, folder wal.FS, c clock.Clock, book *origin.Book) *originLog {
+	spool, records, err := wal.OpenSpool(folder, originsFile)
+	if err != nil {
+		klog.ErrorS(err, "origins of streams lost")
+	}
+	l := &originLog{clock: c, pending: make(chan []byte, maxPendingOrigins), spool: spool, turnedAt: c()}
+	for _, record := range records {
 		var r origin.Request
 		if err := wire.Decode(record, &r); err != nil {
 			klog.ErrorS(err, "record of origins dropped")
@@ -51,50 +49,29 @@
 		recordOrigins(c(), book, r.Begun)
 	}
 	klog.InfoS("origins of streams read", "streams", book.Len())
-	go pace.Batches(ctx, s.pending, originSyncInterval, s.write)
-	return s
+	go pace.Batches(ctx, l.pending, originSyncInterval, l.write)
+	return l
 }
 
-// open opens the file and returns its records.
-func (s *originStore) open() [][]byte {
-	s.openedAt = s.clock()
-	spool, records, err := wal.OpenSpool(s.folder, originsFile)
-	if err != nil {
-		klog.ErrorS(err, "origins of streams are kept in memory only")
-		return nil
-	}
-	s.spool = spool
-	return records
-}
-
-// write appends the messages to the file.
-func (s *originStore) write(batch [][]byte) {
-	now := s.clock()
-	if s.spool == nil {
-		if now-s.openedAt < originReopenInterval {
-			return
-		}
-		if s.open(); s.spool == nil {
-			return
-		}
-	}
+// write appends the messages of entries to the file.
+func (l *originLog) write(batch [][]byte) {
 	var err error
-	if now-s.turnedAt >= origin.Retention {
-		s.turnedAt = now
-		err = s.spool.Turn()
+	if now := l.clock(); now-l.turnedAt >= origin.Retention {
+		l.turnedAt = now
+		err = l.spool.Turn()
 	}
 	if err == nil {
-		err = s.spool.Append(batch...)
+		err = l.spool.Append(batch...)
 	}
 	if err != nil {
 		klog.ErrorS(err, "origins of streams not written", "messages", len(batch))
 	}
 }
 
-// add queues the origins for the file.
-func (s *originStore) add(begun []origin.Group) {
+// add queues an entry's message, an encoded origin.Request, for the file.
+func (l *originLog) add(message []byte) {
 	select {
-	case s.pending <- wire.MustEncode(&origin.Request{Begun: begun}):
+	case l.pending <- message:
 	default:
 		klog.InfoS("origins of streams not written: too many wait")
 	}
@@ -116,7 +93,7 @@
 		return nil, err
 	}
 	if len(request.Begun) > 0 {
-		c.originStore.add(request.Begun)
+		c.originLog.add(body)
 	}
 	now := c.options.Clock()
 	c.mu.Lock()
--- a/wal/spool.go
+++ b/wal/spool.go
@@ -13,33 +13,25 @@
 type Spool struct {
 	fs   FS
 	name string
+	// file is the current file, nil until it is opened, and again after a failed write.
 	file File
-	// size is the length of the current file's intact part. If broken is set, the file may
-	// have more than that, which has to be cut before the next record.
-	size   int64
-	broken bool
+	// size is the length of the current file's intact part.
+	size int64
 }
 
 // oldSuffix ends the name of the older file.
 const oldSuffix = ".old"
 
-// OpenSpool opens the files, and returns the records of both, the oldest first.
+// OpenSpool reads the files, and returns the records of both, the oldest first. It
+// writes nothing: each Append opens the file if it isn't open yet. The spool can be used
+// after an error too; what couldn't be read is lost.
 func OpenSpool(fs FS, name string) (*Spool, [][]byte, error) {
-	s := &Spool{fs: fs, name: name}
-	records, _, err := readRecords(fs, name+oldSuffix)
-	if err != nil {
-		return nil, nil, err
-	}
+	older, _, olderErr := readRecords(fs, name+oldSuffix)
 	current, size, err := readRecords(fs, name)
-	if err != nil {
-		return nil, nil, err
-	}
-	s.size = size
-	// What follows the intact part is cut, or no later record would be read again.
-	if err := s.open(); err != nil {
-		return nil, nil, err
+	if err == nil {
+		err = olderErr
 	}
-	return s, append(records, current...), nil
+	return &Spool{fs: fs, name: name, size: size}, append(older, current...), err
 }
 
 // readRecords returns the records of a file up to the first damage, and their length in
@@ -67,8 +59,12 @@
 	return records, int64(len(data) - len(rest)), nil
 }
 
-// open opens the current file for appending after its intact part.
+// open opens the current file for appending after its intact part, unless it is open. What follows that is
+// cut, or no later record would be read again.
 func (s *Spool) open() error {
+	if s.file != nil {
+		return nil
+	}
 	file, err := s.fs.Append(s.name)
 	if err != nil {
 		return errors.Wrapf(err, "open %s", s.name)
@@ -87,7 +83,7 @@
 
 // Append writes and syncs the records.
 func (s *Spool) Append(records ...[]byte) error {
-	if err := s.repair(); err != nil {
+	if err := s.open(); err != nil {
 		return err
 	}
 	var b []byte
@@ -99,46 +95,29 @@
 		err = s.file.Sync()
 	}
 	if err != nil {
-		s.broken = true
+		s.close()
 		return errors.Wrapf(err, "append to %s", s.name)
 	}
 	s.size += int64(len(b))
 	return nil
 }
 
-// repair makes the current file ready for the next record.
-func (s *Spool) repair() error {
-	if s.file == nil {
-		return s.open()
-	}
-	if !s.broken {
-		return nil
-	}
-	if err := s.fs.Truncate(s.name, s.size); err != nil {
-		return errors.Wrapf(err, "truncate %s", s.name)
-	}
-	s.broken = false
-	return nil
-}
-
 // Turn drops the older file, and begins a new one.
 func (s *Spool) Turn() error {
-	if err := s.repair(); err != nil {
+	if err := s.open(); err != nil {
 		return err
 	}
-	_ = s.file.Close()
-	s.file = nil
-	if err := s.fs.Rename(s.name, s.name+oldSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
+	s.close()
+	if err := s.fs.Rename(s.name, s.name+oldSuffix); err != nil {
 		return errors.Wrapf(err, "turn %s", s.name)
 	}
 	s.size = 0
 	return s.open()
 }
 
-// Close closes the current file.
-func (s *Spool) Close() error {
-	if s.file == nil {
-		return nil
-	}
-	return s.file.Close()
+// close closes the current file; the next record opens it again. What a failing Close
+// could lose has been synced, or is cut.
+func (s *Spool) close() {
+	_ = s.file.Close()
+	s.file = nil
 }
