suspect, call, link, ingress, fleet: Call one piece where the change wrote several

Two functions walked crashes by the same rule on long pauses; chain takes whether crashes at once count. The shared parts of a prompt were cut off in three places (call.SharedParts). link looked up the keepers for each part of a batch and had a reply to ignore; the gauges of the fleet and the steps of the emulation stood twice. No behaviour changes, and the tests keep their assertions and seeds.

--- a/call/request.go
+++ b/call/request.go
@@ -11,6 +11,10 @@
 	Tokens int
 }
 
+// SharedParts returns the parts of a prompt that other requests may share, which are all
+// but the last.
+func SharedParts(parts []PromptPart) []PromptPart { return parts[:max(len(parts)-1, 0)] }
+
 // Request is what a caller states about a request. A golden file of package
 // platform holds the names of the fields.
 type Request struct {
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -38,22 +38,14 @@
 					crashes: true, commonID: 1 << 32,
 				}
 				e := newEmulation(seed, c.entries, c.engines, sound, crashing)
-				for len(e.crashes) < 5 && e.now < 60*second {
-					e.simulate(0, 100*time.Millisecond)
-				}
+				e.simulateUntilCrashes(5, 60*second, 100*time.Millisecond)
 				g.Expect(len(e.crashes)).To(gomega.BeNumerically("<=", 8), "crashes until the fifth and 100 ms on")
 				fifth := clock.Instant(60 * second)
 				if len(e.crashes) >= 5 {
 					fifth = e.crashes[4]
 				}
 				e.simulate(contactTime, 20*second)
-				late := 0
-				for _, at := range crashing.received {
-					if at > fifth+contactTime {
-						late++
-					}
-				}
-				g.Expect(late).To(gomega.BeNumerically("<=", 3), "engines that received a crashing request, %d crashed", len(e.crashes))
+				g.Expect(crashing.receivedAfter(fifth+contactTime)).To(gomega.BeNumerically("<=", 3), "engines that received a crashing request, %d crashed", len(e.crashes))
 				g.Expect(float64(sound.started)).To(gomega.BeNumerically(">=", 0.9*float64(sound.arrivals)), "sound requests with the same first part")
 				g.Expect(float64(sound.quarantined)).To(gomega.BeNumerically("<=", 0.01*float64(sound.arrivals)), "sound requests that were blamed")
 			})
@@ -78,19 +70,11 @@
 					perSecond: c.perSecond, target: 2 * second, documents: 1, crashes: true, same: true, burst: c.burst, crashAfter: 60 * time.Millisecond,
 				}
 				e := newEmulation(seed, c.entries, c.upstreams, sound, crashing)
-				for len(e.crashes) < suspect.QuarantineCrashes && e.now < 60*second {
-					e.simulate(0, 10*time.Millisecond)
-				}
+				e.simulateUntilCrashes(suspect.QuarantineCrashes, 60*second, 10*time.Millisecond)
 				g.Expect(len(e.crashes)).To(gomega.BeNumerically(">=", suspect.QuarantineCrashes))
 				third := e.crashes[suspect.QuarantineCrashes-1]
 				e.simulate(contactTime, 20*second)
-				late := 0
-				for _, at := range crashing.received {
-					if at > third+contactTime {
-						late++
-					}
-				}
-				g.Expect(late).To(gomega.BeNumerically("<=", 3), "upstreams that received the crashing request, %d crashed", len(e.crashes))
+				g.Expect(crashing.receivedAfter(third+contactTime)).To(gomega.BeNumerically("<=", 3), "upstreams that received the crashing request, %d crashed", len(e.crashes))
 				g.Expect(float64(sound.quarantined)).To(gomega.BeNumerically("<=", 0.01*float64(sound.arrivals)), "sound requests that were blamed")
 			})
 		}
@@ -118,9 +102,7 @@
 				e.simulate(0, 20*second)
 				crashing.perSecond = 1.2
 				e.scheduleArrivals(crashing)
-				for len(e.crashes) < 5 && e.now < 40*second {
-					e.simulate(0, 100*time.Millisecond)
-				}
+				e.simulateUntilCrashes(5, 40*second, 100*time.Millisecond)
 				e.simulate(2*contactTime, 40*second)
 				g.Expect(float64(rare.started)).To(gomega.BeNumerically(">=", 0.5*float64(rare.arrivals)), "of the requests with the rare part; %d were suspected", rare.quarantined)
 			})
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -400,6 +400,19 @@
 	}
 }
 
+// simulateUntilCrashes simulates steps until so many engines have crashed, or the time
+// is up.
+func (e *emulation) simulateUntilCrashes(crashes int, until clock.Instant, step time.Duration) {
+	for len(e.crashes) < crashes && e.now < until {
+		e.simulate(0, step)
+	}
+}
+
+// receivedAfter is the number of requests that reached an engine later.
+func (k *requestKind) receivedAfter(at clock.Instant) int {
+	return len(slices.DeleteFunc(slices.Clone(k.received), func(received clock.Instant) bool { return received <= at }))
+}
+
 // percentile returns a percentile of the times to the first token.
 func (k *requestKind) percentile(fraction float64) time.Duration {
 	slices.Sort(k.firstTokens)
--- a/fleet/fleet__suspect.go
+++ b/fleet/fleet__suspect.go
@@ -3,16 +3,16 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/suspect"
 )
 
-// traits returns what the request may have in common with others. The last part
-// of the prompt is its own.
+// traits returns what the request may have in common with others.
 func (t *Ticket) traits() []suspect.Trait {
 	shared := make([]uint64, 0, len(t.PromptParts))
-	for _, p := range t.PromptParts[:max(len(t.PromptParts)-1, 0)] {
+	for _, p := range call.SharedParts(t.PromptParts) {
 		shared = append(shared, p.ID)
 	}
 	return suspect.Traits(t.Service, t.Fingerprint, shared)
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -293,12 +293,11 @@
 
 // preferred returns the upstream that rendezvous hashing assigns to the shared
 // parts of the prompt, the same at every entry, and the tokens of these parts.
-// All parts but the last one count as shared.
 func (s *service) preferred(now clock.Instant, t *ticket) (*upstreamView, int) {
-	if len(t.PromptParts) < 2 {
+	sharedParts := call.SharedParts(t.PromptParts)
+	if len(sharedParts) == 0 {
 		return nil, 0
 	}
-	sharedParts := t.PromptParts[:len(t.PromptParts)-1]
 	seed, tokens := uint64(0), 0
 	eachPrefix(sharedParts, func(hash uint64, total int) bool {
 		seed, tokens = hash, total
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -49,22 +49,18 @@
 		}
 		return 0
 	})
-	register("ingress.suspects", func() int64 {
-		suspects := 0
-		in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
-			suspects = f.Suspects(now)
-			return nil
+	registerCount := func(name string, count func(now clock.Instant, f *fleet.Fleet) int) {
+		register(name, func() int64 {
+			n := 0
+			in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+				n = count(now, f)
+				return nil
+			})
+			return int64(n)
 		})
-		return int64(suspects)
-	})
-	register("ingress.open", func() int64 {
-		open := 0
-		in.dispatcher.run(func(_ clock.Instant, f *fleet.Fleet) []fleet.Action {
-			open = f.Open()
-			return nil
-		})
-		return int64(open)
-	})
+	}
+	registerCount("ingress.suspects", func(now clock.Instant, f *fleet.Fleet) int { return f.Suspects(now) })
+	registerCount("ingress.open", func(_ clock.Instant, f *fleet.Fleet) int { return f.Open() })
 }
 
 // attemptFailed counts a failed attempt by its failure.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -308,11 +308,10 @@
 	return digest.Sum64()
 }
 
-// sharedPartIDs lists for logs the parts of the prompt that other requests may
-// share, which are all but the last.
+// sharedPartIDs lists for logs the parts of the prompt that other requests may share.
 func (r *request) sharedPartIDs() string {
 	var ids []string
-	for _, p := range r.Parts[:max(len(r.Parts)-1, 0)] {
+	for _, p := range call.SharedParts(r.Parts) {
 		ids = append(ids, strconv.FormatUint(p.ID, 16))
 	}
 	return strings.Join(ids, ",")
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -20,6 +20,8 @@
 	// that have begun; what began within it is unknown if the entry is killed.
 	originInterval = 40 * time.Millisecond
 	originTimeout  = 300 * time.Millisecond
+	// originAttempts is the number of keepers that are tried for one message.
+	originAttempts = 2
 	// findInterval is the time between two requests for origins, which callers wait
 	// for.
 	findInterval = 10 * time.Millisecond
@@ -87,28 +89,26 @@
 // sendOrigins sends the batch to the keeper of the sync loop, or to another one if
 // that fails.
 func (l *Link) sendOrigins(ctx context.Context, loop int, batch []begunStream) {
-	for len(batch) > 0 {
-		n := min(len(batch), origin.MaxStreams)
+	current, keepers := l.originKeepers()
+	if loop < len(current) {
+		keepers = append([]netip.AddrPort{current[loop]}, keepers...)
+	}
+	// Where there is one keeper, only the first loop has any to send to.
+	if len(keepers) == 0 {
+		return
+	}
+	for part := range slices.Chunk(batch, origin.MaxStreams) {
 		var groups origin.Groups
-		for _, b := range batch[:n] {
+		for _, b := range part {
 			groups.Add(b.stream, b.origin)
 		}
-		batch = batch[n:]
 		request := &origin.Request{Begun: groups.List()}
-		current, others := l.originKeepers()
-		keepers := others
-		if loop < len(current) {
-			keepers = append([]netip.AddrPort{current[loop]}, others...)
-		}
-		sent := false
-		for _, address := range keepers[:min(len(keepers), 2)] {
-			if sent = l.callOrigins(ctx, address, request, nil); sent {
-				break
-			}
-		}
-		// Where there is one keeper, only the first loop has any to send to.
-		if !sent && ctx.Err() == nil && len(keepers) > 0 {
-			klog.InfoS("origins of streams lost for one keeper", "streams", n, "loop", loop, "keepers", len(keepers))
+		sent := slices.ContainsFunc(keepers[:min(len(keepers), originAttempts)], func(address netip.AddrPort) bool {
+			_, ok := l.callOrigins(ctx, address, request)
+			return ok
+		})
+		if !sent && ctx.Err() == nil {
+			klog.InfoS("origins of streams lost for one keeper", "streams", len(part), "loop", loop, "keepers", len(keepers))
 		}
 	}
 }
@@ -130,17 +130,14 @@
 	return current, others
 }
 
-func (l *Link) callOrigins(ctx context.Context, address netip.AddrPort, request *origin.Request, reply *origin.Reply) bool {
+func (l *Link) callOrigins(ctx context.Context, address netip.AddrPort, request *origin.Request) (reply origin.Reply, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	if reply == nil {
-		reply = &origin.Reply{}
-	}
-	if err := l.options.PeerClient.Call(ctx, address, peer.Origins, request, reply); err != nil {
+	if err := l.options.PeerClient.Call(ctx, address, peer.Origins, request, &reply); err != nil {
 		klog.V(1).InfoS("call for origins failed", "keeper", address, "begun", len(request.Begun), "find", len(request.Find), "err", err)
-		return false
+		return origin.Reply{}, false
 	}
-	return true
+	return reply, true
 }
 
 // findOrigins asks the keepers of the sync loops, then all others for what those don't
@@ -176,8 +173,8 @@
 	var wait sync.WaitGroup
 	for _, address := range keepers {
 		wait.Go(func() {
-			var reply origin.Reply
-			if !l.callOrigins(ctx, address, request, &reply) {
+			reply, ok := l.callOrigins(ctx, address, request)
+			if !ok {
 				return
 			}
 			mu.Lock()
--- a/suspect/record.go
+++ b/suspect/record.go
@@ -76,11 +76,11 @@
 // them, and isn't one that others ask too and get answers to.
 func (r *record) counted(k Kind) []crash {
 	if k == Request {
-		if all := latest(r.crashes); len(all) > 0 && !provenBefore(all[0].crashedAt, r.answeredAt) {
+		if all := chain(r.crashes, true); len(all) > 0 && !provenBefore(all[0].crashedAt, r.answeredAt) {
 			return all
 		}
 	}
-	return chain(r.crashes)
+	return chain(r.crashes, false)
 }
 
 // shared returns the crashes to tell the others, who may know of answers.
@@ -88,19 +88,7 @@
 	if k == Request {
 		return r.crashes
 	}
-	return chain(r.crashes)
-}
-
-// latest returns the crashes since the last long time without any, unless those
-// before convict already.
-func latest(crashes []crash) []crash {
-	first := 0
-	for i := 1; i < len(crashes); i++ {
-		if i-first < QuarantineCrashes && crashes[i].crashedAt-crashes[i-1].crashedAt > suspicionRetention {
-			first = i
-		}
-	}
-	return crashes[first:]
+	return chain(r.crashes, false)
 }
 
 // provenBefore reports whether an answer at answeredAt makes a trait proven at a
@@ -110,14 +98,15 @@
 }
 
 // chain returns the crashes that can't have one cause besides the trait: each is
-// that of another upstream and of a request that was sent after the crash before.
-// A long time without any begins a new chain, unless the chain convicts already.
-func chain(crashes []crash) []crash {
+// that of another upstream and, unless atOnce is set, of a request that was sent after
+// the crash before. A long time without any begins a new chain, unless the chain
+// convicts already.
+func chain(crashes []crash, atOnce bool) []crash {
 	var counted []crash
 	for _, c := range crashes {
 		n := len(counted)
 		switch {
-		case n > 0 && c.sentAt < counted[n-1].crashedAt:
+		case n > 0 && !atOnce && c.sentAt < counted[n-1].crashedAt:
 			// Both requests ran at once: one outage may have ended both.
 			continue
 		case n > 0 && n < QuarantineCrashes && c.crashedAt-counted[n-1].crashedAt > suspicionRetention:
--- a/wal/spool.go
+++ b/wal/spool.go
@@ -59,8 +59,8 @@
 	return records, int64(len(data) - len(rest)), nil
 }
 
-// open opens the current file for appending after its intact part, unless it is open. What follows that is
-// cut, or no later record would be read again.
+// open opens the current file for appending after its intact part, unless it is open.
+// What follows that is cut, or no later record would be read again.
 func (s *Spool) open() error {
 	if s.file != nil {
 		return nil
