--- a/review/rig/case_release.go
+++ b/review/rig/case_release.go
@@ -78,6 +78,9 @@
 		pause(ctx, streamStart)
 	}
 	pause(ctx, time.Until(cutAt.Add(cutToKill)))
+	for _, e := range entries {
+		b.record("%s answers the balancer that it is ready: %v", e.name, isReady(ctx, e))
+	}
 	if b.trouble {
 		b.kill(entries[0].name)
 		b.record("%s is killed", entries[0].name)
