--- a/review/rig/bench.go
+++ b/review/rig/bench.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -96,14 +97,19 @@
 	_ = b.out.Close()
 }
 
-// freeAddress returns a loopback address that nobody uses.
+// freeAddress returns a loopback address that nobody uses. Its port is below those that the
+// system gives to outgoing connections, so that none takes it before it is used.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const lowest, number, tries = 12_000, 18_000, 100
+	var err error
+	for range tries {
+		var l net.Listener
+		if l, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(number))); err == nil {
+			address := l.Addr().String()
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // listen serves HTTP on a free address until the bench is closed.
