review: Keep case 2 inside the shares of the site file, and record every request

One of eight entries is cut off and one is killed for 3.5 s, callers spread over the entries of their zone. The records list what was sent, answered and run.

--- a/review/rig/case_core.go
+++ b/review/rig/case_core.go
@@ -118,6 +118,14 @@
 	}
 }
 
+// answerOf is the service that ran the request, as its answer names it.
+func answerOf(s sent) string {
+	if s.status == http.StatusOK {
+		return s.body
+	}
+	return ""
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -133,6 +141,7 @@
 		for _, group := range []string{e.name, e.name + " with a key"} {
 			ranOld, ranNew, other := 0, 0, map[int]int{}
 			for _, s := range results[group] {
+				b.record("request %s at %s, sent %v after the acknowledgement: status %d, answer %q", s.id, group, s.at.Sub(acked).Round(time.Millisecond), s.status, answerOf(s))
 				switch {
 				case s.at.Before(from) || s.at.After(ended):
 				case s.status != http.StatusOK:
--- a/review/rig/case_error.go
+++ b/review/rig/case_error.go
@@ -35,7 +35,7 @@
 	})
 	var failing atomic.Bool
 	var mu sync.Mutex
-	written := map[string]bool{}
+	written, ran := map[string]bool{}, map[string]string{}
 	for i := range errorReplicas {
 		r := &replica{id: fmt.Sprintf("i-%d", i), service: "booking", zone: "a", release: "v1", slots: 8}
 		var count atomic.Int64
@@ -45,6 +45,9 @@
 			w.Header().Set("X-Request-Id", id)
 			w.Header().Set("X-Replica-Seal", r.id+"."+id)
 			n := count.Add(1)
+			mu.Lock()
+			ran[id] = r.id
+			mu.Unlock()
 			if !failing.Load() || n*errorPart%100 >= errorPart {
 				_, _ = w.Write([]byte("booked " + id))
 				return
@@ -89,14 +92,15 @@
 		})
 	}
 	callers.Wait()
-	return judgeErrorAnswers(b, results, written)
+	return judgeErrorAnswers(b, results, written, ran)
 }
 
-func judgeErrorAnswers(b *bench, results []sent, written map[string]bool) error {
+func judgeErrorAnswers(b *bench, results []sent, written map[string]bool, ran map[string]string) error {
 	statuses := map[int]int{}
 	closed, delivered := 0, 0
 	for _, s := range results {
 		statuses[s.status]++
+		b.record("request %s: ran at %q, status of the answer %d (0: none)", s.id, ran[s.id], s.status)
 		failed := written[s.id]
 		if failed && s.status != 0 {
 			delivered++
--- a/review/rig/case_history.go
+++ b/review/rig/case_history.go
@@ -172,6 +172,7 @@
 				for try := 0; err != nil && try < 6 && ctx.Err() == nil; try++ {
 					err = post(ctx, "http://"+keepers[(number+try)%len(keepers)].control+"/v1/config/put", version(number))
 				}
+				b.record("operator: version %d, error %v", number, err)
 				mu.Lock()
 				if err == nil {
 					newest = max(newest, number)
--- a/review/rig/case_release.go
+++ b/review/rig/case_release.go
@@ -16,13 +16,15 @@
 	directoryAge = 33 * time.Second
 	streamEvents = 100
 	eventPause   = 40 * time.Millisecond
-	streamStart  = 80 * time.Millisecond
+	streamStart  = 40 * time.Millisecond
 	// cutToStreams is the time from the cut to the first of the streams, cutToKill that
 	// to the kill of the entry that serves them.
 	cutToNew     = 200 * time.Millisecond
 	cutToStreams = 700 * time.Millisecond
 	cutToKill    = 2600 * time.Millisecond
 	cutLasts     = 8 * time.Second
+	// killLasts is the longest kill of an entry in the site file.
+	killLasts = 3500 * time.Millisecond
 	// maxMixed is how many streams may hold events of two releases.
 	maxMixed = 2
 )
@@ -36,10 +38,10 @@
 	complete bool
 }
 
-// runResumeRelease starts upstreams of a new release while one of two entries is cut
-// off from the keepers, and kills the other entry.
+// runResumeRelease starts upstreams of a new release while one of eight entries is cut off
+// from the keepers, and kills another one of its zone.
 func runResumeRelease(ctx context.Context, b *bench) error {
-	keepers, entries, err := b.addCluster([]string{"a", "b", "c"}, []string{"a", "b"})
+	keepers, entries, err := b.addCluster([]string{"a", "b", "c", "d"}, []string{"a", "a", "a", "b", "b", "b", "c", "d"})
 	if err != nil {
 		return err
 	}
@@ -71,19 +73,21 @@
 	pause(ctx, time.Until(cutAt.Add(cutToStreams)))
 	var calls []*call
 	var callers sync.WaitGroup
-	for n := 0; time.Since(cutAt) < cutToKill-5*streamStart && ctx.Err() == nil; n++ {
+	for n := 0; time.Since(cutAt) < cutToKill-10*streamStart && ctx.Err() == nil; n++ {
 		c := &call{id: fmt.Sprintf("%016x", n+1), releases: map[string]bool{}}
 		calls = append(calls, c)
-		callers.Go(func() { b.playStream(ctx, c, entries) })
+		callers.Go(func() { b.playStream(ctx, c, entries, n%4/2) })
 		pause(ctx, streamStart)
 	}
 	pause(ctx, time.Until(cutAt.Add(cutToKill)))
-	for _, e := range entries {
+	for _, e := range entries[:3] {
 		b.record("%s answers the balancer that it is ready: %v", e.name, isReady(ctx, e))
 	}
 	if b.trouble {
 		b.kill(entries[0].name)
 		b.record("%s is killed", entries[0].name)
+		pause(ctx, killLasts)
+		b.record("%s is started again: error %v", entries[0].name, b.startNode(entries[0]))
 	}
 	pause(ctx, time.Until(cutAt.Add(cutLasts)))
 	for _, k := range keepers {
@@ -114,14 +118,16 @@
 }
 
 // playStream sends a request to the first entry. When the connection breaks, it takes
-// the stream up at the other one, as a caller's further tries reach other entries.
-func (b *bench) playStream(ctx context.Context, c *call, entries []*node) {
+// the stream up at the other entries of the zone, as the balancer does by a hash of the
+// caller: half of the callers get to each of them first.
+func (b *bench) playStream(ctx context.Context, c *call, entries []*node, half int) {
 	began := time.Now()
 	const patience = 15 * time.Second
 	header := map[string]string{"Authorization": "Token " + apiKey}
 	for try := 0; try < 3 && ctx.Err() == nil && time.Since(began) < patience; try++ {
-		id, to := c.id, entries[min(try, 1)]
+		id, to := c.id, entries[0]
 		if try > 0 {
+			to = entries[1+(half+try)%2]
 			id = fmt.Sprintf("%s-%d", c.id, try)
 			if c.last > 0 {
 				header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(c.last), c.id
@@ -138,7 +144,12 @@
 		if complete {
 			return
 		}
-		pause(ctx, 20*time.Millisecond)
+		// A refusal says when to come back: after a second.
+		wait := 20 * time.Millisecond
+		if status == http.StatusServiceUnavailable {
+			wait = time.Second
+		}
+		pause(ctx, wait)
 	}
 }
 
