ingress: Let a stream go on at the only release if all keepers say so

Cause: where no keeper knew the origin of a stream, an entry used the only release that its directory had named in the last 30 s. It took a failed call for the answer that a keeper doesn't know the stream, and a directory of ten seconds ago for the present one. The log shows it: all joined streams have source="only release", and no keeper answered the entry at that time; the streams with source="keeper" were all right.

Ruled out: wrong origins at the keepers (19 of 19 right), another upstream than the bound one (the attempts name v1, as bound).

Now an entry asks every keeper listed in the last 30 s, each says which releases of the service its directory has, and the stream goes on only if all of them answer and know of one release. An upstream that some entry may have used is in the directory of a keeper, so that no release can have begun the stream unseen.

--- a/control/origin.go
+++ b/control/origin.go
@@ -86,7 +86,8 @@
 }
 
 // serveOrigins records the streams that an entry has begun, and returns what is known
-// of those that it asks for.
+// of those that it asks for. If an origin isn't known, it returns the releases that may
+// have begun the stream.
 func (c *Control) serveOrigins(_ context.Context, body []byte) (any, error) {
 	var request origin.Request
 	if err := wire.Decode(body, &request); err != nil {
@@ -100,10 +101,18 @@
 	defer c.mu.Unlock()
 	recordOrigins(now, c.origins, request.Begun)
 	var found origin.Groups
+	unknown := 0
 	for _, s := range request.Find {
 		if o, ok := c.origins.Find(now, s); ok {
 			found.Add(s, o)
+		} else {
+			unknown++
 		}
 	}
-	return &origin.Reply{Found: found.List()}, nil
+	reply := &origin.Reply{Found: found.List()}
+	if unknown > 0 && len(request.Services) > 0 {
+		reply.Serving = c.registry.serving(request.Services)
+		reply.Complete = now-c.startedAt >= origin.Retention
+	}
+	return reply, nil
 }
--- a/control/registry.go
+++ b/control/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -126,6 +127,21 @@
 	return members
 }
 
+// serving returns the releases of the upstreams of the services, with those that ended
+// less than forgetAfter ago.
+func (r *registry) serving(services []string) []origin.Origin {
+	var releases []origin.Origin
+	for _, u := range r.upstreams {
+		for _, service := range u.Services {
+			o := origin.Origin{Service: service, Release: u.Release}
+			if slices.Contains(services, service) && !slices.Contains(releases, o) {
+				releases = append(releases, o)
+			}
+		}
+	}
+	return releases
+}
+
 // usable returns the upstreams that are neither ended, leaving nor silent.
 func (r *registry) usable() []upstream.Member {
 	var members []upstream.Member
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -50,8 +51,8 @@
 	originUnknown originSource = "unknown"
 	originOwn     originSource = "entry"
 	originKeeper  originSource = "keeper"
-	// originOnly means that all upstreams that may have begun the stream were of one
-	// release.
+	// originOnly means that no keeper knows the stream, and all upstreams that may have
+	// begun it are of one release.
 	originOnly originSource = "only release"
 )
 
@@ -64,21 +65,28 @@
 		if ok {
 			return o, originOwn
 		}
-		if o, ok = in.link.FindOrigin(ctx, r.streamID()); ok {
-			return o, originKeeper
-		}
 	}
-	if len(r.route.Backends) != 1 || in.link.DirectoryFollowed() < origin.Retention {
+	found := in.link.FindOrigin(ctx, r.streamID(), r.service)
+	if found.Known {
+		return found.Origin, originKeeper
+	}
+	klog.InfoS("origin of a stream not found", "request", r.ID, "stream", r.ResumedID, "allKeepersAnswered", found.Complete,
+		"serving", found.Serving, "directoryFollowed", in.link.DirectoryFollowed())
+	if len(r.route.Backends) != 1 || !found.Complete || in.link.DirectoryFollowed() < origin.Retention {
 		return origin.Origin{}, originUnknown
 	}
-	o, source := origin.Origin{Service: r.service}, originUnknown
+	only, source := origin.Origin{Service: r.service}, originUnknown
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		if release, ok := f.OnlyRelease(now, r.service, origin.Retention); ok {
-			o.Release, source = release, originOnly
+			only.Release, source = release, originOnly
 		}
 		return nil
 	})
-	return o, source
+	// An upstream that has just announced itself may not have reached this entry.
+	if slices.ContainsFunc(found.Serving, func(o origin.Origin) bool { return o != only }) {
+		return origin.Origin{}, originUnknown
+	}
+	return only, source
 }
 
 // bind binds the stream to the release that has begun it, and tells the keepers, as the
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -1,18 +1,26 @@
 package ingress
 
 import (
+	"context"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/exchange"
+	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // TestOriginOfALongStreamIsKept has a stream that goes on for longer than origins are
@@ -40,3 +48,89 @@
 	_, ok := in.origins.Find(read(), origin.StreamOf("", "r1"))
 	g.Expect(ok).To(gomega.BeFalse())
 }
+
+// TestStreamIsNotJoinedFromAnOldDirectory guards against streams that go on at the only
+// release that an entry has heard of, while another one has begun them: the entry was cut
+// off from the keepers when that release announced itself.
+func TestStreamIsNotJoinedFromAnOldDirectory(t *testing.T) {
+	v1, v2 := origin.Origin{Service: "s", Release: "v1"}, origin.Origin{Service: "s", Release: "v2"}
+	lost := func() (origin.Reply, error) { return origin.Reply{}, errors.New("cut off") }
+	answer := func(r origin.Reply) func() (origin.Reply, error) {
+		return func() (origin.Reply, error) { return r, nil }
+	}
+	only := answer(origin.Reply{Serving: []origin.Origin{v1}, Complete: true})
+	for name, c := range map[string]struct {
+		first, second func() (origin.Reply, error)
+		want          origin.Origin
+		source        originSource
+	}{
+		"no keeper answers":                    {lost, lost, origin.Origin{}, originUnknown},
+		"one of two keepers answers":           {only, lost, origin.Origin{}, originUnknown},
+		"a keeper has started lately":          {only, answer(origin.Reply{Serving: []origin.Origin{v1}}), origin.Origin{}, originUnknown},
+		"a keeper has heard of a new release":  {only, answer(origin.Reply{Serving: []origin.Origin{v1, v2}, Complete: true}), origin.Origin{}, originUnknown},
+		"all keepers know of one release only": {only, only, v1, originOnly},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var nanos atomic.Int64
+			nanos.Store(int64(time.Hour))
+			read := func() clock.Instant { return clock.Instant(nanos.Load()) }
+			first, second := newStandInKeeper(t, c.first), newStandInKeeper(t, c.second)
+			reply := control.SyncReply{Source: 1, Peers: []control.Peer{{Address: first.address, Zone: "a"}, {Address: second.address, Zone: "a"}}}
+			upstreamClient := exchange.New(func() {})
+			in := &Ingress{
+				options: Options{Clock: read}, origins: origin.New(), upstreamClient: upstreamClient,
+				dispatcher: newDispatcher(t.Context(), read, fleet.New(fleet.Options{Zone: "a", Entries: 1}), upstreamClient.Refuses),
+			}
+			in.link = link.New(t.Context(), link.Options{
+				Name: "e", Zone: "a", Clock: read, PeerClient: peer.NewClient(), Seeds: []netip.AddrPort{first.address, second.address},
+				OnMembers: func([]upstream.Member) {}, BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} },
+			})
+			in.mergeMembers([]upstream.Member{{Announcement: upstream.Announcement{
+				ID: "u", Incarnation: 1, Sequence: 1, Address: netip.MustParseAddrPort("127.0.0.1:9"), Zone: "a", Slots: 1, Services: []string{"s"}, Release: "v1", Lease: time.Hour,
+			}}})
+			for in.link.DirectoryFollowed() < origin.Retention {
+				nanos.Add(int64(time.Second))
+				first.syncs <- reply
+				second.syncs <- reply
+			}
+			route := resumable
+			route.Backends = []config.Backend{{Service: "s", Weight: 1}}
+			r := &request{Request: call.Request{ID: "r2", Resumes: true, ResumedID: "r1", LastEvent: 1}, route: &route, service: "s"}
+			o, source := in.originOf(t.Context(), r)
+			g.Expect(source).To(gomega.Equal(c.source))
+			g.Expect(o).To(gomega.Equal(c.want))
+			if c.source == originUnknown {
+				e := result.From(in.findOrigin(t.Context(), r))
+				g.Expect(e.Code).To(gomega.Equal(result.OriginUnknown))
+				g.Expect(e.RetryAfter).To(gomega.Equal(unknownOriginRetryAfter))
+			}
+		})
+	}
+}
+
+// standInKeeper answers each sync with the next reply, and knows no stream.
+type standInKeeper struct {
+	address netip.AddrPort
+	syncs   chan control.SyncReply
+}
+
+func newStandInKeeper(t *testing.T, findOrigins func() (origin.Reply, error)) *standInKeeper {
+	t.Helper()
+	server, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	k := &standInKeeper{address: server.Address, syncs: make(chan control.SyncReply)}
+	server.On(peer.Sync, func(ctx context.Context, _ []byte) (any, error) {
+		select {
+		case reply := <-k.syncs:
+			return &reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	server.On(peer.Origins, func(context.Context, []byte) (any, error) {
+		reply, err := findOrigins()
+		return &reply, err
+	})
+	return k
+}
--- a/link/link.go
+++ b/link/link.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -91,6 +92,9 @@
 	// those are few; currentKeepers are those that the sync loops call, by loop.
 	keepers        []control.Peer
 	currentKeepers [syncLoopCount]netip.AddrPort
+	// listedAt is when a keeper last listed each of the keepers; older ones than
+	// origin.Retention aren't kept.
+	listedAt map[netip.AddrPort]clock.Instant
 	// leader is the keepers' leader in the term, the highest term that any of
 	// them reported with a leader.
 	leader netip.AddrPort
@@ -115,7 +119,7 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, seeds: o.Seeds, nextReport: reportInterval, failedAt: map[netip.AddrPort]clock.Instant{}, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
+	l := &Link{options: o, seeds: o.Seeds, nextReport: reportInterval, failedAt: map[netip.AddrPort]clock.Instant{}, listedAt: map[netip.AddrPort]clock.Instant{}, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
 	for _, seed := range o.Seeds {
 		l.keepers = append(l.keepers, control.Peer{Address: seed})
 	}
@@ -286,6 +290,7 @@
 	delete(l.failedAt, cursor.address)
 	l.setLeader(reply.Leader, reply.Term)
 	if len(reply.Peers) > 0 {
+		l.noteListed(l.options.Clock(), reply.Peers)
 		l.keepers = l.withSeeds(reply.Peers)
 		l.forgetClocks()
 	}
@@ -323,6 +328,14 @@
 	return now - l.directorySince
 }
 
+// noteListed records that a keeper has listed the peers. The caller holds l.mu.
+func (l *Link) noteListed(now clock.Instant, peers []control.Peer) {
+	for _, p := range peers {
+		l.listedAt[p.Address] = now
+	}
+	maps.DeleteFunc(l.listedAt, func(_ netip.AddrPort, at clock.Instant) bool { return now-at > origin.Retention })
+}
+
 // forgetClocks drops the clocks of keepers that are gone, which nothing corrects
 // any more. The caller holds l.mu.
 func (l *Link) forgetClocks() {
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -36,16 +36,24 @@
 	origin origin.Origin
 }
 
-// foundOrigin is the answer to a findRequest; found says that a keeper knows the origin.
-type foundOrigin struct {
-	origin origin.Origin
-	found  bool
+// Found is what the keepers know of the origin of a stream.
+type Found struct {
+	// Origin is set if Known is.
+	Origin origin.Origin
+	Known  bool
+	// Serving are the origins that the stream may have, from the keepers' directories.
+	// Complete says that no other is possible: every keeper that may have seen the stream
+	// begin has answered, and its directory goes back for origin.Retention.
+	Serving  []origin.Origin
+	Complete bool
 }
 
-// findRequest asks for the origin of a stream. done has room for the answer.
+// findRequest asks for the origin of a stream, which the service may have begun. done has
+// room for the answer.
 type findRequest struct {
-	stream origin.Stream
-	done   chan foundOrigin
+	stream  origin.Stream
+	service string
+	done    chan Found
 }
 
 // startOrigins starts the loops that send and find origins.
@@ -69,20 +77,21 @@
 	}
 }
 
-// FindOrigin asks the keepers for the origin of a stream.
-func (l *Link) FindOrigin(ctx context.Context, s origin.Stream) (origin.Origin, bool) {
-	request := findRequest{s, make(chan foundOrigin, 1)}
+// FindOrigin asks the keepers for the origin of a stream, which the service may have
+// begun.
+func (l *Link) FindOrigin(ctx context.Context, s origin.Stream, service string) Found {
+	request := findRequest{s, service, make(chan Found, 1)}
 	select {
 	case l.finds <- request:
 	default:
 		klog.InfoS("origin of a stream not asked for: too many wait", "stream", uint64(s))
-		return origin.Origin{}, false
+		return Found{}
 	}
 	select {
 	case f := <-request.done:
-		return f.origin, f.found
+		return f
 	case <-ctx.Done():
-		return origin.Origin{}, false
+		return Found{}
 	}
 }
 
@@ -113,7 +122,8 @@
 	}
 }
 
-// originKeepers returns the keepers of the sync loops and the other ones.
+// originKeepers returns the keepers of the sync loops and the other ones, with those that
+// are no longer listed but may have seen streams begin.
 func (l *Link) originKeepers() (current, others []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -127,6 +137,12 @@
 			others = append(others, p.Address)
 		}
 	}
+	now := l.options.Clock()
+	for address, at := range l.listedAt {
+		if now-at <= origin.Retention && !slices.Contains(current, address) && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
+	}
 	return current, others
 }
 
@@ -148,29 +164,46 @@
 	for _, r := range batch {
 		open[r.stream] = append(open[r.stream], r)
 	}
+	var serving []origin.Origin
+	complete := len(current)+len(others) > 0
 	for _, keepers := range [][]netip.AddrPort{current, others} {
 		if len(open) > 0 {
-			l.askForOrigins(ctx, keepers, open)
+			releases, all := l.askForOrigins(ctx, keepers, open)
+			serving = append(serving, releases...)
+			complete = complete && all
 		}
 	}
 	for _, requests := range open {
 		for _, r := range requests {
-			r.done <- foundOrigin{}
+			f := Found{Complete: complete}
+			for _, o := range serving {
+				if o.Service == r.service {
+					f.Serving = append(f.Serving, o)
+				}
+			}
+			r.done <- f
 		}
 	}
 }
 
 // askForOrigins asks the keepers at once, and answers and removes the requests whose
-// origin one of them knows.
-func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) {
+// origin one of them knows. It returns the releases that the keepers know, and whether
+// all of them have answered with a complete directory.
+func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (serving []origin.Origin, all bool) {
 	request := &origin.Request{}
-	for s := range open {
+	for s, requests := range open {
 		if len(request.Find) < origin.MaxStreams {
 			request.Find = append(request.Find, s)
 		}
+		for _, r := range requests {
+			if !slices.Contains(request.Services, r.service) {
+				request.Services = append(request.Services, r.service)
+			}
+		}
 	}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
+	complete := 0
 	for _, address := range keepers {
 		wait.Go(func() {
 			reply, ok := l.callOrigins(ctx, address, request)
@@ -179,10 +212,14 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			serving = append(serving, reply.Serving...)
+			if reply.Complete {
+				complete++
+			}
 			for _, g := range reply.Found {
 				for _, s := range g.Streams {
 					for _, r := range open[s] {
-						r.done <- foundOrigin{g.Origin, true}
+						r.done <- Found{Origin: g.Origin, Known: true}
 					}
 					delete(open, s)
 				}
@@ -190,4 +227,5 @@
 		})
 	}
 	wait.Wait()
+	return serving, complete == len(keepers)
 }
--- a/origin/message.go
+++ b/origin/message.go
@@ -24,11 +24,18 @@
 type Request struct {
 	Begun []Group  `json:"b,omitempty"`
 	Find  []Stream `json:"f,omitempty"`
+	// Services are those that may have begun the streams to find.
+	Services []string `json:"s,omitempty"`
 }
 
 // Reply holds the origins that the keeper knows of those that were asked for.
 type Reply struct {
 	Found []Group `json:"f,omitempty"`
+	// Serving are the releases of the requested services in the keeper's directory, if
+	// it doesn't know all origins that were asked for.
+	Serving []Origin `json:"s,omitempty"`
+	// Complete says that the keeper's directory goes back for Retention.
+	Complete bool `json:"c,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -36,18 +43,38 @@
 	if len(r.Find) > MaxStreams {
 		return errors.Errorf("request for %d origins, want at most %d", len(r.Find), MaxStreams)
 	}
+	if len(r.Services) > MaxStreams {
+		return errors.Errorf("request for the releases of %d services, want at most %d", len(r.Services), MaxStreams)
+	}
 	return checkGroups(r.Begun)
 }
 
 // Check verifies a decoded reply.
-func (r *Reply) Check() error { return checkGroups(r.Found) }
+func (r *Reply) Check() error {
+	if len(r.Serving) > MaxStreams {
+		return errors.Errorf("%d releases of services, want at most %d", len(r.Serving), MaxStreams)
+	}
+	for _, o := range r.Serving {
+		if err := o.check(); err != nil {
+			return err
+		}
+	}
+	return checkGroups(r.Found)
+}
+
+func (o Origin) check() error {
+	if o.Service == "" || len(o.Service) > maxNameBytes || len(o.Release) > maxNameBytes {
+		return errors.Errorf("origin with a service of %d bytes and a release of %d", len(o.Service), len(o.Release))
+	}
+	return nil
+}
 
 func checkGroups(groups []Group) error {
 	streams := 0
 	for _, g := range groups {
 		streams += len(g.Streams)
-		if g.Service == "" || len(g.Service) > maxNameBytes || len(g.Release) > maxNameBytes {
-			return errors.Errorf("origin with a service of %d bytes and a release of %d", len(g.Service), len(g.Release))
+		if err := g.check(); err != nil {
+			return err
 		}
 	}
 	if streams > MaxStreams || len(groups) > MaxStreams {
