--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -278,7 +278,7 @@
 
 // Dump implements kernel.Plugin.
 func (in *Ingress) Dump() any {
-	state := map[string]any{"ready": in.ready(), "configurationAge": in.link.ConfigAge().String()}
+	state := map[string]any{"ready": in.ready(), "configurationAge": in.link.ConfigAge().String(), "keepers": in.link.State()}
 	if t := in.link.Table(); t != nil {
 		state["revision"] = t.Revision.Number
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -167,6 +167,26 @@
 	return l.options.Clock() - clock.Instant(confirmedAt)
 }
 
+// State is a Link's state for the dump of the node.
+type State struct {
+	// Keepers are those that are known to be alive, Current those that are polled.
+	Keepers []netip.AddrPort `json:"keepers"`
+	Current []netip.AddrPort `json:"current"`
+	Leader  netip.AddrPort   `json:"leader"`
+	Term    uint64           `json:"term"`
+}
+
+// State returns the link's present state.
+func (l *Link) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := State{Current: slices.Clone(l.currentKeepers[:]), Leader: l.leader, Term: l.term}
+	for _, p := range l.keepers {
+		s.Keepers = append(s.Keepers, p.Address)
+	}
+	return s
+}
+
 // Synced reports whether the link has both a configuration and a directory.
 func (l *Link) Synced() bool { return l.synced.Load() && l.Table() != nil }
 
@@ -253,6 +273,10 @@
 			best = candidate{p.Address, cost}
 		}
 	}
+	if l.currentKeepers[loop] != best.address {
+		klog.InfoS("keeper chosen", "loop", loop, "keeper", best.address, "previous", l.currentKeepers[loop], "cost", best.cost,
+			"candidates", len(l.keepers), "configurationAge", l.ConfigAge())
+	}
 	l.currentKeepers[loop] = best.address
 	return best.address, best.address.IsValid()
 }
@@ -291,7 +315,11 @@
 	l.setLeader(reply.Leader, reply.Term)
 	if len(reply.Peers) > 0 {
 		l.noteListed(l.options.Clock(), reply.Peers)
+		before := len(l.keepers)
 		l.keepers = l.withSeeds(reply.Peers)
+		if len(l.keepers) != before {
+			klog.InfoS("keepers listed", "by", cursor.address, "leader", reply.Leader, "term", reply.Term, "keepers", len(l.keepers), "before", before)
+		}
 		l.forgetClocks()
 	}
 	wall, ok := l.keeperWalls[cursor.address]
