link: Leave keepers that reach no majority, and don't forget the others

Now a reply says whether a majority confirmed the keeper's question. After a second without, the entry asks three other keepers for a majority, without a directory, and its polls move once one is known that has it; else they stay, as a zone that is cut off goes on with its own keepers. Only a keeper with a majority shortens the list. The choice is a type without I/O, roster.

--- a/control/control.go
+++ b/control/control.go
@@ -292,7 +292,8 @@
 func writeError(w http.ResponseWriter, e *result.Error) { problem.Write(w, e) }
 
 // serveSync answers an entry as soon as the registry or the configuration is
-// newer than what the entry holds, and otherwise after a while.
+// newer than what the entry holds, and otherwise after a while. A probe is answered when
+// the question to the majority is settled.
 func (c *Control) serveSync(ctx context.Context, body []byte) (any, error) {
 	var request SyncRequest
 	if err := wire.Decode(body, &request); err != nil {
@@ -310,23 +311,26 @@
 		c.held--
 		c.mu.Unlock()
 	}()
-	confirmedConfig, expired := uint64(0), false
+	confirmedConfig, quorum, expired := uint64(0), QuorumUnasked, false
 	for {
 		v, viewChanged := c.options.Keeper.View()
 		c.mu.Lock()
 		reply := SyncReply{Source: c.options.Incarnation, Generation: c.registry.generation}
 		changed := c.changed
-		if request.Source != reply.Source {
+		switch {
+		case request.Probe:
+		case request.Source != reply.Source:
 			reply.Members = c.registry.changedSince(0)
-		} else if request.Generation < reply.Generation {
+		case request.Generation < reply.Generation:
 			reply.Members = c.registry.changedSince(request.Generation)
 		}
 		c.mu.Unlock()
 		if v.Config.Number > request.Config {
 			reply.Config = &v.Config
 		}
-		if expired || len(reply.Members) > 0 || reply.Config != nil {
-			reply.ConfirmedConfig = confirmedConfig
+		settled := request.Probe && quorum != QuorumUnasked
+		if expired || settled || !request.Probe && (len(reply.Members) > 0 || reply.Config != nil) {
+			reply.ConfirmedConfig, reply.Quorum = confirmedConfig, quorum
 			reply.Leader, reply.Term = v.Leader, v.Term
 			reply.Peers = c.livePeers(ctx)
 			reply.Wall = time.Now()
@@ -334,15 +338,19 @@
 		}
 		select {
 		case ok := <-confirmed:
+			quorum = QuorumMissed
 			if ok {
 				// The confirmed configuration is applied by now.
 				v, _ = c.options.Keeper.View()
-				confirmedConfig = v.Config.Number
+				confirmedConfig, quorum = v.Config.Number, QuorumConfirmed
 			}
 		case <-changed:
 		case <-viewChanged:
 		case <-hold.C:
 			expired = true
+			if quorum == QuorumUnasked {
+				quorum = QuorumMissed
+			}
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
 		}
--- a/control/message.go
+++ b/control/message.go
@@ -37,6 +37,9 @@
 	// received from this keeper.
 	Source     uint64 `json:"s,omitempty"`
 	Generation uint64 `json:"g,omitempty"`
+	// Probe asks whether the keeper reaches a majority. It answers as soon as it knows,
+	// without upstreams.
+	Probe bool `json:"b,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -47,6 +50,17 @@
 	return nil
 }
 
+// Quorum is what a keeper knows of its majority, from a question of its own.
+type Quorum int
+
+const (
+	// QuorumUnasked means that the keeper has answered before the question was settled.
+	QuorumUnasked Quorum = iota
+	// QuorumConfirmed means that a majority answered, QuorumMissed that none did in time.
+	QuorumConfirmed
+	QuorumMissed
+)
+
 // Peer is a keeper that entries may ask.
 type Peer struct {
 	Address netip.AddrPort `json:"a"`
@@ -68,6 +82,8 @@
 	// confirmed as the newest at some time after the request arrived; 0 if
 	// none did.
 	ConfirmedConfig uint64 `json:"n,omitempty"`
+	// Quorum says whether a majority answered the keeper after the request arrived.
+	Quorum Quorum `json:"q,omitempty"`
 	// Leader is the keepers' leader in Term, as far as this keeper knows.
 	Leader netip.AddrPort `json:"l"`
 	Term   uint64         `json:"t,omitempty"`
--- a/link/link.go
+++ b/link/link.go
@@ -22,7 +22,6 @@
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
-	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -54,6 +53,11 @@
 	// syncLoopCount is the number of keepers that are polled in parallel, so that
 	// one that hangs delays nothing.
 	syncLoopCount = 2
+	// minProbeInterval and maxProbeInterval are the times between two questions for a
+	// majority, if there is reason to ask: the first ones in turn while none is found, up
+	// to the second.
+	minProbeInterval = 250 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
 )
 
 // Options are the settings, dependencies and callbacks of a Link.
@@ -86,21 +90,12 @@
 	confirmedAt atomic.Int64
 	synced      atomic.Bool
 
-	mu    sync.Mutex
-	seeds []netip.AddrPort
-	// keepers are the live keepers that the last reply listed, with the seeds if
-	// those are few; currentKeepers are those that the sync loops call, by loop.
-	keepers        []control.Peer
-	currentKeepers [syncLoopCount]netip.AddrPort
-	// listedAt is when a keeper last listed each of the keepers; older ones than
-	// origin.Retention aren't kept.
-	listedAt map[netip.AddrPort]clock.Instant
+	mu     sync.Mutex
+	roster *roster
 	// leader is the keepers' leader in the term, the highest term that any of
 	// them reported with a leader.
 	leader netip.AddrPort
 	term   uint64
-	// failedAt is when a keeper last failed to answer. An answer removes it.
-	failedAt map[netip.AddrPort]clock.Instant
 	// nextReport is the time between two reports, as the leader asked.
 	nextReport time.Duration
 	// ownWall and keeperWalls estimate the time of day of this instance's clock
@@ -119,14 +114,12 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, seeds: o.Seeds, nextReport: reportInterval, failedAt: map[netip.AddrPort]clock.Instant{}, listedAt: map[netip.AddrPort]clock.Instant{}, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
-	for _, seed := range o.Seeds {
-		l.keepers = append(l.keepers, control.Peer{Address: seed})
-	}
+	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
 	for i := range syncLoopCount {
 		go l.syncLoop(ctx, i)
 	}
 	l.startOrigins(ctx)
+	go l.probeLoop(ctx)
 	go l.reportLoop(ctx)
 	go func() {
 		for {
@@ -146,12 +139,7 @@
 func (l *Link) SetSeeds(seeds []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seeds = seeds
-	for _, seed := range seeds {
-		if !slices.ContainsFunc(l.keepers, func(p control.Peer) bool { return p.Address == seed }) {
-			l.keepers = append(l.keepers, control.Peer{Address: seed})
-		}
-	}
+	l.roster.setSeeds(seeds)
 }
 
 // Table returns the configuration in force, or nil before the first.
@@ -169,20 +157,26 @@
 
 // State is a Link's state for the dump of the node.
 type State struct {
-	// Keepers are those that are known to be alive, Current those that are polled.
-	Keepers []netip.AddrPort `json:"keepers"`
-	Current []netip.AddrPort `json:"current"`
-	Leader  netip.AddrPort   `json:"leader"`
-	Term    uint64           `json:"term"`
+	// Keepers are those that are known to be alive, Current those that are polled, and
+	// Minority those that reach no majority.
+	Keepers  []netip.AddrPort `json:"keepers"`
+	Current  []netip.AddrPort `json:"current"`
+	Minority []netip.AddrPort `json:"minority,omitempty"`
+	Leader   netip.AddrPort   `json:"leader"`
+	Term     uint64           `json:"term"`
 }
 
 // State returns the link's present state.
 func (l *Link) State() State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := State{Current: slices.Clone(l.currentKeepers[:]), Leader: l.leader, Term: l.term}
-	for _, p := range l.keepers {
+	s := State{Current: slices.Clone(l.roster.current[:]), Leader: l.leader, Term: l.term}
+	now := l.options.Clock()
+	for _, p := range l.roster.keepers {
 		s.Keepers = append(s.Keepers, p.Address)
+		if l.roster.inMinority(now, p.Address) {
+			s.Minority = append(s.Minority, p.Address)
+		}
 	}
 	return s
 }
@@ -241,50 +235,24 @@
 	}
 }
 
-// chooseKeeper picks the keeper of the lowest cost for a sync loop. In this
-// order of weight it avoids a keeper that another loop uses, one that has failed
-// lately and one of another zone, and prefers the current one.
+// chooseKeeper picks the keeper that a sync loop polls next.
 func (l *Link) chooseKeeper(loop int) (netip.AddrPort, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	type candidate struct {
-		address netip.AddrPort
-		cost    float64
-	}
-	best := candidate{cost: 1e9}
 	now := l.options.Clock()
-	for _, p := range l.keepers {
-		cost := rand.Float64()
-		for otherLoop, keeper := range l.currentKeepers {
-			if otherLoop != loop && keeper == p.Address {
-				cost += 100
-			}
-		}
-		if failedAt, ok := l.failedAt[p.Address]; ok {
-			cost += 50 / (1 + (now - failedAt).Seconds())
-		}
-		if p.Zone != l.options.Zone {
-			cost += 2
-		}
-		if l.currentKeepers[loop] == p.Address {
-			cost--
-		}
-		if cost < best.cost {
-			best = candidate{p.Address, cost}
-		}
+	previous := l.roster.current[loop]
+	address, cost := l.roster.choose(now, loop, rand.Float64)
+	if address != previous {
+		klog.InfoS("keeper chosen", "loop", loop, "keeper", address, "previous", previous, "cost", cost, "inMinority", l.roster.inMinority(now, previous),
+			"candidates", len(l.roster.keepers), "configurationAge", l.ConfigAge())
 	}
-	if l.currentKeepers[loop] != best.address {
-		klog.InfoS("keeper chosen", "loop", loop, "keeper", best.address, "previous", l.currentKeepers[loop], "cost", best.cost,
-			"candidates", len(l.keepers), "configurationAge", l.ConfigAge())
-	}
-	l.currentKeepers[loop] = best.address
-	return best.address, best.address.IsValid()
+	return address, address.IsValid()
 }
 
 func (l *Link) markFailed(address netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.failedAt[address] = l.options.Clock()
+	l.roster.failed(l.options.Clock(), address)
 	if l.leader == address {
 		l.leader = netip.AddrPort{}
 	}
@@ -303,25 +271,13 @@
 		l.options.OnMembers(reply.Members)
 	}
 	cursor.source, cursor.generation = reply.Source, reply.Generation
-	if err := l.applyConfig(reply.Config); err != nil {
+	if err := l.applyReply(askedAt, cursor.address, &reply); err != nil {
 		return err
 	}
-	l.confirm(askedAt, reply.ConfirmedConfig)
 	l.synced.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followDirectory(l.options.Clock())
-	delete(l.failedAt, cursor.address)
-	l.setLeader(reply.Leader, reply.Term)
-	if len(reply.Peers) > 0 {
-		l.noteListed(l.options.Clock(), reply.Peers)
-		before := len(l.keepers)
-		l.keepers = l.withSeeds(reply.Peers)
-		if len(l.keepers) != before {
-			klog.InfoS("keepers listed", "by", cursor.address, "leader", reply.Leader, "term", reply.Term, "keepers", len(l.keepers), "before", before)
-		}
-		l.forgetClocks()
-	}
 	wall, ok := l.keeperWalls[cursor.address]
 	if !ok {
 		wall = &clock.Wall{}
@@ -331,6 +287,78 @@
 	return nil
 }
 
+// applyReply applies what a keeper's reply to a call at askedAt says of the configuration
+// and of the keepers.
+func (l *Link) applyReply(askedAt clock.Instant, address netip.AddrPort, reply *control.SyncReply) error {
+	if err := l.applyConfig(reply.Config); err != nil {
+		return err
+	}
+	l.confirm(askedAt, reply.ConfirmedConfig)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.setLeader(reply.Leader, reply.Term)
+	l.roster.answered(askedAt, address, reply.Quorum)
+	before := len(l.roster.keepers)
+	l.roster.list(l.options.Clock(), reply.Peers, reply.Quorum == control.QuorumConfirmed)
+	if after := len(l.roster.keepers); after != before {
+		klog.InfoS("keepers listed", "by", address, "quorum", reply.Quorum, "leader", reply.Leader, "term", reply.Term, "listed", len(reply.Peers), "keepers", after, "before", before)
+	}
+	l.forgetClocks()
+	return nil
+}
+
+// probeLoop looks for keepers that reach a majority while one that is known doesn't.
+func (l *Link) probeLoop(ctx context.Context) {
+	backoff := pace.Backoff{First: minProbeInterval, Max: maxProbeInterval}
+	wait := time.Duration(minProbeInterval)
+	for {
+		select {
+		case <-time.After(pace.Jitter(wait, rand.Float64())):
+		case <-ctx.Done():
+			return
+		}
+		now := l.options.Clock()
+		l.mu.Lock()
+		addresses, found := l.roster.probes(now, rand.Float64), l.roster.majorityKnown(now)
+		l.mu.Unlock()
+		switch {
+		case len(addresses) == 0:
+			backoff.Succeeded()
+			wait = minProbeInterval
+			continue
+		case found:
+			backoff.Succeeded()
+			wait = maxProbeInterval
+		default:
+			wait = backoff.Failed(rand.Float64())
+		}
+		klog.InfoS("keepers without a majority", "majorityKnown", found, "asking", addresses, "configurationAge", l.ConfigAge())
+		var probes sync.WaitGroup
+		for _, address := range addresses {
+			probes.Go(func() {
+				if err := l.probe(ctx, address); err != nil && ctx.Err() == nil {
+					klog.InfoS("keeper can't be asked for a majority", "keeper", address, "err", err)
+					l.markFailed(address)
+				}
+			})
+		}
+		probes.Wait()
+	}
+}
+
+// probe asks a keeper whether it reaches a majority, and takes a newer configuration.
+func (l *Link) probe(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	askedAt := l.options.Clock()
+	request := control.SyncRequest{Entry: l.options.Name, Config: l.revisionNumber(), Probe: true}
+	var reply control.SyncReply
+	if err := l.options.PeerClient.Call(ctx, address, peer.Sync, &request, &reply); err != nil {
+		return err
+	}
+	return l.applyReply(askedAt, address, &reply)
+}
+
 // maxDirectoryGap is how long no keeper may have answered for the directory to count as
 // followed all the time. Keepers list upstreams that have ended for longer.
 const maxDirectoryGap = 10 * time.Second
@@ -356,19 +384,11 @@
 	return now - l.directorySince
 }
 
-// noteListed records that a keeper has listed the peers. The caller holds l.mu.
-func (l *Link) noteListed(now clock.Instant, peers []control.Peer) {
-	for _, p := range peers {
-		l.listedAt[p.Address] = now
-	}
-	maps.DeleteFunc(l.listedAt, func(_ netip.AddrPort, at clock.Instant) bool { return now-at > origin.Retention })
-}
-
 // forgetClocks drops the clocks of keepers that are gone, which nothing corrects
 // any more. The caller holds l.mu.
 func (l *Link) forgetClocks() {
 	maps.DeleteFunc(l.keeperWalls, func(address netip.AddrPort, _ *clock.Wall) bool {
-		return !slices.ContainsFunc(l.keepers, func(p control.Peer) bool { return p.Address == address })
+		return !l.roster.knows(address)
 	})
 }
 
@@ -385,7 +405,7 @@
 func (l *Link) ReportUsage(ctx context.Context) {
 	l.mu.Lock()
 	var keepers []netip.AddrPort
-	for _, p := range l.keepers {
+	for _, p := range l.roster.keepers {
 		if p.Address != l.leader && len(keepers) < maxUsageReports {
 			keepers = append(keepers, p.Address)
 		}
@@ -411,22 +431,6 @@
 	wait.Wait()
 }
 
-// withSeeds adds the seeds to the keepers that are alive if there are too few of
-// those for the sync loops.
-func (l *Link) withSeeds(peers []control.Peer) []control.Peer {
-	all := append([]control.Peer(nil), peers...)
-	for _, seed := range l.seeds {
-		listed := false
-		for _, p := range peers {
-			listed = listed || p.Address == seed
-		}
-		if !listed && len(peers) < syncLoopCount {
-			all = append(all, control.Peer{Address: seed})
-		}
-	}
-	return all
-}
-
 func (l *Link) revisionNumber() uint64 {
 	if t := l.Table(); t != nil {
 		return t.Revision.Number
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -127,19 +127,13 @@
 func (l *Link) originKeepers() (current, others []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, address := range l.currentKeepers {
+	for _, address := range l.roster.current {
 		if address.IsValid() && !slices.Contains(current, address) {
 			current = append(current, address)
 		}
 	}
-	for _, p := range l.keepers {
-		if !slices.Contains(current, p.Address) {
-			others = append(others, p.Address)
-		}
-	}
-	now := l.options.Clock()
-	for address, at := range l.listedAt {
-		if now-at <= origin.Retention && !slices.Contains(current, address) && !slices.Contains(others, address) {
+	for _, address := range l.roster.recent(l.options.Clock()) {
+		if !slices.Contains(current, address) {
 			others = append(others, address)
 		}
 	}
