--- a/control/message.go
+++ b/control/message.go
@@ -56,8 +56,9 @@
 const (
 	// QuorumUnasked means that the keeper has answered before the question was settled.
 	QuorumUnasked Quorum = iota
-	// QuorumConfirmed means that a majority answered, QuorumMissed that none did in time.
+	// QuorumConfirmed means that a majority answered.
 	QuorumConfirmed
+	// QuorumMissed means that none did in time.
 	QuorumMissed
 )
 
