upstream: Refuse announcements that other nodes can't read

Another writer could stop all keepers and entries from following the upstreams for 40 s with one heartbeat (report of other operators; shown by a test). An ID with a byte beyond UTF-8, percent-encoded in the path, can be encoded in a message and not decoded; a service of 40 KB that aren't UTF-8 becomes a record above the limit. Either way the readers refuse the whole message, with all other records.

Cause: a heartbeat was checked for less than the readers of the messages check.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -141,13 +141,27 @@
 // Address returns the address at which other nodes reach this one.
 func (h *Host) Address() netip.AddrPort { return h.options.Node.Address }
 
-// Publish merges records into the table; the next rounds push them to peers.
-func (h *Host) Publish(records ...member.Record) { h.ref.Send(publish{records}) }
+// Publish merges records into the table; the next rounds push them to peers. It drops
+// invalid ones, as peers refuse a whole message for one of them.
+func (h *Host) Publish(records ...member.Record) { h.ref.Send(publish{validRecords(records)}) }
+
+func validRecords(records []member.Record) []member.Record {
+	valid := make([]member.Record, 0, len(records))
+	for _, r := range records {
+		if err := r.Check(); err != nil {
+			klog.ErrorS(err, "record not published", "kind", r.Kind, "id", r.ID)
+			continue
+		}
+		valid = append(valid, r)
+	}
+	return valid
+}
 
 // Broadcast publishes urgent records and also sends them directly to every live
 // node. It returns when all calls have ended, also those that failed, or when
 // ctx ends.
 func (h *Host) Broadcast(ctx context.Context, records ...member.Record) {
+	records = validRecords(records)
 	h.Publish(records...)
 	m := member.Exchange{From: h.options.Node.Name, Push: records}
 	var calls sync.WaitGroup
--- a/member/record.go
+++ b/member/record.go
@@ -8,6 +8,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -88,8 +89,8 @@
 	default:
 		return errors.Errorf("unknown record kind %q", r.Kind)
 	}
-	if r.ID == "" || len(r.ID) > MaxIDBytes {
-		return errors.Errorf("record ID of %d bytes, want 1 to %d", len(r.ID), MaxIDBytes)
+	if r.ID == "" || len(r.ID) > MaxIDBytes || !utf8.ValidString(r.ID) {
+		return errors.Errorf("record ID %.200q, want 1 to %d bytes of UTF-8", r.ID, MaxIDBytes)
 	}
 	if len(r.Payload) > MaxPayloadBytes || len(r.Detail) > MaxDetailBytes {
 		return errors.Errorf("record with a payload of %d bytes and a detail of %d, want at most %d and %d", len(r.Payload), len(r.Detail), MaxPayloadBytes, MaxDetailBytes)
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -5,19 +5,25 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/service"
 )
 
-// Bounds of an announcement. maxNames bounds its models and its services.
+// Bounds of an announcement. maxNames bounds its models and its services, maxNameBytes
+// the ID and each of these.
 const (
-	MinLease = 100 * time.Millisecond
-	MaxLease = time.Minute
-	MaxSlots = 4096
-	maxNames = 256
+	MinLease     = 100 * time.Millisecond
+	MaxLease     = time.Minute
+	MaxSlots     = 4096
+	maxNames     = 256
+	maxNameBytes = 100
 	// maxReleaseBytes bounds the name of a release.
 	maxReleaseBytes = 100
 )
@@ -104,10 +110,12 @@
 // Check verifies a decoded announcement.
 func (a *Announcement) Check() error {
 	switch {
-	case a.ID == "" || len(a.ID) > 100:
-		return errors.New("announcement: the ID must have 1 to 100 bytes")
+	case !validName(a.ID):
+		return errors.Errorf("announcement: the ID %q must be printable, of 1 to %d bytes", a.ID, maxNameBytes)
 	case !a.Address.IsValid() || a.Address.Port() == 0:
 		return errors.New("announcement: the address must have an IP and a port")
+	case a.Address.Addr().IsUnspecified() || a.Address.Addr().IsMulticast() || a.Address.Addr().Zone() != "":
+		return errors.Errorf("announcement: the address %v isn't one of an instance", a.Address)
 	case len(a.Release) > maxReleaseBytes:
 		return errors.Errorf("announcement: release of %d bytes, want at most %d", len(a.Release), maxReleaseBytes)
 	case !service.ValidName(a.Zone):
@@ -121,6 +129,11 @@
 	case len(a.Models) > maxNames || len(a.Services) > maxNames:
 		return errors.Errorf("announcement: more than %d models or services", maxNames)
 	}
+	for _, name := range slices.Concat(a.Services, a.Models) {
+		if !validName(name) {
+			return errors.Errorf("announcement: the service or model %.200q must be printable, of 1 to %d bytes", name, maxNameBytes)
+		}
+	}
 	switch a.Kind {
 	case service.Model, service.Plain:
 		return nil
@@ -129,6 +142,13 @@
 	}
 }
 
+// validName reports whether a name can be sent to all nodes and logged. Names that aren't
+// UTF-8 can be encoded, but not decoded.
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name) &&
+		!strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) })
+}
+
 // Serves reports whether the upstream can serve the document's service.
 func (a *Announcement) Serves(d *service.Document) bool {
 	if a.Kind != d.Kind || !d.InZone(a.Zone) {
