ingress: Close a stream rather than go on with an error answer

Callers of a stream that broke off found the text of the next upstream's error behind its events, or a stream that ended as if it were complete (report of other operators; shown by a test). Any answer with a status from 201 to 499 without a refusal's header did so.

Cause: an attempt relays the events of a success and the whole of all else, and didn't ask whether the head of a stream had gone to the caller. Now only a response with the status and media type of that head goes on with the stream; all else is an attempt that failed, and a head within the body is no event. In the role entry a 4xx of the next upstream was written behind the events, too; it counts as broken off now.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -168,7 +168,7 @@
 	}
 	defer func() { _ = trip.response.Body.Close() }()
 	if trip.response.StatusCode != http.StatusOK {
-		return classifyStatus(trip.response)
+		return c.classify(trip.response)
 	}
 	abandoned := c.abandonWhenLeaving(ctx, cancel)
 	events := newEventReader(trip.response.Body, watch.progress)
@@ -193,6 +193,16 @@
 	}
 }
 
+// classify returns the failure of an attempt whose response isn't a stream, or the error
+// for the caller. An answer that has begun isn't ended by an upstream's error.
+func (c *chatCall) classify(r *http.Response) (retry.Failure, error) {
+	failure, err := classifyStatus(r)
+	if err != nil && c.stream.Offset() > 0 {
+		return retry.Broken, nil
+	}
+	return failure, err
+}
+
 // accept sends a chunk to the caller unless the stream drops it. A gap in the
 // stream is a failure of the upstream.
 func (c *chatCall) accept(chunk relay.Chunk, u *upstream.Announcement) (*retry.Failure, error) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,9 +30,11 @@
 	actions <-chan fleet.Action
 	// events tracks the events of a stream across attempts.
 	events eventTracker
-	// headSent says that the status and headers went to the caller, counted
-	// that the request was added to the organisation's usage.
+	// headSent says that the status and headers went to the caller: status and
+	// mediaType. counted says that the request was added to the organisation's usage.
 	headSent, counted bool
+	status            int
+	mediaType         string
 	// window is the usage window in which the request was counted, and
 	// countedAt the instant.
 	window    uint64
@@ -255,6 +258,9 @@
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
 		response.Close()
 		return outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
+	case d.headSent && !d.continues(response):
+		response.Close()
+		return outcome{failure: retry.Errored, cause: errors.Errorf("response with status %d and content type %q doesn't continue the stream", response.StatusCode, response.Header.Get("Content-Type"))}
 	}
 	defer response.Close()
 	if d.r.isStream() && response.StatusCode < http.StatusMultipleChoices {
@@ -385,6 +391,18 @@
 	return err
 }
 
+// continues reports whether the response can go on with the stream whose head the caller
+// has.
+func (d *forwarding) continues(response *exchange.Response) bool {
+	return response.StatusCode == d.status && mediaType(response) == d.mediaType
+}
+
+// mediaType is the content type without its parameters.
+func mediaType(response *exchange.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // copyHeaders copies the response's headers to those of the caller's response.
 func (d *forwarding) copyHeaders(response *exchange.Response) {
 	h := d.w.Header()
@@ -400,5 +418,5 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
-	d.headSent = true
+	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -311,3 +311,61 @@
 		})
 	}
 }
+
+// TestErrorNeverContinuesAStream guards against an error answer in the middle of a stream: the
+// stream has begun at one upstream, which breaks off, and the next one answers with
+// something else than the rest.
+func TestErrorNeverContinuesAStream(t *testing.T) {
+	begin := func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, strings.Replace(chunkedHead, "X-Replica-Seal", "Content-Type: text/event-stream\r\nX-Replica-Seal", 1)+chunk(event(1)+event(2)))
+	}
+	sound := func(c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, strings.Replace(rest(r), "X-Replica-Seal", "Content-Type: text/event-stream\r\nX-Replica-Seal", 1))
+	}
+	const text = "{\"error\":\"no\"}\n\nsorry\n\n"
+	framings := map[string]string{
+		"length":       fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(text), text),
+		"chunks":       "Transfer-Encoding: chunked\r\n\r\n" + chunk(text) + lastChunk,
+		"until closed": "\r\n" + text,
+		"empty":        "Content-Length: 0\r\n\r\n",
+	}
+	answers := map[string]string{
+		"200 of another type": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+		"200 of no type":      "HTTP/1.1 200 OK\r\n",
+	}
+	for _, status := range []int{201, 204, 206, 301, 304, 307, 400, 401, 403, 404, 405, 408, 409, 410, 413, 415, 416, 421, 422, 429, 431, 451, 500, 501, 502, 503, 504, 599} {
+		answers[fmt.Sprint(status)] = fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Type: text/event-stream\r\n", status)
+		answers[fmt.Sprint(status, " with X-Not-Run")] = fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Not-Run: 1\r\n", status)
+	}
+	for name, head := range answers {
+		for framing, body := range framings {
+			t.Run(name+" "+framing, func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				answer := head + "X-Request-Id: " + requestID + "\r\nX-Replica-Seal: e\r\n" + body
+				failing := startUpstream(t, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, answer) })
+				status, got, err := get(startEntry(t, resumable, 2*time.Second, startUpstream(t, begin), failing))
+				g.Expect(status).To(gomega.Equal(http.StatusOK))
+				g.Expect(got).To(gomega.Equal(event(1) + event(2)))
+				g.Expect(err).To(gomega.HaveOccurred(), "the stream looks complete")
+				_, got, err = get(startEntry(t, resumable, 2*time.Second, startUpstream(t, begin), failing, startUpstream(t, sound)))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(got).To(gomega.Equal(event(1) + event(2) + event(3) + event(4)))
+			})
+		}
+	}
+	for framing, begun := range map[string]string{"chunks": chunkedHead + chunk(event(1)+event(2)), "until closed": answerHead + "\r\n" + event(1) + event(2)} {
+		t.Run("a head within the body, "+framing, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			more := "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\nsorry\n\n"
+			if framing == "chunks" {
+				more = chunk(more) + lastChunk
+			}
+			address := startUpstream(t, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, begun+more) })
+			_, got, err := get(startEntry(t, resumable, 2*time.Second, address))
+			g.Expect(got).To(gomega.Equal(event(1) + event(2)))
+			g.Expect(err).To(gomega.HaveOccurred(), "the stream looks complete")
+		})
+	}
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -37,11 +37,16 @@
 // errEventGap reports an event whose ID isn't the last one plus 1.
 var errEventGap = errors.New("an event of the stream is missing")
 
+// errNotAnEvent reports the head of another response within a stream.
+var errNotAnEvent = errors.New("a response begins within the stream")
+
 // accept reports whether to forward an event or to drop it, as the caller has it
 // from an earlier attempt. Events without an ID are always forwarded.
 func (e *eventTracker) accept(event []byte) (forward bool, err error) {
 	id, ok := eventID(event)
 	switch {
+	case bytes.HasPrefix(event, []byte("HTTP/1.")):
+		return false, errNotAnEvent
 	case !ok:
 		return true, nil
 	case e.hasLast && id <= e.last:
