ingress: Test copies of refusals on kept connections

A report of other operators: an upstream writes an earlier refusal once more on a kept connection, and the next caller is told that its request hasn't run, or it runs at a second upstream. Not so here: answers are matched by ID, one without an ID counts on a new connection only, and a request goes to an upstream once.

--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,8 +96,12 @@
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Merge(now, members) })
 	route.Timeout, route.Target, route.Attempts = timeout, time.Second, 3
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, httpRequest *http.Request) {
+		id := requestID
+		if named := httpRequest.Header.Get("X-Request-Id"); named != "" {
+			id = named
+		}
 		in.forward(w, httpRequest, &request{
-			Request: call.Request{ID: requestID}, arrived: in.options.Clock(), deadline: in.options.Clock() + timeout,
+			Request: call.Request{ID: id}, arrived: in.options.Clock(), deadline: in.options.Clock() + timeout,
 			method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header, route: &route, service: "s",
 		})
 	}))
@@ -312,6 +317,92 @@
 	}
 }
 
+// TestCopyOfARefusalIsNoAnswer guards against an upstream that writes an earlier refusal once
+// more on a kept connection: the caller of the next request would be told that it hasn't
+// run, or it would run at a second upstream, too.
+func TestCopyOfARefusalIsNoAnswer(t *testing.T) {
+	const earlier = "r0"
+	heads := map[string]string{
+		"503": "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n",
+		"429": "HTTP/1.1 429 Too Many Requests\r\nX-Not-Run: 1\r\n",
+		"400": "HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\n",
+		"421": "HTTP/1.1 421 Misdirected Request\r\n",
+	}
+	framings := map[string]string{
+		"no body":      "Content-Length: 0\r\n\r\n",
+		"length":       "Content-Length: 4\r\n\r\nfull",
+		"chunks":       "Transfer-Encoding: chunked\r\n\r\n" + chunk("full") + lastChunk,
+		"cut body":     "Content-Length: 9\r\n\r\nfull",
+		"until closed": "\r\nfull",
+	}
+	answer := chunkedHead + chunk(event(1)) + lastChunk
+	routes := map[string]config.Route{"plain": {Kind: config.NonIdempotent}, "stream": {Kind: config.Streaming}}
+	for status, head := range heads {
+		for _, id := range []string{"X-Request-Id: " + earlier + "\r\n", ""} {
+			for framing, body := range framings {
+				for kind, route := range routes {
+					// lost says that the answer doesn't follow the copy.
+					for _, lost := range []bool{false, true} {
+						for _, copies := range []int{1, 4} {
+							t.Run(fmt.Sprintf("%s %s %q %s lost=%v copies=%d", kind, status, id, framing, lost, copies), func(t *testing.T) {
+								t.Parallel()
+								g := gomega.NewWithT(t)
+								var runs atomic.Int64
+								address := startUpstream(t, func(c net.Conn, first *http.Request) {
+									if first.Header.Get("X-Request-Id") != earlier {
+										runs.Add(1)
+										_, _ = io.WriteString(c, answer)
+										return
+									}
+									_, _ = io.WriteString(c, head+"X-Request-Id: "+earlier+"\r\nContent-Length: 0\r\n\r\n")
+									if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+										return
+									}
+									runs.Add(1)
+									_, _ = io.WriteString(c, strings.Repeat(head+id+body, copies))
+									if !lost {
+										_, _ = io.WriteString(c, answer)
+									}
+								})
+								url := startEntry(t, route, 2*time.Second, address)
+								refused, _, err := getAs(url, earlier)
+								g.Expect(err).NotTo(gomega.HaveOccurred())
+								g.Expect(refused).To(gomega.Equal(http.StatusServiceUnavailable))
+								got, text, err := getAs(url, requestID)
+								g.Expect(runs.Load()).To(gomega.BeEquivalentTo(1))
+								if err == nil && got == http.StatusOK {
+									g.Expect(text).To(gomega.Equal(event(1)))
+									g.Expect(lost).To(gomega.BeFalse())
+									return
+								}
+								g.Expect(got).To(gomega.Or(gomega.Equal(http.StatusBadGateway), gomega.Equal(http.StatusGatewayTimeout)))
+								whole := framing != "cut body" && framing != "until closed" && copies == 1
+								g.Expect(whole && !lost).To(gomega.BeFalse(), "the answer follows, and is passed on")
+							})
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// getAs sends the request under an ID and reads the answer.
+func getAs(url, id string) (status int, body string, err error) {
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set("X-Request-Id", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
 // TestErrorNeverContinuesAStream guards against an error answer in the middle of a stream: the
 // stream has begun at one upstream, which breaks off, and the next one answers with
 // something else than the rest.
