entry: Take no response that names another request

On a connection that is used again, an upstream's late copy of an earlier answer was taken for the answer to the next repeatable call, so that its caller got another one's (found by reading, after the report on copied refusals; calls that may not be repeated have a connection of their own). A response that names another request of this entry is now a broken attempt, and the pool of its upstream is dropped. Upstreams that echo no ID, or have IDs of their own, are as before.

TestLateCopyIsNoAnswer failed before.

--- a/entry/client.go
+++ b/entry/client.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Limits of the connections to one upstream.
@@ -81,8 +84,19 @@
 	connected bool
 }
 
+// errOtherRequest reports a response that names another request.
+var errOtherRequest = errors.New("the response belongs to another request")
+
+// isOtherRequest reports whether a response's ID is that of another request of this entry.
+// Upstreams may have IDs of their own.
+func isOtherRequest(id, own string) bool {
+	prefix := own[:strings.LastIndexByte(own, '-')+1]
+	return id != own && prefix != "" && strings.HasPrefix(id, prefix)
+}
+
 // do sends a request. One that isn't repeatable is sent on a new connection of
-// its own. Redirects aren't followed.
+// its own. Redirects aren't followed. A response that names another request, as a late
+// copy on a reused connection does, is an error.
 func (c *upstreamClient) do(ctx context.Context, address netip.AddrPort, r *http.Request, repeatable bool) (roundTrip, error) {
 	transport := c.unpooled
 	if repeatable {
@@ -91,5 +105,12 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		if isOtherRequest(response.Header.Get(headerRequest), r.Header.Get(headerRequest)) {
+			_ = response.Body.Close()
+			c.dropPool(address)
+			return roundTrip{connected: true}, errOtherRequest
+		}
+	}
 	return roundTrip{response: response, connected: connected.Load()}, err
 }
--- a/entry/client_test.go
+++ b/entry/client_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -136,3 +138,66 @@
 	g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
 	g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(gomega.BeNumerically("<", 8<<20))
 }
+
+// TestLateCopyIsNoAnswer guards against the answer to another caller, of which an upstream
+// wrote a second copy on a connection that is used again.
+func TestLateCopyIsNoAnswer(t *testing.T) {
+	for _, status := range []int{200, 204, 400, 404, 429, 500, 503} {
+		g := gomega.NewWithT(t)
+		head := func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = c.Close() }()
+					reader, last := bufio.NewReader(c), ""
+					for {
+						r, err := http.ReadRequest(reader)
+						if err != nil {
+							return
+						}
+						id := r.Header.Get(headerRequest)
+						if last == "" {
+							last = id
+						}
+						// The first answer again, instead of each later one.
+						_, _ = io.WriteString(c, head(last))
+					}
+				}()
+			}
+		}()
+		client, address := newUpstreamClient(), l.Addr().(*net.TCPAddr).AddrPort()
+		ask := func(id string) error {
+			r, err := http.NewRequest(http.MethodGet, "http://"+address.String()+"/", nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			r.Header.Set(headerRequest, id)
+			trip, err := client.do(t.Context(), address, r, true)
+			if err != nil {
+				g.Expect(trip.connected).To(gomega.BeTrue(), "it may have run")
+				return err
+			}
+			g.Expect(trip.response.Header.Get(headerRequest)).To(gomega.Equal(id), "status %d", status)
+			return trip.response.Body.Close()
+		}
+		g.Expect(ask("e-1")).To(gomega.Succeed())
+		g.Expect(ask("e-2")).NotTo(gomega.Succeed())
+		g.Expect(ask("e-3")).To(gomega.Succeed(), "on a new connection")
+	}
+}
+
+func TestUpstreamsMayHaveIDsOfTheirOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, id := range []string{"", "e-a-7", "req_8c2f", "e-b-8"} {
+		g.Expect(isOtherRequest(id, "e-a-7")).To(gomega.BeFalse(), id)
+	}
+	g.Expect(isOtherRequest("e-a-8", "e-a-7")).To(gomega.BeTrue())
+	g.Expect(isOtherRequest("x", "")).To(gomega.BeFalse())
+}
