fleet: Keep away from upstreams that say they leave, or turn work away for a time

Upstreams say in any answer that they leave (Server-Leaving), and in a 503 for how long they want nothing from this entry (Retry-After). Nothing read either: an entry went on by heartbeats, and came back after 50 ms.

An incarnation that leaves gets no new work, but for drainWithin if its service has no other.

--- a/e2e/need_test.go
+++ b/e2e/need_test.go
@@ -117,4 +117,48 @@
 			return len(speech[0].requests()) - lifted
 		}, 10*time.Second).Should(gomega.BeNumerically(">", 60))
 	})
+
+	ginkgo.It("get nothing more from entries that have passed on that they leave", func() {
+		d, speech := startSpeech(3)
+		speech[0].saysLeaving.Store(true)
+		askUntil := func(enough func() bool) {
+			for n, began := 0, time.Now(); !enough(); n++ {
+				status, body := d.ask(n%2, fmt.Sprint(10+n%20))
+				gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+				gomega.Expect(body).To(gomega.Equal(wholeStream()))
+				gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 10*time.Second))
+			}
+		}
+		before := len(speech[0].requests())
+		askUntil(func() bool { return len(speech[0].requests()) > before })
+		asked := 0
+		askUntil(func() bool { asked++; return asked > 300 })
+		// Each of the two entries hears it by one request.
+		gomega.Expect(len(speech[0].requests()) - before).To(gomega.BeNumerically("<=", 2))
+	})
+
+	ginkgo.It("get no requests for the time for which they turn work away, and then some", func() {
+		const closedFor = 4 * time.Second
+		d, speech := startSpeech(3)
+		before := len(speech[0].requests())
+		until := time.Now().Add(closedFor)
+		speech[0].closedUntil.Store(until.UnixNano())
+		ask := func(n int) {
+			status, body := d.ask(n%2, fmt.Sprint(10+n%20))
+			gomega.Expect(status).To(gomega.Equal(http.StatusOK), body)
+		}
+		for n := 0; time.Now().Before(until); n++ {
+			ask(n)
+		}
+		// Each of the two entries hears it by one request, or by those under way at the
+		// same time; it sends one at a time here.
+		gomega.Expect(len(speech[0].requests()) - before).To(gomega.BeNumerically("<=", 2))
+		closed := len(speech[0].requests())
+		gomega.Eventually(func() int {
+			for n := range 20 {
+				ask(n)
+			}
+			return len(speech[0].requests()) - closed
+		}, 10*time.Second).Should(gomega.BeNumerically(">", 20))
+	})
 })
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -40,6 +40,10 @@
 	crashed   atomic.Bool
 	// limit, if it isn't 0, is the limit of requests per second that streams name.
 	limit atomic.Int64
+	// saysLeaving says that all answers say that the replica leaves. Until closedUntil, in
+	// nanoseconds since 1970, it turns requests away and says for how long.
+	saysLeaving atomic.Bool
+	closedUntil atomic.Int64
 	// stopAnnouncing ends the heartbeats.
 	stopAnnouncing context.CancelFunc
 
@@ -119,6 +123,15 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.saysLeaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if rest := time.Until(time.Unix(0, r.closedUntil.Load())); rest > 0 {
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("X-Replica-Seal", "seal-"+r.id)
 	if s := r.status.Load(); s != 0 {
 		w.WriteHeader(int(s))
--- a/fleet/action.go
+++ b/fleet/action.go
@@ -53,12 +53,29 @@
 	Crashes int
 }
 
+// SaidLeaving says that the answer to a ticket said that its upstream leaves. It needs no
+// action, and neither do the following ones.
+type SaidLeaving struct{ Upstream upstream.Announcement }
+
+// Closed says that the answer to a ticket asked for no requests for RetryAfter, and that
+// its upstream gets none for the time For.
+type Closed struct {
+	Upstream        upstream.Announcement
+	RetryAfter, For time.Duration
+}
+
+// Reopened says that an upstream that was closed is used as before.
+type Reopened struct{ Upstream upstream.Announcement }
+
 // ProbeDelay is the time from when a connection breaks off until a crashed
 // upstream certainly refuses new ones.
 const ProbeDelay = 50 * time.Millisecond
 
-func (Grant) action()      {}
-func (Refuse) action()     {}
-func (Probe) action()      {}
-func (Crash) action()      {}
-func (Quarantine) action() {}
+func (Grant) action()       {}
+func (Refuse) action()      {}
+func (Probe) action()       {}
+func (Crash) action()       {}
+func (Quarantine) action()  {}
+func (SaidLeaving) action() {}
+func (Closed) action()      {}
+func (Reopened) action()    {}
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -105,17 +105,19 @@
 
 // UpstreamState describes one upstream for a dump.
 type UpstreamState struct {
-	ID            string   `json:"id"`
-	Service       []string `json:"service"`
-	Zone          string   `json:"zone"`
-	Usable        bool     `json:"usable"`
-	Leaving       bool     `json:"leaving"`
-	Silent        bool     `json:"silent"`
-	Running       int      `json:"running"`
-	BacklogTokens int      `json:"backlogTokens"`
-	MemoryTokens  int      `json:"memoryTokens"`
-	OtherWork     Work     `json:"others"`
-	Failures      float64  `json:"failures"`
+	ID      string   `json:"id"`
+	Service []string `json:"service"`
+	Zone    string   `json:"zone"`
+	Usable  bool     `json:"usable"`
+	Leaving bool     `json:"leaving"`
+	// ClosedFor is the time for which the upstream wants no requests.
+	ClosedFor     time.Duration `json:"closedFor,omitempty"`
+	Silent        bool          `json:"silent"`
+	Running       int           `json:"running"`
+	BacklogTokens int           `json:"backlogTokens"`
+	MemoryTokens  int           `json:"memoryTokens"`
+	OtherWork     Work          `json:"others"`
+	Failures      float64       `json:"failures"`
 	// Limit is what the upstream takes from all entries and Share what this entry
 	// may send, in requests per second; 0 without a limit.
 	Limit float64 `json:"limit,omitempty"`
@@ -136,7 +138,7 @@
 			}
 			list = append(list, UpstreamState{
 				Limit: u.limit.rate, Share: share,
-				ID: u.ID, Service: u.Services, Zone: u.Zone, Usable: u.usable(now), Leaving: u.Leaving, Silent: u.Silent,
+				ID: u.ID, Service: u.Services, Zone: u.Zone, Usable: u.usable(now), Leaving: u.Leaving || u.saidLeaving, ClosedFor: max(u.closedUntil-now, 0), Silent: u.Silent,
 				Running: u.running, BacklogTokens: u.backlogTokens, MemoryTokens: u.memoryTokens, OtherWork: u.otherWork, Failures: u.failureRate, SinceProgress: now - u.lastProgress,
 			})
 		}
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -101,6 +101,20 @@
 	limit float64
 	// received are the times of the requests.
 	received []clock.Instant
+	// leaving says that answers say that the engine leaves. Until closedUntil it turns all
+	// requests away, and says for how long. told are the times at which each entry heard
+	// either first, receivedFrom those of its requests after that.
+	leaving      bool
+	closedUntil  clock.Instant
+	told         map[*Fleet]clock.Instant
+	receivedFrom map[*Fleet][]clock.Instant
+}
+
+// tell records that the entry hears a notice now.
+func (n *engine) tell(now clock.Instant, f *Fleet) {
+	if _, ok := n.told[f]; !ok {
+		n.told[f] = now
+	}
 }
 
 type emulatedTicket struct {
@@ -141,10 +155,10 @@
 		m := member(fmt.Sprint("u", i), uint16(i+1), 1)
 		m.Zone, m.Slots = zones[i%len(zones)], engineSlots
 		members = append(members, m)
-		e.engines[m.ID] = &engine{member: m, lastUsed: map[uint64]clock.Instant{}, tokens: map[uint64]int{}, tickets: map[uint64]*emulatedTicket{}}
+		e.engines[m.ID] = &engine{member: m, lastUsed: map[uint64]clock.Instant{}, tokens: map[uint64]int{}, tickets: map[uint64]*emulatedTicket{}, told: map[*Fleet]clock.Instant{}, receivedFrom: map[*Fleet][]clock.Instant{}}
 	}
 	for i := range entries {
-		f := New(Options{Zone: zones[i%len(zones)], RetryRatio: 0.2, RetrySlack: 50, Entries: entries})
+		f := New(Options{Zone: zones[i%len(zones)], RetryRatio: 0.2, RetrySlack: 50, Entries: entries, DrainWithin: drainTime, Random: e.random.Float64})
 		f.SetConfig(e.now, &config.Revision{Services: []config.Service{{Name: "s", Engine: &config.Engine{Slots: engineSlots, MemoryTokens: engineMemory}}}})
 		f.Merge(e.now, members)
 		e.entries = append(e.entries, f)
@@ -277,7 +291,20 @@
 	}
 	t.kind.received = append(t.kind.received, e.now)
 	n.received = append(n.received, e.now)
+	if _, ok := n.told[t.entry]; ok {
+		n.receivedFrom[t.entry] = append(n.receivedFrom[t.entry], e.now)
+	}
 	attempt := t.attempts
+	if after := n.closedUntil - e.now; after > 0 {
+		e.schedule(2*time.Millisecond, func() {
+			if e.tickets[t.ID] == t && t.attempts == attempt {
+				n.tell(e.now, t.entry)
+				e.execute(t.entry, t.entry.Told(e.now, t.ID, Notice{RetryAfter: after}))
+				e.execute(t.entry, t.entry.Failed(e.now, t.ID, retry.Refused))
+			}
+		})
+		return
+	}
 	n.tickets[t.ID] = t
 	n.running++
 	start := max(e.now, n.prefillFreeAt)
@@ -318,6 +345,10 @@
 			t.kind.late++
 		}
 		e.execute(t.entry, t.entry.Named(e.now, t.ID, n.limit, n.limit > 0))
+		if n.leaving {
+			n.tell(e.now, t.entry)
+			e.execute(t.entry, t.entry.Told(e.now, t.ID, Notice{Leaving: true}))
+		}
 		e.execute(t.entry, t.entry.Progress(e.now, t.ID))
 		perToken := engineStepTime + time.Duration(n.running)*engineStepTimePerRequest
 		e.schedule(time.Duration(t.OutputTokens)*perToken, func() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,11 @@
 	// Entries is the assumed number of entries that share the budget, until
 	// SetEntries reports the actual one.
 	Entries int
+	// DrainWithin is how long an upstream that has said that it leaves still serves.
+	DrainWithin time.Duration
+	// Random returns numbers that are uniform in [0, 1), by which entries don't all do the
+	// same at the same time; nil stands for 0.
+	Random func() float64
 }
 
 // Ticket describes a request that is to be scheduled.
@@ -99,6 +104,8 @@
 	failedOn       []string
 	sentAt         clock.Instant
 	answerBegan    bool
+	// trial says that it was sent to an upstream that is being used again.
+	trial bool
 	// beganAt is when the answer began, and sound says that it has gone on for
 	// soundAfter.
 	beganAt clock.Instant
@@ -181,6 +188,13 @@
 	return max(f.options.RetrySlack*margin/float64(f.entries), 1)
 }
 
+func (f *Fleet) random() float64 {
+	if f.options.Random == nil {
+		return 0
+	}
+	return f.options.Random()
+}
+
 func (f *Fleet) service(name string) *service {
 	s, ok := f.services[name]
 	if !ok {
@@ -334,10 +348,10 @@
 		return f.takeActions()
 	}
 	switch {
-	case !s.anyServing(t):
+	case !f.anyAccepting(s, t):
 		f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
 	case len(s.queue) >= maxQueued:
-		f.refuse(t, f.saturatedError(s, t))
+		f.refuse(t, f.saturatedError(s, t, s.expectedWait(now, t)))
 	default:
 		f.enqueue(s, t)
 		f.schedule(now, s)
@@ -362,6 +376,7 @@
 	t.memoryTokens = t.PromptTokens + t.OutputTokens
 	t.expectedFirstToken = e.firstToken
 	u.start(now, t)
+	u.startTrial(t)
 	u.spendLimit(now)
 	s.demand.promptTokens += t.prefillTokens
 	f.pending = append(f.pending, Grant{
@@ -384,6 +399,7 @@
 		return nil
 	}
 	t.answerBegan, t.beganAt = true, now
+	f.endTrial(t.upstream, t, true)
 	s := f.service(t.Service)
 	t.upstream.prefilled(t)
 	t.upstream.updateSlowness(now-t.sentAt, t.expectedFirstToken)
@@ -433,6 +449,7 @@
 	if t.state == running {
 		const weight = 0.05
 		t.upstream.end(now, t)
+		f.endTrial(t.upstream, t, true)
 		s.slotTime += time.Duration(weight * float64(now-t.sentAt-s.slotTime))
 		s.recordOutcome(t.upstream, success)
 		if success {
@@ -468,6 +485,7 @@
 	s := f.service(t.Service)
 	if t.state == running {
 		t.upstream.end(now, t)
+		f.endTrial(t.upstream, t, false)
 	}
 	f.removeTicket(s, t)
 	f.schedule(now, s)
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -18,6 +18,7 @@
 	}
 	s, u := f.service(t.Service), t.upstream
 	u.end(now, t)
+	f.endTrial(u, t, failure == retry.Errored)
 	u.failed(now, failure, t.attempts)
 	if failure == retry.Errored {
 		s.recordOutcome(u, false)
@@ -35,7 +36,7 @@
 	}
 	t.state, t.upstream = waiting, nil
 	if !f.mayRetry(now, s, t, failure) {
-		f.refuse(t, t.finalError(failure))
+		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
 		f.schedule(now, s)
 		return f.takeActions()
 	}
@@ -43,7 +44,7 @@
 	f.schedule(now, s)
 	if t.state == waiting && t.mayHaveRun {
 		f.dequeue(s, t)
-		f.refuse(t, t.finalError(failure))
+		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
 	}
 	return f.takeActions()
 }
@@ -75,11 +76,10 @@
 }
 
 // finalError is the answer to a ticket that isn't retried.
-func (t *ticket) finalError(failure retry.Failure) *result.Error {
+func (t *ticket) finalError(failure retry.Failure, retryAfter time.Duration) *result.Error {
 	if t.mayHaveRun {
 		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream was lost after the request was sent")
 	}
-	const retryAfter = 300 * time.Millisecond
 	if failure == retry.Refused {
 		return result.New(result.UpstreamRefused, result.RanNo, "%d upstreams refused the request", t.attempts).WithRetry(retryAfter)
 	}
@@ -92,9 +92,9 @@
 	for _, s := range f.services {
 		f.schedule(now, s)
 		for _, t := range append([]*ticket(nil), s.queue...) {
-			if _, late := s.missesTarget(now, t); late || now >= t.Deadline {
+			if wait, late := s.missesTarget(now, t); late || now >= t.Deadline {
 				f.dequeue(s, t)
-				f.refuse(t, f.saturatedError(s, t))
+				f.refuse(t, f.saturatedError(s, t, wait))
 			}
 		}
 	}
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -10,14 +10,14 @@
 )
 
 // saturatedError is the answer to a ticket that would wait for too long.
-func (f *Fleet) saturatedError(s *service, t *ticket) *result.Error {
-	return result.New(result.Saturated, result.RanNo, "%d requests are already waiting for %q", len(s.queue), t.Service).WithRetry(s.expectedWait(t))
+func (f *Fleet) saturatedError(s *service, t *ticket, wait time.Duration) *result.Error {
+	return result.New(result.Saturated, result.RanNo, "%d requests are already waiting for %q", len(s.queue), t.Service).WithRetry(wait)
 }
 
 // missesTarget returns the expected wait of a queued ticket, and whether the
 // ticket would then miss its target.
 func (s *service) missesTarget(now clock.Instant, t *ticket) (time.Duration, bool) {
-	wait := s.expectedWait(t)
+	wait := s.expectedWait(now, t)
 	return wait, now+wait > t.arrivedAt+max(t.Target-minServiceTime, minServiceTime)
 }
 
@@ -25,8 +25,11 @@
 const minServiceTime = 50 * time.Millisecond
 
 // expectedWait estimates the time until the ticket starts, from the number of
-// tickets ahead and the measured slot time.
-func (s *service) expectedWait(t *ticket) time.Duration {
+// tickets ahead and the measured slot time, or until an upstream wants requests again.
+func (s *service) expectedWait(now clock.Instant, t *ticket) time.Duration {
+	if wait := s.closedFor(now, t); wait > 0 {
+		return wait
+	}
 	ahead, slots := 1, 0.0
 	for _, q := range s.queue {
 		if q.Rank <= t.Rank && q != t {
@@ -34,7 +37,7 @@
 		}
 	}
 	for _, u := range s.upstreams {
-		if u.serves() {
+		if u.serves() && now >= u.closedUntil {
 			slots += s.usableSlots(u)
 		}
 	}
@@ -86,7 +89,7 @@
 	f.refuseQuarantined(now, s)
 	remaining := s.queue[:0]
 	for _, t := range s.queue {
-		if u, e := s.choose(now, f.options.Zone, t); u != nil && s.meetsTarget(now, t, e) {
+		if u, e := f.choose(now, s, t); u != nil && s.meetsTarget(now, t, e) {
 			f.grant(now, s, t, u, e)
 			continue
 		}
--- a/fleet/fleet__suspect.go
+++ b/fleet/fleet__suspect.go
@@ -27,7 +27,7 @@
 		if err := f.suspects.Refusal(now, t.traits); err != nil {
 			f.dequeue(s, t)
 			if t.mayHaveRun {
-				err = t.finalError(retry.Broken)
+				err = t.finalError(retry.Broken, s.retryAfter(now, t))
 			}
 			f.refuse(t, err)
 		}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -35,6 +35,7 @@
 	failureRate float64
 	// limit is what the upstream says it takes from all entries.
 	limit namedLimit
+	notices
 	// endedAt is when the upstream was first seen to have ended; 0 while it
 	// hasn't.
 	endedAt clock.Instant
@@ -81,10 +82,16 @@
 )
 
 func (u *upstreamView) usable(now clock.Instant) bool {
-	return u.serves() && now >= u.avoidUntil
+	return u.serves() && u.open(now)
 }
 
-func (u *upstreamView) serves() bool { return !u.Leaving && !u.Ended && !u.replaced }
+// open reports whether the upstream may get a request now, if it serves.
+func (u *upstreamView) open(now clock.Instant) bool { return now >= u.avoidUntil && !u.closed(now) }
+
+func (u *upstreamView) serves() bool { return u.present() && !u.saidLeaving }
+
+// present reports whether the upstream serves as far as the keepers know.
+func (u *upstreamView) present() bool { return !u.Leaving && !u.Ended && !u.replaced }
 
 func (u *upstreamView) start(now clock.Instant, t *ticket) {
 	if u.running == 0 {
@@ -264,15 +271,16 @@
 
 // choose returns the usable upstream with room that has the lowest ranking, or
 // nil.
-func (s *service) choose(now clock.Instant, zone string, t *ticket) (*upstreamView, estimate) {
+func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
 	var best *upstreamView
+	allLeave := !s.anyServing(t)
 	var bestEstimate estimate
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
-		if !u.usable(now) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
+		if !u.usable(now) && !(allLeave && f.lastResort(u, t) && u.open(now)) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
 			continue
 		}
-		e := s.estimate(now, zone, u, t)
+		e := s.estimate(now, f.options.Zone, u, t)
 		cached := e.cachedTokens
 		if likely := int(preferredCachedFraction * float64(sharedTokens)); u == preferred && cached < likely {
 			// All entries compute the same preferred upstream, so that others
@@ -306,7 +314,7 @@
 	var best *upstreamView
 	var highest uint64
 	for _, u := range s.upstreams {
-		if !u.serves() || !u.hasLimitLeft(now) {
+		if !u.serves() || u.closed(now) || !u.hasLimitLeft(now) {
 			continue
 		}
 		if h := mixHash(xxhash.Sum64String(u.ID) ^ seed); best == nil || h > highest {
--- a/ingress/dispatcher.go
+++ b/ingress/dispatcher.go
@@ -98,6 +98,12 @@
 	case fleet.Quarantine:
 		klog.InfoS("requests quarantined", "kind", a.Trait.Kind, "hash", strconv.FormatUint(a.Trait.Hash, 16), "crashes", a.Crashes)
 		return
+	case fleet.Reopened:
+		klog.InfoS("upstream is used again", "upstream", a.Upstream.ID, "incarnation", a.Upstream.Incarnation)
+		return
+	case fleet.SaidLeaving, fleet.Closed:
+		// Logged with the request whose answer said so.
+		return
 	case fleet.Grant:
 		id = a.Ticket
 	case fleet.Refuse:
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -248,6 +248,7 @@
 			return f.Named(now, d.ticket, answer.Limit, answer.Limited)
 		})
 	}
+	d.applyNotice(response.StatusCode, answer)
 	switch {
 	case answer.NotRun:
 		response.Skip()
@@ -273,6 +274,35 @@
 	return d.relayWhole(response)
 }
 
+// applyNotice passes on what the answer says of how the upstream wants to be used.
+// Another upstream than the expected one speaks for itself.
+func (d *forwarding) applyNotice(status int, a platform.ResponseInfo) {
+	if a.Unreadable != "" {
+		d.in.meters.unreadable.Inc(1)
+		if d.in.unreadable.Allow() {
+			klog.InfoS("header of an upstream's answer can't be read", "request", d.r.ID, "status", status, "header", a.Unreadable)
+		}
+	}
+	if a.OtherUpstream || !a.Leaving && a.RetryAfter == 0 {
+		return
+	}
+	d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+		actions := f.Told(now, d.ticket, fleet.Notice{Leaving: a.Leaving, RetryAfter: a.RetryAfter})
+		for _, action := range actions {
+			switch action := action.(type) {
+			case fleet.SaidLeaving:
+				d.in.meters.leaving.Inc(1)
+				klog.InfoS("upstream says that it leaves; no new requests", "request", d.r.ID, "status", status, "upstream", action.Upstream.ID, "incarnation", action.Upstream.Incarnation)
+			case fleet.Closed:
+				d.in.meters.closed.Inc(1)
+				klog.InfoS("upstream wants no requests", "request", d.r.ID, "status", status, "upstream", action.Upstream.ID, "incarnation", action.Upstream.Incarnation,
+					"retryAfter", action.RetryAfter, "closedFor", action.For)
+			}
+		}
+		return actions
+	})
+}
+
 // stallTimeout is how long an upstream may make no progress with any request of
 // this entry before a repeatable request moves to another upstream: twice the
 // longest pause between events that the published deployments allow. The
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -76,12 +77,13 @@
 	upstreamClient := exchange.New(func() {})
 	in := &Ingress{
 		options:        Options{Clock: clock.System(), Settings: settings.Ingress{UsageWindow: time.Second}},
-		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1}), upstreamClient.Refuses),
+		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1, DrainWithin: time.Second}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
 		link:           link.New(ctx, link.Options{Clock: clock.System(), PeerClient: peer.NewClient(), BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} }}),
 		meters:         newMeters(metrics.NewRegistry()),
 		usage:          usage.NewMeter(),
 		origins:        origin.New(),
+		unreadable:     rate.NewLimiter(rate.Inf, 1),
 	}
 	var members []upstream.Member
 	for i, address := range upstreams {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -82,8 +84,13 @@
 	usage  *usage.Meter
 	// origins are the streams that this entry has begun.
 	origins *origin.Book
+	// unreadable bounds the log lines on headers of upstreams that can't be read.
+	unreadable *rate.Limiter
 }
 
+// unreadableLogInterval is the least time between two such lines.
+const unreadableLogInterval = time.Second
+
 // New listens for callers and for the load balancer's readiness checks, and
 // serves until ctx ends.
 func New(ctx context.Context, o Options) (*Ingress, error) {
@@ -94,9 +101,11 @@
 		usage:   usage.NewMeter(),
 		origins: origin.New(),
 	}
+	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
 	in.upstreamClient = exchange.New(func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
 		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
+		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
 	}), in.upstreamClient.Refuses)
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -12,22 +12,30 @@
 
 // meters are the metrics of requests and attempts.
 type meters struct {
-	registry  metrics.Registry
-	dials     metrics.Counter
-	requests  metrics.Counter
-	answered  metrics.Counter
-	limited   metrics.Counter
+	registry metrics.Registry
+	dials    metrics.Counter
+	requests metrics.Counter
+	answered metrics.Counter
+	limited  metrics.Counter
+	// leaving and closed count the upstreams that said so, unreadable the headers of
+	// answers that name nothing.
+	leaving, closed, unreadable metrics.Counter
+
 	firstByte metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
 	return meters{
-		registry:  r,
-		dials:     metrics.GetOrRegisterCounter("ingress.dials", r),
-		requests:  metrics.GetOrRegisterCounter("ingress.requests", r),
-		answered:  metrics.GetOrRegisterCounter("ingress.answered", r),
-		limited:   metrics.GetOrRegisterCounter("ingress.limited", r),
-		firstByte: metrics.GetOrRegisterTimer("ingress.firstByte", r),
+		registry: r,
+		dials:    metrics.GetOrRegisterCounter("ingress.dials", r),
+		requests: metrics.GetOrRegisterCounter("ingress.requests", r),
+		answered: metrics.GetOrRegisterCounter("ingress.answered", r),
+		limited:  metrics.GetOrRegisterCounter("ingress.limited", r),
+		leaving:  metrics.GetOrRegisterCounter("ingress.upstreamLeaving", r),
+		closed:   metrics.GetOrRegisterCounter("ingress.upstreamClosed", r),
+
+		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
+		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,9 @@
 	AssumedEntries int
 	// UsageWindow is the length of the windows in which requests are counted.
 	UsageWindow time.Duration
+	// DrainWithin is the time for which an upstream still serves after it has said that
+	// it leaves.
+	DrainWithin time.Duration
 }
 
 // Cloud holds the settings of the calls to a platform's API.
@@ -165,7 +168,7 @@
 		Peer:   Peer{Listen: loopback, Interval: 200 * time.Millisecond, Lease: 3 * time.Second},
 		Ingress: Ingress{
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
-			AssumedEntries: 16, UsageWindow: 5 * time.Second,
+			AssumedEntries: 16, UsageWindow: 5 * time.Second, DrainWithin: 2 * time.Second,
 		},
 		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second, HolderLease: 3 * time.Second},
 	}
@@ -356,6 +359,7 @@
 	r.nonNegative("retrySlack", &i.RetrySlack)
 	r.positiveInt("assumedEntries", &i.AssumedEntries)
 	r.positiveDuration("usageWindow", &i.UsageWindow)
+	r.positiveDuration("drainWithin", &i.DrainWithin)
 }
 
 func (c *Cloud) read(r *sectionReader) {
