ingress: Pass error answers on whole, however their bytes arrive

Cause: an attempt returns an error answer unread, to be sent if there is no further attempt, and its deferred cancel closed the connection. Only what had come with the head was left. Now the outcome owns the answer with its context.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -65,9 +65,20 @@
 	done    bool
 	failure retry.Failure
 	// errorResponse is the upstream's own error response, which goes to the
-	// caller if there is no other attempt.
-	errorResponse *exchange.Response
-	cause         error
+	// caller if there is no other attempt. Its body is still to be read, until
+	// cancelResponse is called.
+	errorResponse  *exchange.Response
+	cancelResponse context.CancelFunc
+	cause          error
+}
+
+// close drops the error response, if there is one.
+func (o *outcome) close() {
+	if o.errorResponse != nil {
+		o.errorResponse.Close()
+		o.cancelResponse()
+		o.errorResponse = nil
+	}
 }
 
 // forward sends an accepted request to upstreams, one attempt after the other,
@@ -94,9 +105,7 @@
 				d.answerFailure(lastOutcome, a.Err)
 				return
 			case fleet.Grant:
-				if lastOutcome.errorResponse != nil {
-					lastOutcome.errorResponse.Close()
-				}
+				lastOutcome.close()
 				lastOutcome = d.attempt(ctx, a)
 				if lastOutcome.done {
 					return
@@ -112,10 +121,7 @@
 			}
 		case <-ctx.Done():
 		}
-		if lastOutcome.errorResponse != nil {
-			lastOutcome.errorResponse.Close()
-			lastOutcome.errorResponse = nil
-		}
+		lastOutcome.close()
 		d.abandon(httpRequest.Context())
 		return
 	}
@@ -134,15 +140,12 @@
 // last upstream's error response if there is one, with err otherwise.
 func (d *forwarding) answerFailure(lastOutcome outcome, err *result.Error) {
 	if lastOutcome.errorResponse != nil {
-		// The upstream's error response says more than err.
-		defer lastOutcome.errorResponse.Close()
-		if d.headSent {
-			panic(http.ErrAbortHandler)
-		}
-		if d.copyErrorResponse(lastOutcome.errorResponse) != nil {
-			panic(http.ErrAbortHandler)
+		defer lastOutcome.close()
+		// The upstream's error response says more than err, if it is whole.
+		if !d.headSent && d.copyErrorResponse(lastOutcome.errorResponse) == nil {
+			return
 		}
-		return
+		err = result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream's error response broke off")
 	}
 	if d.headSent {
 		klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "events", d.events.forwarded, "code", int(err.Code), "detail", err.Detail)
@@ -195,7 +198,11 @@
 		return outcome{done: true}
 	}
 	ctx, cancel := context.WithCancel(requestCtx)
-	defer cancel()
+	defer func() {
+		if o.errorResponse == nil {
+			cancel()
+		}
+	}()
 	// stalled says that the attempt was cancelled because its upstream made no
 	// progress with any request.
 	var stalled atomic.Bool
@@ -255,7 +262,7 @@
 		return outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
 		d.countOnce()
-		return outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
+		return outcome{failure: retry.Errored, errorResponse: response, cancelResponse: cancel, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
 		response.Close()
 		return outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
@@ -374,9 +381,19 @@
 // maxBufferedBytes before it sends any, so that another attempt can replace a
 // broken one.
 func (d *forwarding) relayWhole(response *exchange.Response) outcome {
+	if err := d.copyResponse(response); err != nil {
+		return outcome{failure: retry.Broken, cause: err}
+	}
+	d.finish(response.StatusCode < http.StatusInternalServerError, d.in.options.Clock()-d.r.arrived <= d.r.route.Target)
+	return outcome{done: true}
+}
+
+// copyResponse sends a response to the caller. It reads up to maxBufferedBytes before it
+// sends any, and returns an error if the response broke off before that.
+func (d *forwarding) copyResponse(response *exchange.Response) error {
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
-		return outcome{failure: retry.Broken, cause: err}
+		return err
 	}
 	d.copyHeaders(response)
 	if len(body) <= maxBufferedBytes {
@@ -389,8 +406,7 @@
 	if len(body) > maxBufferedBytes {
 		d.relayRest(response, maxResponseBytes-len(body))
 	}
-	d.finish(response.StatusCode < http.StatusInternalServerError, d.in.options.Clock()-d.r.arrived <= d.r.route.Target)
-	return outcome{done: true}
+	return nil
 }
 
 // relayRest relays what follows the bytes that were sent already. If that breaks
@@ -408,15 +424,7 @@
 
 // copyErrorResponse sends the upstream's error response to the caller.
 func (d *forwarding) copyErrorResponse(response *exchange.Response) error {
-	d.copyHeaders(response)
-	d.w.WriteHeader(response.StatusCode)
-	n, err := io.CopyN(d.w, response, maxResponseBytes+1)
-	switch {
-	case n > maxResponseBytes:
-		err = errors.Errorf("the response is longer than %d bytes", maxResponseBytes)
-	case errors.Is(err, io.EOF):
-		err = nil
-	}
+	err := d.copyResponse(response)
 	klog.InfoS("upstream's error response sent to the caller", "request", d.r.ID, "route", d.r.routeName(), "status", response.StatusCode, "err", err)
 	return err
 }
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -462,3 +462,60 @@
 		})
 	}
 }
+
+// TestErrorAnswersAreWhole guards against error answers that become a closed connection, as
+// their bodies follow their heads.
+func TestErrorAnswersAreWhole(t *testing.T) {
+	short, long := "the booking can't be stored", strings.Repeat("x", maxBufferedBytes+1000)
+	framings := map[string]func(body string) string{
+		"length":       func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body) },
+		"chunks":       func(body string) string { return "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + lastChunk },
+		"until closed": func(body string) string { return "\r\n" + body },
+		"cut off":      func(body string) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body)+1, body) },
+	}
+	// The writes that the answer comes in.
+	arrivals := map[string]func(head, body string) []string{
+		"at once":    func(head, body string) []string { return []string{head + body} },
+		"head first": func(head, body string) []string { return []string{head, body} },
+		"byte by byte": func(head, body string) []string {
+			if len(body) > 1000 {
+				return []string{head, body[:1], body[1:]}
+			}
+			return strings.Split(head+body, "")
+		},
+	}
+	for _, status := range []int{500, 501, 502, 503, 504, 599} {
+		for framing, frame := range framings {
+			for arrival, split := range arrivals {
+				for kind, route := range map[string]config.Route{"non-idempotent": {Kind: config.NonIdempotent}, "idempotent": {Kind: config.Idempotent}, "stream": resumable} {
+					for _, body := range []string{short, long, ""} {
+						t.Run(fmt.Sprintf("%d %s %s %s %d bytes", status, framing, arrival, kind, len(body)), func(t *testing.T) {
+							t.Parallel()
+							g := gomega.NewWithT(t)
+							answer := fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\nX-Replica-Seal: e\r\n", status, requestID) + frame(body)
+							head, rest, _ := strings.Cut(answer, "\r\n\r\n")
+							address := startUpstream(t, func(c net.Conn, _ *http.Request) {
+								for _, part := range split(head+"\r\n\r\n", rest) {
+									_, _ = io.WriteString(c, part)
+									runtime.Gosched()
+								}
+							})
+							got, text, err := get(startEntry(t, route, 2*time.Second, address))
+							switch {
+							case framing == "cut off" && len(body) > maxBufferedBytes:
+								g.Expect(err).To(gomega.HaveOccurred(), "the answer looks complete")
+							case framing == "cut off":
+								g.Expect(err).NotTo(gomega.HaveOccurred())
+								g.Expect(got).To(gomega.Equal(http.StatusBadGateway))
+							default:
+								g.Expect(err).NotTo(gomega.HaveOccurred())
+								g.Expect(got).To(gomega.Equal(status))
+								g.Expect(text == body).To(gomega.BeTrue(), "%d bytes of %d", len(text), len(body))
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
