--- a/claim/registry.go
+++ b/claim/registry.go
@@ -360,7 +360,7 @@
 // Restore replaces the registry by a snapshot.
 func (r *Registry) Restore(data []byte) error {
 	var s savedRegistry
-	if err := wire.Decode(data, &s); err != nil {
+	if err := wire.DecodeState(data, &s); err != nil {
 		return errors.Wrap(err, "claims")
 	}
 	*r = Registry{
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -4,14 +4,17 @@
 package wire
 
 import (
+	"math"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
 
-// Limits of a decoded value.
+// Limits of a decoded value. maxStateElements is the highest that the library takes.
 const (
-	maxNesting  = 16
-	maxElements = 1 << 17
+	maxNesting       = 16
+	maxElements      = 1 << 17
+	maxStateElements = math.MaxInt32
 )
 
 // Checker is a type that can verify a value after it was decoded.
@@ -20,8 +23,9 @@
 }
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode   = mustEncMode()
+	decMode   = mustDecMode(maxElements)
+	stateMode = mustDecMode(maxStateElements)
 )
 
 func mustEncMode() cbor.EncMode {
@@ -35,7 +39,7 @@
 	return mode
 }
 
-func mustDecMode() cbor.DecMode {
+func mustDecMode(maxElements int) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  maxNesting,
@@ -65,8 +69,14 @@
 }
 
 // Decode reads data into v and runs its check.
-func Decode(data []byte, v Checker) error {
-	if err := decMode.Unmarshal(data, v); err != nil {
+func Decode(data []byte, v Checker) error { return decode(decMode, data, v) }
+
+// DecodeState is Decode for what this node or the leader has encoded of its own state,
+// which may have grown beyond the limits of messages.
+func DecodeState(data []byte, v Checker) error { return decode(stateMode, data, v) }
+
+func decode(mode cbor.DecMode, data []byte, v Checker) error {
+	if err := mode.Unmarshal(data, v); err != nil {
 		return errors.Wrap(err, "decode")
 	}
 	return errors.Wrap(v.Check(), "check")
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"github.com/hyssopladder/hyssopladder/common/wire"
 )
 
 func init() { _ = flag.Set("rapid.seed", "20261204") }
@@ -97,3 +99,52 @@
 		}
 	})
 }
+
+// TestStoreIsBounded guards against a state that grows with each configuration that was
+// ever accepted, until no keeper can read it.
+func TestStoreIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := NewStore()
+	put := func(number uint64) Outcome {
+		return s.Apply(Put{Number: number, Digest: Digest{byte(number), byte(number >> 8)}, Packed: []byte("x")})
+	}
+	size := func() int {
+		data, err := s.Snapshot()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(NewStore().Restore(data)).To(gomega.Succeed())
+		return len(data)
+	}
+	for number := uint64(100_000); number < 100_000+2*maxAccepted; number++ {
+		put(number)
+	}
+	before := size()
+	const last = 1_100_000
+	for number := uint64(100_000 + 2*maxAccepted); number <= last; number++ {
+		put(number)
+	}
+	g.Expect(size()).To(gomega.Equal(before))
+	other := Digest{255, 255, 255}
+	g.Expect(s.Outcome(Put{Number: last - maxAccepted + 1, Digest: other})).To(gomega.Equal(Conflict))
+	g.Expect(put(last - maxAccepted + 1)).To(gomega.Equal(Unchanged))
+	g.Expect(put(100_000)).To(gomega.Equal(Unchanged), "accepted long ago")
+}
+
+// TestGrownStateIsRead reads the state of a build that kept the digest of every
+// configuration.
+func TestGrownStateIsRead(t *testing.T) {
+	for _, accepted := range []uint64{1<<17 - 1, 1 << 17, 1<<17 + 1, 1 << 18} {
+		g := gomega.NewWithT(t)
+		state := snapshot{Newest: Put{Number: accepted, Packed: []byte("x")}, Accepted: map[uint64]Digest{}}
+		for number := uint64(1); number <= accepted; number++ {
+			state.Accepted[number] = Digest{1}
+		}
+		s := NewStore()
+		g.Expect(s.Restore(wire.MustEncode(&state))).To(gomega.Succeed(), "%d accepted", accepted)
+		g.Expect(s.Newest().Number).To(gomega.Equal(accepted))
+		g.Expect(s.Outcome(Put{Number: accepted, Digest: Digest{2}, Packed: []byte("y")})).To(gomega.Equal(Conflict))
+		g.Expect(s.Apply(Put{Number: accepted + 1, Packed: []byte("y")})).To(gomega.Equal(Stored))
+		data, err := s.Snapshot()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(wire.Decode(data, &snapshot{})).To(gomega.Succeed(), "an older build can read it")
+	}
+}
--- a/config/store.go
+++ b/config/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -48,11 +50,17 @@
 	Conflict
 )
 
+// maxAccepted is the number of accepted documents whose digests are kept. Of older ones
+// it is known only that a newer one is stored.
+const maxAccepted = 10_000
+
 // Store is the state that the keepers replicate: the newest document, and the
-// digest of every accepted one. It isn't safe for concurrent use.
+// digests of the last accepted ones. It isn't safe for concurrent use.
 type Store struct {
 	newest   Put
 	accepted map[uint64]Digest
+	// numbers are the keys of accepted, in ascending order.
+	numbers []uint64
 }
 
 // NewStore returns an empty store.
@@ -80,10 +88,24 @@
 	if outcome == Stored {
 		s.newest = p
 		s.accepted[p.Number] = p.Digest
+		s.numbers = append(s.numbers, p.Number)
+		s.trim()
 	}
 	return outcome
 }
 
+// trim forgets the oldest digests beyond maxAccepted.
+func (s *Store) trim() {
+	excess := len(s.numbers) - maxAccepted
+	if excess <= 0 {
+		return
+	}
+	for _, number := range s.numbers[:excess] {
+		delete(s.accepted, number)
+	}
+	s.numbers = s.numbers[excess:]
+}
+
 // snapshot is the encoded form of a Store.
 type snapshot struct {
 	Newest   Put               `json:"n"`
@@ -99,12 +121,14 @@
 // Restore replaces the state by that of a snapshot.
 func (s *Store) Restore(data []byte) error {
 	state := snapshot{}
-	if err := wire.Decode(data, &state); err != nil {
+	if err := wire.DecodeState(data, &state); err != nil {
 		return err
 	}
 	s.newest, s.accepted = state.Newest, state.Accepted
 	if s.accepted == nil {
 		s.accepted = map[uint64]Digest{}
 	}
+	s.numbers = slices.Sorted(maps.Keys(s.accepted))
+	s.trim()
 	return nil
 }
--- a/document/store.go
+++ b/document/store.go
@@ -137,7 +137,7 @@
 // Restore replaces the state by a snapshot.
 func (s *Store) Restore(data []byte) error {
 	next := New().state
-	if err := wire.Decode(data, &next); err != nil {
+	if err := wire.DecodeState(data, &next); err != nil {
 		return errors.Wrap(err, "documents")
 	}
 	s.state = next
--- a/keeper/statemachine.go
+++ b/keeper/statemachine.go
@@ -164,7 +164,7 @@
 
 func (m *stateMachine) restore(data []byte) error {
 	var s machineSnapshot
-	if err := wire.Decode(data, &s); err != nil {
+	if err := wire.DecodeState(data, &s); err != nil {
 		return err
 	}
 	if err := m.documents.Restore(s.Documents); err != nil {
--- a/usage/ledger.go
+++ b/usage/ledger.go
@@ -78,7 +78,7 @@
 // Restore replaces the state by that of a snapshot.
 func (l *Ledger) Restore(data []byte) error {
 	var s snapshot
-	if err := wire.Decode(data, &s); err != nil {
+	if err := wire.DecodeState(data, &s); err != nil {
 		return err
 	}
 	l.windows, l.newest = s.Windows, s.Newest
