--- a/consensus/actions_test.go
+++ b/consensus/actions_test.go
@@ -56,7 +56,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			s, err := m.node.Compact(data, rapid.Uint64Range(0, 3).Draw(t, "keep"))
+			s, err := m.node.Compact(data, rapid.Uint64Range(0, 3).Draw(t, "keep"), rapid.IntRange(0, 200).Draw(t, "keepBytes"))
 			if err != nil {
 				t.Skip(err.Error())
 			}
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -55,6 +55,19 @@
 	return all[:len(all):len(all)]
 }
 
+// trailing returns how many of the entries up to index have at most maxBytes, and are at
+// most maxEntries.
+func (l *log) trailing(index, maxEntries uint64, maxBytes int) uint64 {
+	count, size := uint64(0), 0
+	for ; count < maxEntries && index > l.baseIndex; index-- {
+		if size += len(l.entries[index-l.baseIndex-1].Data) + entryOverhead; size > maxBytes {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 // entryOverhead is the approximate size of an entry without its data, in
 // bytes.
 const entryOverhead = 16
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -343,9 +343,9 @@
 }
 
 // Compact makes data, the state machine's state at the applied index, the new
-// snapshot and drops older entries. The last keep entries stay for followers
-// that are slightly behind. It returns the snapshot to store.
-func (n *Node) Compact(data []byte, keep uint64) (Snapshot, error) {
+// snapshot and drops older entries. The last ones stay for followers that are slightly
+// behind, at most keepEntries with keepBytes of data. It returns the snapshot to store.
+func (n *Node) Compact(data []byte, keepEntries uint64, keepBytes int) (Snapshot, error) {
 	config, _, err := n.log.config(n.applied)
 	if err != nil {
 		return Snapshot{}, err
@@ -356,7 +356,7 @@
 	}
 	s := Snapshot{Index: n.applied, Term: term, Config: config, Data: data}
 	// Entries that aren't stored yet stay: the log on disk must have no gap.
-	n.log.compact(s, min(s.Index-min(keep, s.Index), n.log.stable))
+	n.log.compact(s, min(s.Index-min(n.log.trailing(s.Index, keepEntries, keepBytes), s.Index), n.log.stable))
 	return s, nil
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -34,9 +34,10 @@
 	// compactThresholdBytes is the size of the log on disk above which it is
 	// compacted.
 	compactThresholdBytes = 8 << 20
-	// trailingEntries is the number of entries that a compaction keeps, so that
-	// slow followers needn't load the snapshot.
+	// trailingEntries and trailingBytes bound the entries that a compaction keeps, so
+	// that slow followers needn't load the snapshot.
 	trailingEntries = 1000
+	trailingBytes   = compactThresholdBytes / 4
 	// maxPending bounds the pending proposals, and the waiting callers of
 	// Confirm.
 	maxPending = 8192
@@ -88,7 +89,9 @@
 	// fullSince is when the disk became full, 0 while it isn't, and lastFull when
 	// it last was.
 	fullSince, lastFull clock.Instant
-	pendingReads        []readRequest
+	// compactedSize is the size of the log after its last compaction, in bytes.
+	compactedSize int64
+	pendingReads  []readRequest
 	// hasDocuments says that the log has been applied up to its commit index
 	// once, so that the documents in force are known.
 	hasDocuments bool
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -134,11 +134,18 @@
 		k.hasDocuments = true
 		k.options.Gossip.SetHasDocuments()
 	}
-	if k.options.Journal.Size() > compactThresholdBytes && s.Applied > 0 && !k.refusesForFullDisk() {
+	if s.Applied > 0 && !k.refusesForFullDisk() && worthCompacting(k.options.Journal.Size(), k.compactedSize) {
 		k.compact()
 	}
 }
 
+// worthCompacting reports whether the log is compacted at its size, in bytes. It had the
+// second size after the last compaction: entries that aren't applied stay, and to write
+// them again each time would leave no time for anything else.
+func worthCompacting(size, compactedSize int64) bool {
+	return size > compactThresholdBytes && size > 2*compactedSize
+}
+
 // dropPending replies to the pending reads and proposals without an outcome,
 // which only another leader can know.
 func (k *Keeper) dropPending() {
@@ -158,7 +165,7 @@
 		k.fail(err)
 		return
 	}
-	s, err := k.node.Compact(data, trailingEntries)
+	s, err := k.node.Compact(data, trailingEntries, trailingBytes)
 	if err != nil {
 		k.fail(err)
 		return
@@ -174,7 +181,8 @@
 		k.fail(err)
 		return
 	}
-	klog.InfoS("log compacted", "instance", k.options.Name, "index", s.Index, "snapshotBytes", len(data))
+	k.compactedSize = k.options.Journal.Size()
+	klog.InfoS("log compacted", "instance", k.options.Name, "index", s.Index, "snapshotBytes", len(data), "logBytes", k.compactedSize)
 }
 
 // fail stops the keeper, since what its journal holds is no longer known.
