link: Show that long elections move entries between keepers

The emulation of the roster now decides whether a poll is confirmed when it is asked, as keepers do, and shows a cause: after an election of over a second a reply from before its end counts against the keeper, and the polls move.

--- a/link/roster_test.go
+++ b/link/roster_test.go
@@ -38,9 +38,11 @@
 	// keeper on side unreachable doesn't answer the entry.
 	side  []int
 	cutAt clock.Instant
-	// polled is the keeper of each loop, busyUntil when its answer comes.
+	// polled is the keeper of each loop, busyUntil when its answer comes, and confirmed
+	// whether it had a majority when it was asked.
 	polled    [syncLoopCount]netip.AddrPort
 	busyUntil [syncLoopCount]clock.Instant
+	confirmed [syncLoopCount]bool
 	probeAt   clock.Instant
 	// answeredAt is when a poll was last answered, confirmedAt when one was confirmed.
 	answeredAt, confirmedAt clock.Instant
@@ -83,15 +85,16 @@
 	return e.side[keeper] != unreachable && 2*len(e.sideOf(keeper)) > len(e.keepers)
 }
 
-// answer has the keeper answer a call that was made at askedAt.
-func (e *emulation) answer(askedAt clock.Instant, address netip.AddrPort) {
+// answer has the keeper answer a call that was made at askedAt; confirmed says that it had
+// a majority then.
+func (e *emulation) answer(askedAt clock.Instant, address netip.AddrPort, confirmed bool) {
 	i := e.index(address)
 	if e.side[i] == unreachable {
 		e.roster.failed(e.now, address)
 		return
 	}
 	quorum := control.QuorumMissed
-	if e.hasMajority(i) {
+	if confirmed {
 		quorum = control.QuorumConfirmed
 		e.confirmedAt = e.now
 	}
@@ -111,9 +114,10 @@
 				continue
 			}
 			if e.polled[loop].IsValid() {
-				e.answer(e.now-pollTime, e.polled[loop])
+				e.answer(e.now-pollTime, e.polled[loop], e.confirmed[loop])
 			}
 			e.polled[loop], _ = e.roster.choose(e.now, loop, e.random.Float64)
+			e.confirmed[loop] = e.hasMajority(e.index(e.polled[loop]))
 			hold := time.Duration(pollTime)
 			if e.side[e.index(e.polled[loop])] == unreachable {
 				hold = syncTimeout
@@ -122,7 +126,7 @@
 		}
 		if e.now >= e.probeAt {
 			for _, address := range e.roster.probes(e.now, e.random.Float64) {
-				e.answer(e.now, address)
+				e.answer(e.now, address, e.hasMajority(e.index(address)))
 			}
 			e.probeAt = e.now + minProbeInterval
 		}
@@ -214,6 +218,24 @@
 	}
 }
 
+// TestLongElectionsMoveNobody has an election take longer than the grace. Once there is a
+// leader, the polled keepers reach a majority like the others.
+func TestLongElectionsMoveNobody(t *testing.T) {
+	for seed := range uint64(50) {
+		g := gomega.NewWithT(t)
+		e := newEmulation(seed, "a", "a", "b", "b", "c", "c")
+		e.run(10 * time.Second)
+		before := e.polled
+		e.cut(0, 1, 2, 3, 4, 5)
+		e.run(2*time.Second + time.Duration(seed)*tick)
+		e.cut(0, 0, 0, 0, 0, 0)
+		for range 500 {
+			e.run(tick)
+			g.Expect(e.polled).To(gomega.Equal(before), "seed %d", seed)
+		}
+	}
+}
+
 // TestEntryFindsAnyMajority cuts keepers apart at random, again and again, and takes some
 // of them away.
 func TestEntryFindsAnyMajority(t *testing.T) {
