link: Add seeds by one piece, which keeps the zones of known keepers

The roster had two loops for its seeds. One of them went through add, which replaces what is known: after the settings were read again, the seeds among an entry's keepers had no zone until the next confirmed list, so that its polls could move. Found by reading; TestReloadedSeedsKeepTheirZones failed before.

--- a/link/roster.go
+++ b/link/roster.go
@@ -61,8 +61,15 @@
 // setSeeds changes the seeds, the keepers that are called when no other is known.
 func (r *roster) setSeeds(seeds []netip.AddrPort) {
 	r.seeds = seeds
-	for _, seed := range seeds {
-		r.add(control.Peer{Address: seed})
+	r.addSeeds()
+}
+
+// addSeeds adds the seeds that aren't known.
+func (r *roster) addSeeds() {
+	for _, seed := range r.seeds {
+		if !r.knows(seed) {
+			r.keepers = append(r.keepers, control.Peer{Address: seed})
+		}
 	}
 }
 
@@ -96,11 +103,7 @@
 	}
 	r.keepers = slices.Clone(peers)
 	if len(peers) < syncLoopCount {
-		for _, seed := range r.seeds {
-			if !r.knows(seed) {
-				r.add(control.Peer{Address: seed})
-			}
-		}
+		r.addSeeds()
 	}
 	maps.DeleteFunc(r.listedAt, func(_ netip.AddrPort, at clock.Instant) bool { return now-at > origin.Retention })
 	for _, m := range []map[netip.AddrPort]clock.Instant{r.failedAt, r.confirmedAt, r.minoritySince} {
--- a/link/roster_test.go
+++ b/link/roster_test.go
@@ -184,6 +184,17 @@
 	}
 }
 
+// TestReloadedSeedsKeepTheirZones guards against keepers of an entry's own zone that are taken
+// for others as the settings, which name no zones, are read again.
+func TestReloadedSeedsKeepTheirZones(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newEmulation(1, "a", "a", "b", "b")
+	e.run(10 * time.Second)
+	before := slices.Clone(e.roster.keepers)
+	e.roster.setSeeds([]netip.AddrPort{e.keepers[0].Address, e.keepers[2].Address})
+	g.Expect(e.roster.keepers).To(gomega.Equal(before))
+}
+
 // TestCutOffKeepersDontHideTheOthers guards against an entry that has forgotten the other
 // keepers once a majority is to be had, as those that it polled listed only each other.
 func TestCutOffKeepersDontHideTheOthers(t *testing.T) {
