--- a/consensus/node.go
+++ b/consensus/node.go
@@ -356,7 +356,7 @@
 	}
 	s := Snapshot{Index: n.applied, Term: term, Config: config, Data: data}
 	// Entries that aren't stored yet stay: the log on disk must have no gap.
-	n.log.compact(s, min(s.Index-min(n.log.trailing(s.Index, keepEntries, keepBytes), s.Index), n.log.stable))
+	n.log.compact(s, min(s.Index-n.log.trailing(s.Index, keepEntries, keepBytes), n.log.stable))
 	return s, nil
 }
 
--- a/entry/client.go
+++ b/entry/client.go
@@ -105,12 +105,10 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil {
-		if isOtherRequest(response.Header.Get(headerRequest), r.Header.Get(headerRequest)) {
-			_ = response.Body.Close()
-			c.dropPool(address)
-			return roundTrip{connected: true}, errOtherRequest
-		}
+	if err == nil && isOtherRequest(response.Header.Get(headerRequest), r.Header.Get(headerRequest)) {
+		_ = response.Body.Close()
+		c.dropPool(address)
+		return roundTrip{connected: true}, errOtherRequest
 	}
 	return roundTrip{response: response, connected: connected.Load()}, err
 }
--- a/entry/client_test.go
+++ b/entry/client_test.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +10,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -144,37 +143,15 @@
 func TestLateCopyIsNoAnswer(t *testing.T) {
 	for _, status := range []int{200, 204, 400, 404, 429, 500, 503} {
 		g := gomega.NewWithT(t)
-		head := func(id string) string {
-			return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer func() { _ = c.Close() }()
-					reader, last := bufio.NewReader(c), ""
-					for {
-						r, err := http.ReadRequest(reader)
-						if err != nil {
-							return
-						}
-						id := r.Header.Get(headerRequest)
-						if last == "" {
-							last = id
-						}
-						// The first answer again, instead of each later one.
-						_, _ = io.WriteString(c, head(last))
-					}
-				}()
-			}
-		}()
-		client, address := newUpstreamClient(), l.Addr().(*net.TCPAddr).AddrPort()
+		// The first answer of a connection, again and again.
+		var firstIDs sync.Map
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id, _ := firstIDs.LoadOrStore(r.RemoteAddr, r.Header.Get(headerRequest))
+			w.Header().Set(headerRequest, id.(string))
+			w.WriteHeader(status)
+		}))
+		t.Cleanup(server.Close)
+		client, address := newUpstreamClient(), server.Listener.Addr().(*net.TCPAddr).AddrPort()
 		ask := func(id string) error {
 			r, err := http.NewRequest(http.MethodGet, "http://"+address.String()+"/", nil)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -376,7 +376,6 @@
 	t.memoryTokens = t.PromptTokens + t.OutputTokens
 	t.expectedFirstToken = e.firstToken
 	u.start(now, t)
-	u.startTrial(t)
 	u.spendLimit(now)
 	s.demand.promptTokens += t.prefillTokens
 	f.pending = append(f.pending, Grant{
--- a/fleet/fleet__notice.go
+++ b/fleet/fleet__notice.go
@@ -68,13 +68,6 @@
 	return f.takeActions()
 }
 
-// startTrial counts a ticket that is sent to an upstream which is being used again.
-func (u *upstreamView) startTrial(t *ticket) {
-	if t.trial = u.trialLimit > 0; t.trial {
-		u.trials++
-	}
-}
-
 // endTrial ends the trial of a ticket, if it is one. After an answer twice as many are
 // sent at once.
 func (f *Fleet) endTrial(u *upstreamView, t *ticket, answered bool) {
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -100,6 +100,9 @@
 	u.running++
 	u.backlogTokens += t.prefillTokens
 	u.memoryTokens += t.memoryTokens
+	if t.trial = u.trialLimit > 0; t.trial {
+		u.trials++
+	}
 	u.recordPrefixes(now, t.PromptParts)
 }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -162,7 +162,7 @@
 // ctx ends.
 func (h *Host) Broadcast(ctx context.Context, records ...member.Record) {
 	records = validRecords(records)
-	h.Publish(records...)
+	h.ref.Send(publish{records})
 	m := member.Exchange{From: h.options.Node.Name, Push: records}
 	var calls sync.WaitGroup
 	for _, n := range h.Nodes(ctx) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -141,8 +141,10 @@
 func (d *forwarding) answerFailure(lastOutcome outcome, err *result.Error) {
 	if lastOutcome.errorResponse != nil {
 		defer lastOutcome.close()
+	}
+	if lastOutcome.errorResponse != nil && !d.headSent {
 		// The upstream's error response says more than err, if it is whole.
-		if !d.headSent && d.copyErrorResponse(lastOutcome.errorResponse) == nil {
+		if d.copyErrorResponse(lastOutcome.errorResponse) == nil {
 			return
 		}
 		err = result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream's error response broke off")
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -112,15 +112,7 @@
 }
 
 // get sends the request and reads the answer.
-func get(url string) (status int, body string, err error) {
-	response, err := http.Get(url)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(data), err
-}
+func get(url string) (status int, body string, err error) { return getAs(url, requestID) }
 
 func event(n int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", n, n) }
 
--- a/link/link.go
+++ b/link/link.go
@@ -53,11 +53,6 @@
 	// syncLoopCount is the number of keepers that are polled in parallel, so that
 	// one that hangs delays nothing.
 	syncLoopCount = 2
-	// minProbeInterval and maxProbeInterval are the times between two questions for a
-	// majority, if there is reason to ask: the first ones in turn while none is found, up
-	// to the second.
-	minProbeInterval = 250 * time.Millisecond
-	maxProbeInterval = 2 * time.Second
 )
 
 // Options are the settings, dependencies and callbacks of a Link.
@@ -259,19 +254,16 @@
 }
 
 func (l *Link) syncOnce(ctx context.Context, cursor *directoryCursor) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
 	askedAt := l.options.Clock()
-	request := control.SyncRequest{Entry: l.options.Name, Config: l.revisionNumber(), Source: cursor.source, Generation: cursor.generation}
-	var reply control.SyncReply
-	if err := l.options.PeerClient.Call(ctx, cursor.address, peer.Sync, &request, &reply); err != nil {
+	reply, err := l.callSync(ctx, cursor.address, control.SyncRequest{Source: cursor.source, Generation: cursor.generation})
+	if err != nil {
 		return err
 	}
 	if len(reply.Members) > 0 {
 		l.options.OnMembers(reply.Members)
 	}
 	cursor.source, cursor.generation = reply.Source, reply.Generation
-	if err := l.applyReply(askedAt, cursor.address, &reply); err != nil {
+	if err := l.applyReply(askedAt, cursor.address, reply); err != nil {
 		return err
 	}
 	l.synced.Store(true)
@@ -287,6 +279,16 @@
 	return nil
 }
 
+// callSync calls a keeper with the request, to which it adds what this entry is and holds.
+func (l *Link) callSync(ctx context.Context, address netip.AddrPort, request control.SyncRequest) (*control.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	request.Entry, request.Config = l.options.Name, l.revisionNumber()
+	var reply control.SyncReply
+	err := l.options.PeerClient.Call(ctx, address, peer.Sync, &request, &reply)
+	return &reply, err
+}
+
 // applyReply applies what a keeper's reply to a call at askedAt says of the configuration
 // and of the keepers.
 func (l *Link) applyReply(askedAt clock.Instant, address netip.AddrPort, reply *control.SyncReply) error {
@@ -307,58 +309,6 @@
 	return nil
 }
 
-// probeLoop looks for keepers that reach a majority while one that is known doesn't.
-func (l *Link) probeLoop(ctx context.Context) {
-	backoff := pace.Backoff{First: minProbeInterval, Max: maxProbeInterval}
-	wait := time.Duration(minProbeInterval)
-	for {
-		select {
-		case <-time.After(pace.Jitter(wait, rand.Float64())):
-		case <-ctx.Done():
-			return
-		}
-		now := l.options.Clock()
-		l.mu.Lock()
-		addresses, found := l.roster.probes(now, rand.Float64), l.roster.majorityKnown(now)
-		l.mu.Unlock()
-		switch {
-		case len(addresses) == 0:
-			backoff.Succeeded()
-			wait = minProbeInterval
-			continue
-		case found:
-			backoff.Succeeded()
-			wait = maxProbeInterval
-		default:
-			wait = backoff.Failed(rand.Float64())
-		}
-		klog.InfoS("keepers without a majority", "majorityKnown", found, "asking", addresses, "configurationAge", l.ConfigAge())
-		var probes sync.WaitGroup
-		for _, address := range addresses {
-			probes.Go(func() {
-				if err := l.probe(ctx, address); err != nil && ctx.Err() == nil {
-					klog.InfoS("keeper can't be asked for a majority", "keeper", address, "err", err)
-					l.markFailed(address)
-				}
-			})
-		}
-		probes.Wait()
-	}
-}
-
-// probe asks a keeper whether it reaches a majority, and takes a newer configuration.
-func (l *Link) probe(ctx context.Context, address netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	askedAt := l.options.Clock()
-	request := control.SyncRequest{Entry: l.options.Name, Config: l.revisionNumber(), Probe: true}
-	var reply control.SyncReply
-	if err := l.options.PeerClient.Call(ctx, address, peer.Sync, &request, &reply); err != nil {
-		return err
-	}
-	return l.applyReply(askedAt, address, &reply)
-}
-
 // maxDirectoryGap is how long no keeper may have answered for the directory to count as
 // followed all the time. Keepers list upstreams that have ended for longer.
 const maxDirectoryGap = 10 * time.Second
--- a/link/roster.go
+++ b/link/roster.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -223,11 +224,6 @@
 			order[address] = 2 + random()
 		}
 	}
-	all := slices.SortedFunc(maps.Keys(order), func(a, b netip.AddrPort) int {
-		if order[a] < order[b] {
-			return -1
-		}
-		return 1
-	})
+	all := slices.SortedFunc(maps.Keys(order), func(a, b netip.AddrPort) int { return cmp.Compare(order[a], order[b]) })
 	return all[:min(len(all), maxProbes)]
 }
