e2e: Take ports below those of outgoing connections

The port was one of those that the system gives to outgoing connections, of which the tests of other packages make thousands at the same time. Ports come from below that range now, each once a process; what the specs check is unchanged.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -197,12 +197,30 @@
 		version, strings.Join(quoted, ","), orchardRate, orchardRate)
 }
 
+// Ports of freeAddress, below those that the system gives to outgoing connections, so that
+// none takes one before its process listens.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort is where freeAddress looks next. Each process of tests begins elsewhere.
+var nextPort = firstPort + os.Getpid()*61%(lastPort-firstPort)
+
+// freeAddress returns a loopback address on which nothing listens, each once.
 func freeAddress() netip.AddrPort {
 	ginkgo.GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	for range lastPort - firstPort {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", nextPort)); err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().(*net.TCPAddr).AddrPort()
+		}
+	}
+	ginkgo.Fail("no port is free")
+	return netip.AddrPort{}
 }
 
 // platformDeployment is three keepers and two entries that run for a platform,
