ingress, fleet: Keep a silent upstream until another one has begun to answer

Callers saw streams that were cut off, and 502 for plain requests, since their upstream sent nothing for a second and would have gone on.

Cause: after a second of silence the entry closed the connection, and only then looked for another upstream. That one had no room, or the last retry had gone to another stream of the same upstream, or it refused, failed or was silent too.

Now a second attempt runs beside the first one, with its slot and its retry taken at once. It takes the request over by sending a whole event, or a whole plain answer; until then the first upstream may go on, which drops the second attempt.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -86,6 +86,10 @@
 	bodyWritten <-chan error
 	// complete says that the response's body was read to its end.
 	complete bool
+	// ahead are the bytes of the body that Await has read, and aheadErr is the error
+	// that follows them.
+	ahead    []byte
+	aheadErr error
 }
 
 // Error is the error of a failed exchange.
@@ -367,10 +371,33 @@
 	return b.Bytes()
 }
 
+// Await reads the body ahead until enough says that the bytes so far suffice, or the body
+// ends. Read returns them again. The error is that of a body that broke off.
+func (r *Response) Await(enough func(ahead []byte) bool) error {
+	var chunk [readBufferBytes]byte
+	for r.aheadErr == nil && !enough(r.ahead) {
+		n, err := r.Body.Read(chunk[:])
+		r.ahead, r.aheadErr = append(r.ahead, chunk[:n]...), err
+	}
+	if errors.Is(r.aheadErr, io.EOF) {
+		return nil
+	}
+	return r.aheadErr
+}
+
 // Read reads the body. If the response is Framed, io.EOF means that the body is
 // complete; otherwise it only means that the connection ended.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.Body.Read(p)
+	n, err := copy(p, r.ahead), error(nil)
+	r.ahead = r.ahead[n:]
+	switch {
+	case n > 0:
+		return n, nil
+	case r.aheadErr != nil:
+		err = r.aheadErr
+	default:
+		n, err = r.Body.Read(p)
+	}
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,6 +112,9 @@
 	sound   bool
 	// traits are what the request may have in common with others.
 	traits []suspect.Trait
+	// hedge is the second attempt that runs beside this one, and hedgeOf the ticket
+	// beside which this one runs; nil if there is none.
+	hedge, hedgeOf *ticket
 	// prefillTokens is the part of the prompt that the upstream had not cached
 	// when the ticket was sent, tokensAhead the upstream's prefill backlog at
 	// that time, and memoryTokens the KV memory that the ticket occupies.
@@ -486,6 +489,7 @@
 		t.upstream.end(now, t)
 		f.endTrial(t.upstream, t, false)
 	}
+	f.endHedge(t)
 	f.removeTicket(s, t)
 	f.schedule(now, s)
 	return f.takeActions()
@@ -512,10 +516,9 @@
 	return actions
 }
 
-// Stalled reports whether a running ticket should be retried elsewhere: its
+// Stalled reports whether a running ticket should be tried elsewhere too: its
 // upstream has sent nothing to any caller of this entry for the timeout, and
-// another upstream may run it. Without another one it is false, as a late
-// answer is better than none.
+// another upstream may run it.
 func (f *Fleet) Stalled(now clock.Instant, id uint64, timeout time.Duration) bool {
 	t, ok := f.tickets[id]
 	if !ok || t.state != running || now-max(t.upstream.lastProgress, t.sentAt) <= timeout {
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -16,12 +16,31 @@
 	if !ok || t.state != running {
 		return nil
 	}
-	s, u := f.service(t.Service), t.upstream
+	s := f.service(t.Service)
+	f.recordFailure(now, t, failure)
+	if !f.mayRetry(now, s, t, failure) {
+		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
+		f.schedule(now, s)
+		return f.takeActions()
+	}
+	f.enqueue(s, t)
+	f.schedule(now, s)
+	if t.state == waiting && t.mayHaveRun {
+		f.dequeue(s, t)
+		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
+	}
+	return f.takeActions()
+}
+
+// recordFailure ends the attempt of a running ticket and holds its failure against the
+// upstream.
+func (f *Fleet) recordFailure(now clock.Instant, t *ticket, failure retry.Failure) {
+	u := t.upstream
 	u.end(now, t)
 	f.endTrial(u, t, failure == retry.Errored)
 	u.failed(now, failure, t.attempts)
 	if failure == retry.Errored {
-		s.recordOutcome(u, false)
+		f.service(t.Service).recordOutcome(u, false)
 	}
 	t.failedOn = append(t.failedOn, u.ID)
 	t.mayHaveRun = t.mayHaveRun || failure.MayHaveRun()
@@ -35,18 +54,6 @@
 		f.upstreamDown(now, u)
 	}
 	t.state, t.upstream = waiting, nil
-	if !f.mayRetry(now, s, t, failure) {
-		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
-		f.schedule(now, s)
-		return f.takeActions()
-	}
-	f.enqueue(s, t)
-	f.schedule(now, s)
-	if t.state == waiting && t.mayHaveRun {
-		f.dequeue(s, t)
-		f.refuse(t, t.finalError(failure, s.retryAfter(now, t)))
-	}
-	return f.takeActions()
 }
 
 // mayRetry reports whether the ticket may go to another upstream, and spends
--- /dev/null
+++ b/fleet/fleet__hedge.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/retry"
+)
+
+// Hedge sends a running ticket to a second upstream too, under the ID hedgeID, if its own
+// one has stalled and another one has room at once. The ticket stays where it is: an
+// upstream that is silent for a moment may go on. Without another upstream, or without a
+// retry in the budget, nothing changes. One of HedgeFailed, Replace and Withdraw ends the
+// hedge.
+func (f *Fleet) Hedge(now clock.Instant, id, hedgeID uint64, timeout time.Duration) []Action {
+	t, ok := f.tickets[id]
+	if !ok || t.hedge != nil || !f.Stalled(now, id, timeout) || !retry.Allowed(retry.Silent, t.Repeatable, t.attempts) || f.suspects.Refusal(now, t.traits) != nil {
+		return nil
+	}
+	h := &ticket{
+		Ticket: t.Ticket, arrivedAt: t.arrivedAt, runs: t.runs, attempts: t.attempts, mayHaveRun: true,
+		failedOn: append(slices.Clone(t.failedOn), t.upstream.ID), traits: t.traits, hedgeOf: t,
+	}
+	h.ID = hedgeID
+	s := f.service(t.Service)
+	u, e := f.choose(now, s, h)
+	if u == nil || u.stalled(now) || !s.retryBudget.Spend(now) {
+		return nil
+	}
+	t.hedge = h
+	f.tickets[hedgeID] = h
+	f.grant(now, s, h, u, e)
+	return f.takeActions()
+}
+
+// HedgeFailed ends a hedge whose attempt failed; its ticket goes on without it.
+func (f *Fleet) HedgeFailed(now clock.Instant, hedgeID uint64, failure retry.Failure) []Action {
+	h, ok := f.tickets[hedgeID]
+	if !ok || h.state != running {
+		return nil
+	}
+	f.recordFailure(now, h, failure)
+	f.removeTicket(f.service(h.Service), h)
+	f.endHedge(h)
+	f.schedule(now, f.service(h.Service))
+	return f.takeActions()
+}
+
+// endHedge charges the ticket for the attempt of its hedge.
+func (f *Fleet) endHedge(h *ticket) {
+	t := h.hedgeOf
+	if t == nil || t.hedge != h {
+		return
+	}
+	t.hedge, t.attempts, t.runs = nil, h.attempts, h.runs
+	t.failedOn = slices.Clone(h.failedOn)
+	if t.upstream != nil {
+		// The hedge avoided the ticket's own upstream, which hasn't failed.
+		t.failedOn = slices.DeleteFunc(t.failedOn, func(id string) bool { return id == t.upstream.ID })
+	}
+}
+
+// Replace ends a ticket whose attempt failed while its hedge goes on in its place.
+func (f *Fleet) Replace(now clock.Instant, id uint64, failure retry.Failure) []Action {
+	t, ok := f.tickets[id]
+	if !ok || t.state != running || t.hedge == nil {
+		return nil
+	}
+	f.recordFailure(now, t, failure)
+	t.hedge.hedgeOf = nil
+	t.hedge.Binding = t.Binding
+	f.removeTicket(f.service(t.Service), t)
+	f.schedule(now, f.service(t.Service))
+	return f.takeActions()
+}
--- /dev/null
+++ b/fleet/hedge_test.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// granted returns the grants among the actions.
+func granted(actions []Action) (grants []Grant) {
+	for _, a := range actions {
+		if g, ok := a.(Grant); ok {
+			grants = append(grants, g)
+		}
+	}
+	return grants
+}
+
+// TestOneRetryHedgesOneOfManySilentRequests guards against requests that all leave a silent
+// upstream for the one retry that is left: all but one of them failed.
+func TestOneRetryHedgesOneOfManySilentRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := New(Options{Zone: "a", RetryRatio: 0, RetrySlack: 1, Entries: 1})
+	f.Merge(0, []upstream.Member{member("u1", 1, 1)})
+	const requests = 4
+	for id := uint64(1); id <= requests; id++ {
+		g.Expect(destination(f.Submit(0, newTicket(id)))).To(gomega.Equal("u1"))
+	}
+	f.Merge(0, []upstream.Member{member("u2", 2, 1)})
+	now, hedges := 2*second, 0
+	for id := uint64(1); id <= requests; id++ {
+		hedges += len(granted(f.Hedge(now, id, 100+id, second)))
+	}
+	g.Expect(hedges).To(gomega.Equal(1))
+	for id := uint64(1); id <= requests; id++ {
+		g.Expect(f.Progress(now, id)).To(gomega.BeEmpty())
+		g.Expect(f.Finish(now, id, true, true)).To(gomega.BeEmpty(), "request %d is still at its upstream", id)
+	}
+}
+
+// TestFullUpstreamsHedgeNothing guards against requests that leave a silent upstream while no
+// other one has room for them.
+func TestFullUpstreamsHedgeNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("u1", 1, 1), member("u2", 2, 1))
+	for id := uint64(1); id <= 8; id++ {
+		f.Submit(0, newTicket(id))
+	}
+	for id := uint64(1); id <= 8; id++ {
+		g.Expect(f.Hedge(2*second, id, 100+id, second)).To(gomega.BeEmpty())
+	}
+}
+
+// TestHedgesAreAccountedFor fuzzes hedged requests: however they and their hedges end, no
+// upstream keeps work of requests that have ended, no request has two hedges, and no
+// request is tried more often than it may be.
+func TestHedgesAreAccountedFor(t *testing.T) {
+	failures := []retry.Failure{retry.NotSent, retry.Refused, retry.Broken, retry.Silent, retry.Errored}
+	rapid.Check(t, func(rt *rapid.T) {
+		f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1))
+		now, lastID := clock.Instant(0), uint64(0)
+		hedgeOf := map[uint64]uint64{}
+		// running are the tickets and hedges with an attempt under way.
+		running := map[uint64]bool{}
+		apply := func(actions []Action) {
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Grant:
+					running[a.Ticket] = true
+					if a.Attempt > retry.MaxAttempts {
+						rt.Fatalf("attempt %d", a.Attempt)
+					}
+				case Refuse:
+					delete(running, a.Ticket)
+				}
+			}
+		}
+		pick := func() (uint64, bool) {
+			ids := make([]uint64, 0, len(running))
+			for id := uint64(1); id <= lastID; id++ {
+				if running[id] {
+					ids = append(ids, id)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			return rapid.SampledFrom(ids).Draw(rt, "id"), true
+		}
+		endHedgesOf := func(id uint64) {
+			for h, of := range hedgeOf {
+				if of == id {
+					apply(f.Withdraw(now, h))
+					delete(running, h)
+					delete(hedgeOf, h)
+				}
+			}
+		}
+		hasHedge := func(id uint64) (uint64, bool) {
+			for h, of := range hedgeOf {
+				if of == id {
+					return h, true
+				}
+			}
+			return 0, false
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 3).Draw(rt, "submit") == 0 {
+				lastID++
+				ticket := newTicket(lastID)
+				ticket.Deadline, ticket.Target = now+time.Minute, time.Minute
+				apply(f.Submit(now, ticket))
+				continue
+			}
+			id, ok := pick()
+			if !ok {
+				continue
+			}
+			failure := rapid.SampledFrom(failures).Draw(rt, "failure")
+			_, isHedge := hedgeOf[id]
+			h, hedged := hasHedge(id)
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				apply(f.Progress(now, id))
+			case 1:
+				if isHedge {
+					continue
+				}
+				actions := f.Hedge(now, id, lastID+1, second)
+				grants := granted(actions)
+				if hedged && len(grants) > 0 {
+					rt.Fatalf("a second hedge of %d", id)
+				}
+				apply(actions)
+				if len(grants) > 0 {
+					lastID++
+					hedgeOf[lastID] = id
+				}
+			case 2:
+				if isHedge {
+					delete(running, id)
+					delete(hedgeOf, id)
+					apply(f.HedgeFailed(now, id, failure))
+				}
+			case 3:
+				if hedged {
+					delete(running, id)
+					delete(hedgeOf, h)
+					apply(f.Replace(now, id, failure))
+				} else if !isHedge {
+					delete(running, id)
+					apply(f.Failed(now, id, failure))
+				}
+			case 4:
+				if !isHedge {
+					delete(running, id)
+					apply(f.Finish(now, id, true, true))
+					endHedgesOf(id)
+				}
+			default:
+				delete(running, id)
+				delete(hedgeOf, id)
+				apply(f.Withdraw(now, id))
+				endHedgesOf(id)
+			}
+		}
+		for id := uint64(1); id <= lastID; id++ {
+			apply(f.Withdraw(now, id))
+		}
+		for _, u := range f.upstreams {
+			if left := fmt.Sprint(u.running, u.backlogTokens, u.memoryTokens, u.trials); left != "0 0 0 0" {
+				rt.Fatalf("%s keeps work of requests that have ended: %s", u.ID, left)
+			}
+		}
+		if f.Open() != 0 {
+			rt.Fatalf("%d tickets are left", f.Open())
+		}
+	})
+}
--- a/ingress/dispatcher.go
+++ b/ingress/dispatcher.go
@@ -153,6 +153,29 @@
 	return d.fleet.Stalled(d.clock(), id, timeout)
 }
 
+// hedge sends the ticket's request to a second upstream too, if its own one has stalled
+// for the timeout and another one takes it. It returns the grant of the second attempt
+// and the channel of its further actions.
+func (d *dispatcher) hedge(id uint64, timeout time.Duration) (grant fleet.Grant, actions <-chan fleet.Action, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	hedgeID := d.lastID + 1
+	for _, a := range d.fleet.Hedge(d.clock(), id, hedgeID, timeout) {
+		if g, granted := a.(fleet.Grant); granted && g.Ticket == hedgeID {
+			grant, ok = g, true
+			continue
+		}
+		d.deliver(a)
+	}
+	if !ok {
+		return fleet.Grant{}, nil, false
+	}
+	d.lastID = hedgeID
+	waiter := make(chan fleet.Action, 1)
+	d.waiters[hedgeID] = waiter
+	return grant, waiter, true
+}
+
 // withdraw removes a ticket; one that is still open ends as withdrawn.
 func (d *dispatcher) withdraw(id uint64) {
 	d.mu.Lock()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +45,12 @@
 	// the keepers at originToldAt.
 	origin       *origin.Origin
 	originToldAt clock.Instant
+	// release is that of the upstream of the present attempt.
+	release string
+	// mu guards hedge, and for the goroutine of the hedge also events, headSent, status
+	// and mediaType, which only the request's own goroutine changes.
+	mu    sync.Mutex
+	hedge *hedge
 }
 
 // Limits of what is read of an upstream's response.
@@ -69,7 +75,9 @@
 	// cancelResponse is called.
 	errorResponse  *exchange.Response
 	cancelResponse context.CancelFunc
-	cause          error
+	// sent says of a broken attempt that the upstream may have the request.
+	sent  bool
+	cause error
 }
 
 // close drops the error response, if there is one.
@@ -95,7 +103,8 @@
 	d := &forwarding{in: in, r: r, w: w}
 	d.events.start(r.LastEvent, r.Resumes)
 	d.ticket, d.actions = in.dispatcher.submit(r.ticket())
-	defer in.dispatcher.withdraw(d.ticket)
+	defer func() { in.dispatcher.withdraw(d.ticket) }()
+	defer d.endHedge()
 	var lastOutcome outcome
 	for {
 		select {
@@ -107,12 +116,23 @@
 			case fleet.Grant:
 				lastOutcome.close()
 				lastOutcome = d.attempt(ctx, a)
+				for !lastOutcome.done {
+					d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
+					if ctx.Err() != nil {
+						break
+					}
+					in.meters.attemptFailed(lastOutcome.failure)
+					h := d.adoptHedge(ctx, lastOutcome.failure)
+					if h == nil {
+						break
+					}
+					lastOutcome.close()
+					lastOutcome = d.attemptHedged(ctx, h)
+				}
 				if lastOutcome.done {
 					return
 				}
-				d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
 				if ctx.Err() == nil {
-					in.meters.attemptFailed(lastOutcome.failure)
 					in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 						return f.Failed(now, d.ticket, lastOutcome.failure)
 					})
@@ -170,29 +190,8 @@
 func (d *forwarding) attempt(requestCtx context.Context, grant fleet.Grant) (o outcome) {
 	in, r := d.in, d.r
 	startedAt := in.options.Clock()
-	// limit is the number of requests per second that the upstream's answer names;
-	// 0 if none.
 	var limit float64
-	defer func() {
-		failure := "none"
-		switch {
-		case o.done:
-		case requestCtx.Err() != nil:
-			// The caller is gone or the deadline has passed, which isn't the
-			// upstream's failure.
-			failure = "abandoned"
-		default:
-			failure = o.failure.String()
-		}
-		klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
-			"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
-			"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
-			"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
-		if failure == retry.Broken.String() {
-			klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
-				"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
-		}
-	}()
+	defer func() { d.logAttempt(requestCtx, grant, startedAt, limit, o) }()
 	if r.org != nil && !in.configFresh() {
 		// The configuration was fresh when the request was accepted, but the
 		// instance may have been suspended since.
@@ -205,16 +204,59 @@
 			cancel()
 		}
 	}()
-	// stalled says that the attempt was cancelled because its upstream made no
-	// progress with any request.
-	var stalled atomic.Bool
-	if r.route.Repeatable() {
-		go d.watchForStall(ctx, func() {
-			stalled.Store(true)
-			cancel()
-		})
+	d.release = grant.Upstream.Release
+	stopWatching := d.watchForStall(requestCtx, cancel)
+	defer stopWatching()
+	defer func() {
+		if !o.done && d.replaced() {
+			o.failure = retry.Silent
+		}
+	}()
+	response, limit, o := d.open(ctx, d.ticket, grant)
+	if response != nil {
+		return d.relay(response)
+	}
+	o.cancelResponse = cancel
+	if o.failure == retry.Errored && o.errorResponse != nil || o.failure == retry.Broken && o.sent && !r.isStream() {
+		// Unlike a stream, a plain request counts as running as soon as the
+		// upstream has it.
+		d.countOnce()
+	}
+	return o
+}
+
+// logAttempt logs an attempt that has ended. limit is the number of requests per second
+// that the upstream's answer names; 0 if none.
+func (d *forwarding) logAttempt(requestCtx context.Context, grant fleet.Grant, startedAt clock.Instant, limit float64, o outcome) {
+	in, r := d.in, d.r
+	failure := "none"
+	switch {
+	case o.done:
+	case requestCtx.Err() != nil:
+		// The caller is gone or the deadline has passed, which isn't the
+		// upstream's failure.
+		failure = "abandoned"
+	default:
+		failure = o.failure.String()
+	}
+	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
+		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
+		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
+		"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
+	if failure == retry.Broken.String() {
+		klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
+			"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
 	}
+}
+
+// open sends the request to the granted upstream and reads the head of its response. It
+// returns the response if it can be relayed, and why not otherwise. limit is the number of
+// requests per second that the upstream names; 0 if none.
+func (d *forwarding) open(ctx context.Context, ticket uint64, grant fleet.Grant) (relayable *exchange.Response, limit float64, o outcome) {
+	in, r := d.in, d.r
+	d.mu.Lock()
 	lastEvent, resumes := d.events.position()
+	d.mu.Unlock()
 	response, err := in.upstreamClient.Do(ctx, grant.Upstream.Address, &exchange.Request{
 		Method: r.method, Target: r.target, Host: r.host, Body: r.body, HasBody: r.hasBody,
 		Header: platform.EncodeForward(r.header, platform.Forward{
@@ -228,52 +270,45 @@
 			return a.RequestID == r.ID || (a.RequestID == "" && a.NotRun && !used)
 		},
 	})
-	defer func() {
-		if !o.done && stalled.Load() {
-			o.failure = retry.Silent
-		}
-	}()
 	if err != nil {
-		failure := retry.NotSent
+		o = outcome{failure: retry.NotSent, cause: err}
 		var e *exchange.Error
 		if errors.As(err, &e) && e.Sent {
-			failure = retry.Broken
-			if !r.isStream() {
-				// Unlike a stream, a plain request counts as running as soon as
-				// the upstream has it.
-				d.countOnce()
-			}
+			o.failure, o.sent = retry.Broken, true
 		}
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
-		return outcome{failure: failure, cause: err}
+		return nil, 0, o
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
-	limit = answer.Limit
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
 	if answer.Limited || answer.Signed {
 		in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
-			return f.Named(now, d.ticket, answer.Limit, answer.Limited)
+			return f.Named(now, ticket, answer.Limit, answer.Limited)
 		})
 	}
-	d.applyNotice(response.StatusCode, answer)
+	d.applyNotice(ticket, response.StatusCode, answer)
 	switch {
 	case answer.NotRun:
 		response.Skip()
-		return outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
+		return nil, answer.Limit, outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
-		d.countOnce()
-		return outcome{failure: retry.Errored, errorResponse: response, cancelResponse: cancel, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
+		return nil, answer.Limit, outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
 		response.Close()
-		return outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
-	case d.headSent && !d.continues(response):
+		return nil, answer.Limit, outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
+	case !d.continues(response):
 		response.Close()
-		return outcome{failure: retry.Errored, cause: errors.Errorf("response with status %d and content type %q doesn't continue the stream", response.StatusCode, response.Header.Get("Content-Type"))}
+		return nil, answer.Limit, outcome{failure: retry.Errored, cause: errors.Errorf("response with status %d and content type %q doesn't continue the stream", response.StatusCode, response.Header.Get("Content-Type"))}
 	}
+	return response, answer.Limit, outcome{}
+}
+
+// relay relays a response to the caller.
+func (d *forwarding) relay(response *exchange.Response) outcome {
 	defer response.Close()
-	if d.r.isStream() && response.StatusCode < http.StatusMultipleChoices {
+	if d.r.streams(response) {
 		// The request is counted at the first bytes of the body: an upstream
 		// may send the headers before it begins to run the request.
 		return d.relayStream(response)
@@ -283,9 +318,14 @@
 	return d.relayWhole(response)
 }
 
+// streams reports whether the response is a stream of events.
+func (r *request) streams(response *exchange.Response) bool {
+	return r.isStream() && response.StatusCode < http.StatusMultipleChoices
+}
+
 // applyNotice passes on what the answer says of how the upstream wants to be used.
 // Another upstream than the expected one speaks for itself.
-func (d *forwarding) applyNotice(status int, a platform.ResponseInfo) {
+func (d *forwarding) applyNotice(ticket uint64, status int, a platform.ResponseInfo) {
 	if a.Unreadable != "" {
 		d.in.meters.unreadable.Inc(1)
 		if d.in.unreadable.Allow() {
@@ -296,7 +336,7 @@
 		return
 	}
 	d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
-		actions := f.Told(now, d.ticket, fleet.Notice{Leaving: a.Leaving, RetryAfter: a.RetryAfter})
+		actions := f.Told(now, ticket, fleet.Notice{Leaving: a.Leaving, RetryAfter: a.RetryAfter})
 		for _, action := range actions {
 			switch action := action.(type) {
 			case fleet.SaidLeaving:
@@ -312,34 +352,6 @@
 	})
 }
 
-// stallTimeout is how long an upstream may make no progress with any request of
-// this entry before a repeatable request moves to another upstream: twice the
-// longest pause between events that the published deployments allow. The
-// progress of a stream is whole events.
-// stallCheckInterval is the time between two checks for that.
-const (
-	stallTimeout       = time.Second
-	stallCheckInterval = 100 * time.Millisecond
-)
-
-// watchForStall calls onStall when the attempt's upstream has stalled, unless
-// ctx ends before.
-func (d *forwarding) watchForStall(ctx context.Context, onStall func()) {
-	t := time.NewTicker(stallCheckInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if d.in.dispatcher.stalled(d.ticket, stallTimeout) {
-				onStall()
-				return
-			}
-		}
-	}
-}
-
 // recordProgress records that the upstream made progress with the request.
 func (d *forwarding) recordProgress() {
 	d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Progress(now, d.ticket) })
@@ -397,6 +409,9 @@
 	if err != nil {
 		return err
 	}
+	if !d.claim() {
+		return errReplaced
+	}
 	d.copyHeaders(response)
 	if len(body) <= maxBufferedBytes {
 		d.w.Header().Set("Content-Length", itoa(len(body)))
@@ -432,9 +447,11 @@
 }
 
 // continues reports whether the response can go on with the stream whose head the caller
-// has.
+// has, if it has one.
 func (d *forwarding) continues(response *exchange.Response) bool {
-	return response.StatusCode == d.status && mediaType(response) == d.mediaType
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.headSent || response.StatusCode == d.status && mediaType(response) == d.mediaType
 }
 
 // mediaType is the content type without its parameters.
@@ -458,5 +475,7 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -21,6 +21,10 @@
 	// answers that name nothing.
 	leaving, closed, unreadable metrics.Counter
 
+	// hedged counts second attempts beside silent upstreams, and hedgesUsed those whose
+	// response was relayed.
+	hedged, hedgesUsed metrics.Counter
+
 	firstByte metrics.Timer
 }
 
@@ -34,6 +38,8 @@
 		leaving:  metrics.GetOrRegisterCounter("ingress.upstreamLeaving", r),
 		closed:   metrics.GetOrRegisterCounter("ingress.upstreamClosed", r),
 
+		hedged:     metrics.GetOrRegisterCounter("ingress.hedged", r),
+		hedgesUsed: metrics.GetOrRegisterCounter("ingress.hedgesUsed", r),
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -93,6 +93,9 @@
 // relayStream relays the events of one attempt's response.
 func (d *forwarding) relayStream(response *exchange.Response) outcome {
 	if !d.headSent {
+		if !d.claimHead() {
+			return outcome{failure: retry.Broken, cause: errReplaced}
+		}
 		d.bind()
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
@@ -113,6 +116,7 @@
 		if len(rest) < len(pending) {
 			// Bytes that complete no event aren't progress.
 			began = true
+			d.dropHedge()
 			d.recordProgress()
 			d.keepOrigin()
 		}
@@ -148,7 +152,9 @@
 		if n == 0 {
 			return b, wrote, nil
 		}
+		d.mu.Lock()
 		forward, err := d.events.accept(b[:n])
+		d.mu.Unlock()
 		if err != nil {
 			return b, wrote, err
 		}
