--- a/exchange/client.go
+++ b/exchange/client.go
@@ -109,10 +109,15 @@
 type Client struct {
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
+	dial Dial
 	// onDial is called for each new connection.
 	onDial func()
 }
 
+// Dial opens a connection to an upstream. Only TCP connections are used again after an
+// exchange.
+type Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
 type connection struct {
 	net.Conn
 	address netip.AddrPort
@@ -126,9 +131,13 @@
 	idleUntil time.Time
 }
 
-// New returns a client without connections. It calls onDial for each new one.
-func New(onDial func()) *Client {
-	return &Client{idle: map[netip.AddrPort][]*connection{}, onDial: onDial}
+// New returns a client without connections, which dials directly. It calls onDial for
+// each new connection.
+func New(onDial func()) *Client { return NewWithDial(DialDirect, onDial) }
+
+// NewWithDial returns a client that opens its connections by dial.
+func NewWithDial(dial Dial, onDial func()) *Client {
+	return &Client{idle: map[netip.AddrPort][]*connection{}, dial: dial, onDial: onDial}
 }
 
 // CloseIdle closes the idle connections to an address.
@@ -142,6 +151,19 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
+	lists := c.idle
+	c.idle = map[netip.AddrPort][]*connection{}
+	c.mu.Unlock()
+	for _, list := range lists {
+		for _, conn := range list {
+			_ = conn.Close()
+		}
+	}
+}
+
 // CloseExpired closes the connections that have been idle for too long.
 func (c *Client) CloseExpired(now time.Time) {
 	c.mu.Lock()
@@ -206,25 +228,50 @@
 	return err == nil && usable
 }
 
-func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*connection, error) {
-	dialer := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-	}
+// DialDirect connects to an address by TCP, within dialTimeout.
+func DialDirect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp4", address.String())
 	if err != nil {
 		return nil, err
 	}
-	c.onDial()
-	if raw, err := conn.(*net.TCPConn).SyscallConn(); err == nil {
-		// If the option can't be set, the keep-alive probes still detect a dead
-		// connection.
+	setUserTimeout(conn)
+	return conn, nil
+}
+
+// keepAlive detects peers that vanished without closing the connection.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
+// setUserTimeout bounds the time for which sent bytes may stay unacknowledged. If the
+// option can't be set, the keep-alive probes still detect a dead connection.
+func setUserTimeout(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) {
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 		})
 	}
+}
+
+// DetectDeadPeer makes an accepted connection break as one of DialDirect does if its peer
+// vanishes.
+func DetectDeadPeer(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+		setUserTimeout(conn)
+	}
+}
+
+// open opens a new connection.
+func (c *Client) open(ctx context.Context, address netip.AddrPort) (*connection, error) {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.onDial()
 	opened := &connection{Conn: conn, address: address}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
@@ -233,7 +280,7 @@
 // Refuses reports whether nothing listens at the address. The error is that of a
 // dial that failed for another reason.
 func (c *Client) Refuses(ctx context.Context, address netip.AddrPort) (bool, error) {
-	conn, err := c.dial(ctx, address)
+	conn, err := c.open(ctx, address)
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		return true, nil
@@ -272,7 +319,7 @@
 	conn := c.acquireIdle(address)
 	if conn == nil {
 		var err error
-		if conn, err = c.dial(ctx, address); err != nil {
+		if conn, err = c.open(ctx, address); err != nil {
 			return nil, &Error{err: err}
 		}
 	}
@@ -441,9 +488,10 @@
 }
 
 func (c *Client) releaseIdle(conn *connection) {
+	_, tcp := conn.Conn.(*net.TCPConn)
 	c.mu.Lock()
 	list := c.idle[conn.address]
-	if len(list) < maxIdlePerAddress {
+	if tcp && len(list) < maxIdlePerAddress {
 		c.idle[conn.address] = append(list, conn)
 		conn = nil
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -66,6 +66,8 @@
 	PeerClient  *peer.Client
 	Clock       clock.Clock
 	Metrics     metrics.Registry
+	// DialUpstream opens the direct connections to upstreams.
+	DialUpstream exchange.Dial
 }
 
 // Ingress is the plug-in of the role that serves callers.
@@ -102,7 +104,7 @@
 		origins: origin.New(),
 	}
 	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
-	in.upstreamClient = exchange.New(func() { in.meters.dials.Inc(1) })
+	in.upstreamClient = exchange.NewWithDial(o.DialUpstream, func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
 		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
--- a/ingress/plugin.go
+++ b/ingress/plugin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/settings"
@@ -34,5 +35,7 @@
 		PeerClient:  server.Client,
 		Clock:       h.Clock,
 		Metrics:     h.Metrics,
+
+		DialUpstream: exchange.DialDirect,
 	})
 }
