--- /dev/null
+++ b/ingress/isolated_test.go
@@ -0,0 +1,307 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pack"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/exchange"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// cutConfig has a route of each kind to one service.
+const cutConfig = `{"version":1,"routes":[
+{"name":"ask","host":"mill.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":2000,"sloMs":500,"gapSloMs":500,"priority":0,"service":"s","attempts":1,"public":true},
+{"name":"book","host":"mill.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,"sloMs":500,"priority":1,"service":"s","attempts":1,"public":true},
+{"name":"look","host":"mill.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":1500,"sloMs":500,"priority":1,"service":"s","attempts":2,"public":true}],
+"services":[{"name":"s","healthPath":"/healthz","maxConns":900}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
+
+// cutKeeper is a keeper that gives entries a configuration and a directory.
+type cutKeeper struct {
+	address netip.AddrPort
+
+	mu      sync.Mutex
+	reports map[string]control.AccountRequest
+}
+
+func startCutKeeper(t *testing.T, members []upstream.Member) *cutKeeper {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	server, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	packed, err := pack.Deflate([]byte(cutConfig))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	k := &cutKeeper{address: server.Address, reports: map[string]control.AccountRequest{}}
+	server.On(peer.Sync, func(ctx context.Context, body []byte) (any, error) {
+		var request control.SyncRequest
+		if err := wire.Decode(body, &request); err != nil {
+			return nil, err
+		}
+		reply := &control.SyncReply{
+			Source: 1, Generation: 1, ConfirmedConfig: 1, Quorum: control.QuorumConfirmed,
+			Leader: k.address, Term: 1, Peers: []control.Peer{{Address: k.address, Zone: "a"}}, Wall: time.Now(),
+		}
+		if request.Source == 0 {
+			reply.Members, reply.Config = members, &config.Put{Number: 1, Packed: packed}
+			return reply, nil
+		}
+		select {
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return reply, nil
+	})
+	server.On(peer.Account, func(_ context.Context, body []byte) (any, error) {
+		var request control.AccountRequest
+		if err := wire.Decode(body, &request); err != nil {
+			return nil, err
+		}
+		return k.account(request), nil
+	})
+	return k
+}
+
+// account answers an entry's report as the leader.
+func (k *cutKeeper) account(request control.AccountRequest) *control.AccountReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !request.UsageOnly {
+		k.reports[request.Entry] = request
+	}
+	return &control.AccountReply{Leading: true, Leader: k.address, Term: 1, Entries: len(k.reports), NextReport: 300 * time.Millisecond}
+}
+
+// cutMode is what happens to the paths of an entry to all upstreams.
+type cutMode int32
+
+const (
+	whole cutMode = iota
+	// resets breaks all connections and refuses new ones.
+	resets
+	// hangs leaves connections open without passing on anything; dials get no answer.
+	hangs
+	// refusesNew refuses new connections; those that are open live on.
+	refusesNew
+)
+
+// cutPath is the path of one entry to the upstreams, by a proxy for each connection.
+type cutPath struct {
+	mode atomic.Int32
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func (p *cutPath) set(m cutMode) {
+	p.mode.Store(int32(m))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if m == resets {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			delete(p.conns, c)
+		}
+	}
+}
+
+// dial connects to an upstream as the mode allows.
+func (p *cutPath) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	switch cutMode(p.mode.Load()) {
+	case resets, refusesNew:
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: os.NewSyscallError("connect", unix.ECONNREFUSED)}
+	case hangs:
+		ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: ctx.Err()}
+	case whole:
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = l.Close() }()
+	near, err := exchange.DialDirect(ctx, l.Addr().(*net.TCPAddr).AddrPort())
+	if err != nil {
+		return nil, err
+	}
+	proxied, err := l.Accept()
+	if err != nil {
+		return nil, err
+	}
+	far, err := exchange.DialDirect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.conns[proxied] = true
+	p.mu.Unlock()
+	go p.copy(far, proxied)
+	go p.copy(proxied, far)
+	return near, nil
+}
+
+// copy passes bytes on until one side ends; while the path hangs it drops them.
+func (p *cutPath) copy(to, from net.Conn) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buffer := make([]byte, 8<<10)
+	for {
+		n, err := from.Read(buffer)
+		if cutMode(p.mode.Load()) != hangs {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// cutEntry is an entry with a path to upstreams that can be cut.
+type cutEntry struct {
+	*Ingress
+	path *cutPath
+	url  string
+}
+
+func startCutEntry(t *testing.T, name string, k *cutKeeper) *cutEntry {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	e := &cutEntry{path: &cutPath{conns: map[net.Conn]bool{}}}
+	in, err := New(t.Context(), Options{
+		Name: name, Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: peer.NewClient(),
+		Peers:        settings.Peer{Seeds: []netip.AddrPort{k.address}},
+		Settings:     settings.Ingress{Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, UsageWindow: time.Second, DrainWithin: time.Second, AssumedEntries: 3},
+		DialUpstream: e.path.dial,
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	e.Ingress, e.url = in, "http://"+in.listener.Addr().String()
+	g.Eventually(in.ready, 5*time.Second).Should(gomega.BeTrue())
+	return e
+}
+
+// first sends a request once and reports whether it was served whole.
+func (e *cutEntry) first(path, id string) bool {
+	request, err := http.NewRequest(http.MethodPost, e.url+path, strings.NewReader("{}"))
+	if err != nil {
+		return false
+	}
+	request.Host = "mill.example"
+	request.Header.Set("X-Request-Id", id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(body), event(3))
+}
+
+// startCutUpstream starts an upstream that answers each request with a few events.
+func startCutUpstream(t *testing.T) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Replica-Seal", "s")
+		for n := 1; n <= 3; n++ {
+			_, _ = io.WriteString(w, event(n))
+			w.(http.Flusher).Flush()
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestEntriesWithoutAPathServeTheirCallers guards against an entry that serves nobody while its
+// paths to all upstreams are cut, though other entries reach them.
+func TestEntriesWithoutAPathServeTheirCallers(t *testing.T) {
+	const (
+		upstreams = 6
+		cutFor    = 3 * time.Second
+		// detection is the time for which requests may fail after the cut began.
+		detection = time.Second
+		interval  = 10 * time.Millisecond
+		minServed = 0.95
+	)
+	for name, mode := range map[string]cutMode{"resets": resets, "hangs": hangs, "refuses new connections": refusesNew} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			var members []upstream.Member
+			for i := range upstreams {
+				members = append(members, upstream.Member{Announcement: upstream.Announcement{
+					ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
+				}})
+			}
+			k := startCutKeeper(t, members)
+			entries := []*cutEntry{startCutEntry(t, "cut", k), startCutEntry(t, "near", k), startCutEntry(t, "far", k)}
+			g.Eventually(func() int {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				return len(k.reports)
+			}, 5*time.Second).Should(gomega.Equal(len(entries)))
+
+			var sent, served [2]atomic.Int64
+			var requests sync.WaitGroup
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			began := time.Now()
+			cut := false
+			for n := 0; time.Since(began) < cutFor; n++ {
+				<-ticker.C
+				if !cut && n == 50 {
+					entries[0].path.set(mode)
+					began, cut = time.Now(), true
+				}
+				counts := cut && time.Since(began) > detection
+				for i, e := range entries[:2] {
+					path := []string{"/ask/x", "/book/x", "/look/x"}[n%3]
+					requests.Go(func() {
+						ok := e.first(path, fmt.Sprintf("%s-%d-%d", name, i, n))
+						if counts {
+							sent[i].Add(1)
+							if ok {
+								served[i].Add(1)
+							}
+						}
+					})
+				}
+			}
+			requests.Wait()
+			t.Logf("served at the first attempt: %d of %d at the entry that is cut off, %d of %d at another one", served[0].Load(), sent[0].Load(), served[1].Load(), sent[1].Load())
+			for i := range sent {
+				g.Expect(float64(served[i].Load())).To(gomega.BeNumerically(">=", minServed*float64(sent[i].Load())), "entry %d", i)
+			}
+		})
+	}
+}
