ingress, detour, control: Serve through other entries without a path to upstreams

Cause: a failed dial counted as the state of the upstream, and an entry had no way to an upstream but its own.

Now the entry opens a tunnel to the upstream through another entry, one for each request, and does all else itself. Probes after requests that broke off go by the same ways, so that a broken path convicts no request.

--- a/control/account.go
+++ b/control/account.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/detour"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/limit"
 	"github.com/hyssopladder/hyssopladder/platform"
@@ -186,6 +187,9 @@
 		Limits:   s.named.Shares(now, request.Entry, func() []limit.Entry { return s.reportingEntries(now) }),
 	}
 	reply.NextReport = reportInterval(reply.Entries)
+	if request.WantsHelpers {
+		reply.Helpers = detour.Choose(detour.Asker{Name: request.Entry, Zone: request.Zone}, s.helpers(now, key))
+	}
 	if s.revision != nil {
 		reply.Config = s.revision.Number
 	}
@@ -208,6 +212,17 @@
 	return entries
 }
 
+// helpers lists the other entries that have lately offered to open tunnels.
+func (s *leaderState) helpers(now clock.Instant, asker entryKey) []detour.Helper {
+	var helpers []detour.Helper
+	for key, r := range s.reports {
+		if key.entry != asker.entry && r.Helper != nil && now-r.receivedAt <= reportMaxAge {
+			helpers = append(helpers, detour.Helper{Address: *r.Helper, Zone: r.Zone})
+		}
+	}
+	return helpers
+}
+
 // sweepReports removes the reports of entries that are gone.
 func (s *leaderState) sweepReports(now clock.Instant) {
 	if now-s.lastSweep < reportSweepInterval {
--- a/control/message.go
+++ b/control/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/detour"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/limit"
 	"github.com/hyssopladder/hyssopladder/suspect"
@@ -162,6 +163,11 @@
 	Suspects []suspect.Evidence `json:"q,omitempty"`
 	// Limits is what upstreams have named to the entry.
 	Limits []limit.Observation `json:"v,omitempty"`
+	// Helper is where other entries may ask for tunnels to upstreams; nil if this entry
+	// reaches none itself, or stops.
+	Helper *netip.AddrPort `json:"h,omitempty"`
+	// WantsHelpers asks for a list of entries that open tunnels.
+	WantsHelpers bool `json:"k,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -215,6 +221,9 @@
 	Suspects []suspect.Evidence `json:"q,omitempty"`
 	// Limits are the limits that upstreams name, with the entry's shares.
 	Limits []limit.Share `json:"v,omitempty"`
+	// Helpers are entries that open tunnels to upstreams, the preferred ones first, if
+	// the entry asked for them.
+	Helpers []detour.Helper `json:"h,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -222,6 +231,9 @@
 	if r.Lease < 0 || r.NextReport < 0 || r.NextReport > maxReportInterval || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
 		return errors.New("account reply with a negative lease, an invalid time of the next report, or too many rates or upstreams")
 	}
+	if len(r.Helpers) > detour.MaxHelpers {
+		return errors.Errorf("account reply with %d helpers, want at most %d", len(r.Helpers), detour.MaxHelpers)
+	}
 	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Share).Check); err != nil {
 		return err
 	}
--- /dev/null
+++ b/detour/table.go
@@ -0,0 +1,236 @@
+// Package detour decides by which way an entry reaches an upstream: directly, or through
+// another entry, a helper, if only the path from this entry is broken. A failed dial alone
+// doesn't tell a broken path from an upstream that is down; a helper that reaches the
+// upstream does. It does no I/O: callers report what they tried, with the time.
+package detour
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+)
+
+// Times and bounds of a Table.
+const (
+	// probeInterval is the time between two direct dials to an upstream whose path is
+	// broken, or to one of them while the entry is isolated.
+	probeInterval = 500 * time.Millisecond
+	// downTime is how long an upstream that no helper reaches isn't looked for again.
+	downTime = time.Second
+	// helperRest is how long a helper that failed comes after the others.
+	helperRest = time.Second
+	// isolationFaults is the number of upstreams with a broken path, with none that was
+	// reached directly in between, from which on the entry counts as isolated.
+	isolationFaults = 3
+	// maxTried is the number of helpers that one request may be sent through, one after
+	// the other.
+	maxTried = 3
+	// checkInterval is the time between two checks of upstreams that are silent together.
+	checkInterval = time.Second
+	// listAge is the age at which the list of helpers is asked for again.
+	listAge = 5 * time.Second
+	// shortListAge is the same for a list that may have more helpers by now.
+	shortListAge = time.Second
+	// retention is how long an upstream that nobody dials is remembered.
+	retention = time.Minute
+)
+
+// Helper is an entry through which upstreams may be reached.
+type Helper struct {
+	Address netip.AddrPort `json:"a"`
+	Zone    string         `json:"z,omitempty"`
+}
+
+// Table holds what an entry knows of its paths to upstreams. It isn't safe for
+// concurrent use.
+type Table struct {
+	upstreams map[netip.AddrPort]*path
+	helpers   []Helper
+	// restUntil is when helpers that failed may come first again.
+	restUntil map[netip.AddrPort]clock.Instant
+	// faults counts the paths that broke since an upstream was last reached directly.
+	faults   int
+	isolated bool
+	// nextProbe is when the next direct dial of an isolated entry is due, and nextCheck
+	// when upstreams that are silent together may be checked again.
+	nextProbe, nextCheck clock.Instant
+	// listedAt is when the list of helpers was set, 0 if it never was.
+	listedAt clock.Instant
+}
+
+// path is what is known of the path to one upstream.
+type path struct {
+	// broken says that a helper reaches the upstream and this entry doesn't.
+	broken bool
+	// nextProbe is when the next direct dial is due while the path is broken, and
+	// downUntil when an upstream that no helper reached may be looked for again.
+	nextProbe, downUntil clock.Instant
+	usedAt               clock.Instant
+}
+
+// New returns an empty table: all upstreams are reached directly.
+func New() *Table {
+	return &Table{upstreams: map[netip.AddrPort]*path{}, restUntil: map[netip.AddrPort]clock.Instant{}}
+}
+
+// SetHelpers replaces the list of helpers, the preferred ones first.
+func (t *Table) SetHelpers(now clock.Instant, helpers []Helper) {
+	t.helpers, t.listedAt = slices.Clone(helpers), now
+	for address := range t.restUntil {
+		if !slices.ContainsFunc(helpers, func(h Helper) bool { return h.Address == address }) {
+			delete(t.restUntil, address)
+		}
+	}
+}
+
+// Broken is the number of upstreams that only helpers reach, as far as is known.
+func (t *Table) Broken() int {
+	n := 0
+	for _, p := range t.upstreams {
+		if p.broken {
+			n++
+		}
+	}
+	return n
+}
+
+// WantsHelpers reports whether the list of helpers is old, or needed now.
+func (t *Table) WantsHelpers(now clock.Instant) bool {
+	age := now - t.listedAt
+	switch {
+	case len(t.helpers) == 0 || t.isolated || age >= listAge:
+		return true
+	case len(t.helpers) < MaxHelpers && age >= shortListAge:
+		return true
+	}
+	for _, until := range t.restUntil {
+		if now < until {
+			return true
+		}
+	}
+	for _, p := range t.upstreams {
+		if p.broken || now < p.downUntil {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspects returns those of the upstreams that are silent together whose paths are to be
+// checked now.
+func (t *Table) Suspects(now clock.Instant, silent []netip.AddrPort) []netip.AddrPort {
+	if len(silent) == 0 || t.isolated || len(t.helpers) == 0 || now < t.nextCheck {
+		return nil
+	}
+	t.nextCheck = now + checkInterval
+	return slices.DeleteFunc(slices.Clone(silent), func(address netip.AddrPort) bool { return t.path(now, address).broken })
+}
+
+// Isolated reports whether the entry reaches no upstream directly while others do.
+func (t *Table) Isolated() bool { return t.isolated }
+
+// Direct reports whether the upstream is to be dialled directly first.
+func (t *Table) Direct(now clock.Instant, upstream netip.AddrPort) bool {
+	p := t.path(now, upstream)
+	return len(t.helpers) == 0 || !p.broken && !t.isolated
+}
+
+// Helpers returns the helpers through which to try the upstream, in order; none while it
+// is known to be down.
+func (t *Table) Helpers(now clock.Instant, upstream netip.AddrPort) []netip.AddrPort {
+	if now < t.path(now, upstream).downUntil {
+		return nil
+	}
+	var fresh, resting []netip.AddrPort
+	for _, h := range t.helpers {
+		if now < t.restUntil[h.Address] {
+			resting = append(resting, h.Address)
+		} else {
+			fresh = append(fresh, h.Address)
+		}
+	}
+	all := append(fresh, resting...)
+	return all[:min(len(all), maxTried)]
+}
+
+// Reached records that the upstream was reached directly. It reports whether the entry
+// was isolated until now.
+func (t *Table) Reached(now clock.Instant, upstream netip.AddrPort) (wasIsolated bool) {
+	p := t.path(now, upstream)
+	p.broken, p.downUntil = false, 0
+	wasIsolated = t.isolated
+	t.faults, t.isolated = 0, false
+	return wasIsolated
+}
+
+// Helped records that a helper reached the upstream after this entry had failed to. It
+// reports whether the entry counts as isolated from now on.
+func (t *Table) Helped(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
+	p := t.path(now, upstream)
+	p.downUntil = 0
+	if p.broken {
+		return false
+	}
+	p.broken, p.nextProbe = true, now+probeInterval
+	if t.faults++; t.faults < isolationFaults || t.isolated {
+		return false
+	}
+	t.isolated, t.nextProbe = true, now+probeInterval
+	return true
+}
+
+// Down records that neither this entry nor a helper reached the upstream.
+func (t *Table) Down(now clock.Instant, upstream netip.AddrPort) {
+	t.path(now, upstream).downUntil = now + downTime
+}
+
+// HelperFailed records that a helper couldn't be reached, or helps nobody now.
+func (t *Table) HelperFailed(now clock.Instant, helper netip.AddrPort) {
+	t.restUntil[helper] = now + helperRest
+}
+
+// Probes returns the upstreams that are to be dialled directly now, to find out whether
+// their paths work again: each with a broken path, or only one while the entry is isolated.
+func (t *Table) Probes(now clock.Instant) []netip.AddrPort {
+	var due []netip.AddrPort
+	for address, p := range t.upstreams {
+		switch {
+		case now-p.usedAt > retention:
+			delete(t.upstreams, address)
+		case p.broken && now >= p.nextProbe:
+			due = append(due, address)
+		}
+	}
+	if t.isolated && now < t.nextProbe {
+		return nil
+	}
+	slices.SortFunc(due, func(a, b netip.AddrPort) int {
+		pa, pb := t.upstreams[a].nextProbe, t.upstreams[b].nextProbe
+		if pa != pb {
+			return int(pa - pb)
+		}
+		return a.Compare(b)
+	})
+	if t.isolated && len(due) > 1 {
+		due = due[:1]
+	}
+	for _, address := range due {
+		t.upstreams[address].nextProbe = now + probeInterval
+	}
+	if t.isolated {
+		t.nextProbe = now + probeInterval
+	}
+	return due
+}
+
+func (t *Table) path(now clock.Instant, upstream netip.AddrPort) *path {
+	p, ok := t.upstreams[upstream]
+	if !ok {
+		p = &path{}
+		t.upstreams[upstream] = p
+	}
+	p.usedAt = now
+	return p
+}
--- /dev/null
+++ b/detour/table_test.go
@@ -0,0 +1,161 @@
+package detour
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+)
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 80)
+}
+
+func helperIn(zone string, n int) Helper { return Helper{Address: address(1000 + n), Zone: zone} }
+
+func tableWithHelpers() *Table {
+	t := New()
+	t.SetHelpers(0, []Helper{helperIn("a", 1), helperIn("a", 2), helperIn("b", 3), helperIn("c", 4)})
+	return t
+}
+
+// TestDownUpstreamIsNoBrokenPath guards against an entry that takes an upstream that nobody
+// reaches for one behind a broken path, and asks all helpers again for each request.
+func TestDownUpstreamIsNoBrokenPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := tableWithHelpers()
+	g.Expect(table.Helpers(0, address(1))).To(gomega.HaveLen(maxTried))
+	table.Down(0, address(1))
+	g.Expect(table.Helpers(downTime-1, address(1))).To(gomega.BeEmpty())
+	g.Expect(table.Helpers(downTime, address(1))).To(gomega.HaveLen(maxTried))
+	g.Expect(table.Direct(0, address(1))).To(gomega.BeTrue())
+	g.Expect(table.Isolated()).To(gomega.BeFalse())
+}
+
+// TestIsolatedEntryUsesHelpersUntilItReachesAnUpstream guards against an entry that tries each
+// upstream itself first while it reaches none, and against one that stays with its helpers.
+func TestIsolatedEntryUsesHelpersUntilItReachesAnUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := tableWithHelpers()
+	for n := 1; n <= isolationFaults; n++ {
+		g.Expect(table.Direct(0, address(n))).To(gomega.BeTrue())
+		g.Expect(table.Helped(0, address(n))).To(gomega.Equal(n == isolationFaults))
+	}
+	g.Expect(table.Direct(0, address(50))).To(gomega.BeFalse(), "an upstream that wasn't tried")
+	now, probes := clock.Instant(0), 0
+	for ; now < 10*time.Second; now += 100 * time.Millisecond {
+		probes += len(table.Probes(now))
+	}
+	g.Expect(probes).To(gomega.BeNumerically("~", int(10*time.Second/probeInterval), 1))
+	g.Expect(table.Reached(now, address(2))).To(gomega.BeTrue())
+	g.Expect(table.Direct(now, address(50))).To(gomega.BeTrue())
+	g.Expect(table.Direct(now, address(1))).To(gomega.BeFalse(), "its own path wasn't tried yet")
+	due := map[netip.AddrPort]bool{}
+	for end := now + probeInterval; now <= end; now += 100 * time.Millisecond {
+		for _, a := range table.Probes(now) {
+			due[a] = true
+		}
+	}
+	g.Expect(due).To(gomega.HaveLen(isolationFaults - 1))
+}
+
+// TestLostPacketsIsolateNobody guards against an entry that counts as isolated since packets of
+// its dials are lost now and then.
+func TestLostPacketsIsolateNobody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const loss = 0.03 // of a connection's first two packets, at 1% and more
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		table := tableWithHelpers()
+		now := clock.Instant(0)
+		for range 5000 {
+			now += time.Duration(random.IntN(20)) * time.Millisecond
+			for _, a := range append(table.Probes(now), address(random.IntN(22))) {
+				if !table.Direct(now, a) {
+					continue
+				}
+				if random.Float64() < loss {
+					table.Helped(now, a)
+				} else {
+					table.Reached(now, a)
+				}
+			}
+			g.Expect(table.Isolated()).To(gomega.BeFalse(), "seed %d", seed)
+		}
+	}
+}
+
+// TestSilentUpstreamsAreCheckedOnceASecond guards against many dials while all upstreams of a
+// service stand still for a moment.
+func TestSilentUpstreamsAreCheckedOnceASecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table, checks := tableWithHelpers(), 0
+	for now := clock.Instant(time.Hour); now < time.Hour+1500*time.Millisecond; now += 100 * time.Millisecond {
+		if len(table.Suspects(now, []netip.AddrPort{address(1), address(2)})) > 0 {
+			checks++
+		}
+	}
+	g.Expect(checks).To(gomega.Equal(2))
+}
+
+// TestHelpersThatFailComeLast guards against requests that wait for a helper that is gone.
+func TestHelpersThatFailComeLast(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := tableWithHelpers()
+	first := table.Helpers(0, address(1))[0]
+	g.Expect(table.WantsHelpers(0)).To(gomega.BeFalse())
+	table.HelperFailed(0, first)
+	g.Expect(table.Helpers(0, address(1))).NotTo(gomega.ContainElement(first))
+	g.Expect(table.WantsHelpers(0)).To(gomega.BeTrue())
+	g.Expect(table.Helpers(helperRest, address(1))[0]).To(gomega.Equal(first))
+	g.Expect(table.WantsHelpers(helperRest)).To(gomega.BeFalse())
+}
+
+// TestHelpersAreSpread guards against a few entries that help all others, and against helpers
+// of one zone only, which may lose its paths as a whole.
+func TestHelpersAreSpread(t *testing.T) {
+	for _, size := range []struct{ entries, zones int }{{6, 3}, {8, 4}, {88, 4}, {294, 6}} {
+		t.Run(fmt.Sprintf("%d entries in %d zones", size.entries, size.zones), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			zone := func(n int) string { return fmt.Sprint("z", n%size.zones) }
+			firsts := map[netip.AddrPort]int{}
+			for asker := range size.entries {
+				var others []Helper
+				for n := range size.entries {
+					if n != asker {
+						others = append(others, helperIn(zone(n), n))
+					}
+				}
+				chosen := Choose(Asker{Name: fmt.Sprint("e", asker), Zone: zone(asker)}, others)
+				g.Expect(len(chosen)).To(gomega.Equal(min(MaxHelpers, size.entries-1)))
+				g.Expect(chosen[0].Zone).To(gomega.Equal(zone(asker)))
+				zones := map[string]bool{}
+				for _, h := range chosen {
+					zones[h.Zone] = true
+				}
+				g.Expect(len(zones)).To(gomega.BeNumerically(">=", 3))
+				firsts[chosen[0].Address]++
+			}
+			for _, n := range firsts {
+				g.Expect(n).To(gomega.BeNumerically("<=", 8))
+			}
+		})
+	}
+}
+
+// BenchmarkChoose guards against a leader whose processor is full with choices: each of 300
+// entries asks about every five seconds.
+func BenchmarkChoose(b *testing.B) {
+	var candidates []Helper
+	for n := range 300 {
+		candidates = append(candidates, helperIn(fmt.Sprint("z", n%6), n))
+	}
+	for b.Loop() {
+		Choose(Asker{Name: "e", Zone: "z1"}, candidates)
+	}
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -31,7 +31,8 @@
 	// event after which a stream's caller gives up.
 	userTimeout = 3 * time.Second
 	// The TCP keep-alive probes detect upstreams that vanished without closing the
-	// connection.
+	// connection. With TCP_USER_TIMEOUT set, Linux lets that decide when they give up,
+	// whatever their count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
@@ -418,6 +419,10 @@
 	return b.Bytes()
 }
 
+// Peer is the other end of the connection: the upstream, unless the connection leads
+// through another node.
+func (r *Response) Peer() net.Addr { return r.conn.RemoteAddr() }
+
 // Await reads the body ahead until enough says that the bytes so far suffice, or the body
 // ends. Read returns them again. The error is that of a body that broke off.
 func (r *Response) Await(enough func(ahead []byte) bool) error {
--- a/fleet/fleet__notice.go
+++ b/fleet/fleet__notice.go
@@ -50,7 +50,12 @@
 	if !ok || t.state != running {
 		return nil
 	}
-	u := t.upstream
+	f.apply(now, t.upstream, n)
+	return f.takeActions()
+}
+
+// apply applies a notice of the upstream.
+func (f *Fleet) apply(now clock.Instant, u *upstreamView, n Notice) {
 	if n.Leaving && !u.saidLeaving {
 		u.saidLeaving, u.leavingSince = true, now
 		f.pending = append(f.pending, SaidLeaving{Upstream: u.Announcement})
@@ -65,7 +70,6 @@
 		u.trialLimit = 1
 		f.pending = append(f.pending, Closed{Upstream: u.Announcement, RetryAfter: n.RetryAfter, For: u.closedUntil - now})
 	}
-	return f.takeActions()
 }
 
 // endTrial ends the trial of a ticket, if it is one. After an answer twice as many are
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -190,8 +190,9 @@
 func (d *forwarding) attempt(requestCtx context.Context, grant fleet.Grant) (o outcome) {
 	in, r := d.in, d.r
 	startedAt := in.options.Clock()
+	var response *exchange.Response
 	var limit float64
-	defer func() { d.logAttempt(requestCtx, grant, startedAt, limit, o) }()
+	defer func() { d.logAttempt(requestCtx, grant, startedAt, response, limit, o) }()
 	if r.org != nil && !in.configFresh() {
 		// The configuration was fresh when the request was accepted, but the
 		// instance may have been suspended since.
@@ -212,7 +213,7 @@
 			o.failure = retry.Silent
 		}
 	}()
-	response, limit, o := d.open(ctx, d.ticket, grant)
+	response, limit, o = d.open(ctx, d.ticket, grant)
 	if response != nil {
 		return d.relay(response)
 	}
@@ -225,10 +226,17 @@
 	return o
 }
 
-// logAttempt logs an attempt that has ended. limit is the number of requests per second
-// that the upstream's answer names; 0 if none.
-func (d *forwarding) logAttempt(requestCtx context.Context, grant fleet.Grant, startedAt clock.Instant, limit float64, o outcome) {
+// logAttempt logs an attempt that has ended, with the response that was relayed, if there
+// was one. limit is the number of requests per second that the upstream's answer names; 0
+// if none.
+func (d *forwarding) logAttempt(requestCtx context.Context, grant fleet.Grant, startedAt clock.Instant, response *exchange.Response, limit float64, o outcome) {
 	in, r := d.in, d.r
+	// by is the other end of the connection, which differs from the address if the attempt
+	// went through another entry.
+	by := ""
+	if response != nil {
+		by = response.Peer().String()
+	}
 	failure := "none"
 	switch {
 	case o.done:
@@ -240,7 +248,7 @@
 		failure = o.failure.String()
 	}
 	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
-		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
+		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
 		"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
 	if failure == retry.Broken.String() {
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -246,7 +246,7 @@
 
 // attemptHedged relays the response of a hedge that has become the present attempt.
 func (d *forwarding) attemptHedged(requestCtx context.Context, h *hedge) (o outcome) {
-	defer func() { d.logAttempt(requestCtx, h.grant, h.startedAt, h.limit, o) }()
+	defer func() { d.logAttempt(requestCtx, h.grant, h.startedAt, h.response, h.limit, o) }()
 	defer h.cancel()
 	d.release = h.grant.Upstream.Release
 	stopWatching := d.watchForStall(requestCtx, h.cancel)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,8 @@
 	Metrics     metrics.Registry
 	// DialUpstream opens the direct connections to upstreams.
 	DialUpstream exchange.Dial
+	// Server is where other entries ask for tunnels to upstreams.
+	Server *peer.Server
 }
 
 // Ingress is the plug-in of the role that serves callers.
@@ -76,6 +79,8 @@
 	link           *link.Link
 	dispatcher     *dispatcher
 	upstreamClient *exchange.Client
+	paths          *pathDialer
+	tunnels        *tunnels
 	listener       *trackingListener
 	stopping       atomic.Bool
 	meters         meters
@@ -104,11 +109,15 @@
 		origins: origin.New(),
 	}
 	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
-	in.upstreamClient = exchange.NewWithDial(o.DialUpstream, func() { in.meters.dials.Inc(1) })
+	in.paths = newPathDialer(ctx, o.Clock, o.DialUpstream, &in.meters, in.pathsChanged)
+	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
 		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
 	}), in.upstreamClient.Refuses)
+	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, stopping: in.stopping.Load, meters: &in.meters}
+	o.Server.Handle(tunnelPattern, in.tunnels)
+	go in.watchForSilence(ctx)
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
 		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, BuildReport: in.buildReport, OnReply: in.applyReply, BuildUsageReport: in.buildUsageReport,
@@ -222,9 +231,51 @@
 		report.Limits = f.Limits(now)
 		return nil
 	})
+	report.WantsHelpers = in.paths.WantsHelpers(now)
+	if !in.stopping.Load() && !in.paths.Isolated() {
+		report.Helper = in.tunnelAddress()
+	}
 	return report
 }
 
+// tunnelAddress is where other entries ask for tunnels.
+func (in *Ingress) tunnelAddress() *netip.AddrPort {
+	if in.options.Peers.Advertise.IsValid() {
+		return &in.options.Peers.Advertise
+	}
+	return &in.options.Server.Address
+}
+
+// pathsChanged is called when upstreams are reached by another way than before.
+func (in *Ingress) pathsChanged(isolated bool) {
+	if isolated {
+		// Nothing may come back on connections that were opened before.
+		in.upstreamClient.CloseAllIdle()
+	}
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.PathsChanged(now) })
+}
+
+// silenceTimeout is how long all upstreams may be silent before their paths are checked.
+const silenceTimeout = 600 * time.Millisecond
+
+// watchForSilence checks the paths to upstreams while all of them are silent, until ctx
+// ends.
+func (in *Ingress) watchForSilence(ctx context.Context) {
+	t := time.NewTicker(stallCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+				in.paths.Suspect(ctx, f.AllSilent(now, silenceTimeout))
+				return nil
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // buildUsageReport returns a report that holds nothing but the usage.
 func (in *Ingress) buildUsageReport() control.AccountRequest {
 	report := control.AccountRequest{Entry: in.options.Name, Zone: in.options.Zone, Incarnation: in.options.Incarnation, Wall: in.link.WallTime()}
@@ -238,6 +289,9 @@
 // applyReply applies the leader's reply to a report that was built at askedAt.
 func (in *Ingress) applyReply(askedAt clock.Instant, reply control.AccountReply) {
 	now := in.options.Clock()
+	if reply.Helpers != nil {
+		in.paths.SetHelpers(now, reply.Helpers)
+	}
 	in.mu.Lock()
 	for name, rate := range reply.Rates {
 		bucket, ok := in.quotas[name]
@@ -275,6 +329,7 @@
 	for {
 		remaining := in.listener.closeIdle()
 		if remaining == 0 {
+			in.tunnels.drain(ctx)
 			// All keepers get the last usage, as any may be the next leader.
 			in.link.ReportUsage(ctx)
 			return nil
--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/detour"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/service"
@@ -91,7 +93,17 @@
 	if !request.UsageOnly {
 		k.reports[request.Entry] = request
 	}
-	return &control.AccountReply{Leading: true, Leader: k.address, Term: 1, Entries: len(k.reports), NextReport: 300 * time.Millisecond}
+	reply := &control.AccountReply{Leading: true, Leader: k.address, Term: 1, Entries: len(k.reports), NextReport: 300 * time.Millisecond}
+	var helpers []detour.Helper
+	for name, r := range k.reports {
+		if name != request.Entry && r.Helper != nil {
+			helpers = append(helpers, detour.Helper{Address: *r.Helper, Zone: r.Zone})
+		}
+	}
+	if request.WantsHelpers {
+		reply.Helpers = detour.Choose(detour.Asker{Name: request.Entry, Zone: request.Zone}, helpers)
+	}
+	return reply
 }
 
 // cutMode is what happens to the paths of an entry to all upstreams.
@@ -196,12 +208,14 @@
 	t.Helper()
 	g := gomega.NewWithT(t)
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	server, err := peer.New(t.Context(), loopback)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
 	e := &cutEntry{path: &cutPath{conns: map[net.Conn]bool{}}}
 	in, err := New(t.Context(), Options{
-		Name: name, Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: peer.NewClient(),
+		Name: name, Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: server.Client,
 		Peers:        settings.Peer{Seeds: []netip.AddrPort{k.address}},
 		Settings:     settings.Ingress{Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, UsageWindow: time.Second, DrainWithin: time.Second, AssumedEntries: 3},
-		DialUpstream: e.path.dial,
+		DialUpstream: e.path.dial, Server: server,
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	e.Ingress, e.url = in, "http://"+in.listener.Addr().String()
@@ -302,6 +316,55 @@
 			for i := range sent {
 				g.Expect(float64(served[i].Load())).To(gomega.BeNumerically(">=", minServed*float64(sent[i].Load())), "entry %d", i)
 			}
+			g.Expect(entries[0].paths.Broken()).To(gomega.BeNumerically(">", 0))
+			entries[0].path.set(whole)
+			g.Eventually(entries[0].paths.Broken, time.Second).Should(gomega.BeZero(), "the way back")
+			tunnels := entries[0].meters.tunnels.Count()
+			for n := range 50 {
+				g.Expect(entries[0].first("/look/x", fmt.Sprintf("%s-back-%d", name, n))).To(gomega.BeTrue())
+			}
+			g.Expect(entries[0].meters.tunnels.Count()).To(gomega.Equal(tunnels))
 		})
 	}
 }
+
+// TestNoPathAtAllIsRefusedAtOnce guards against requests that go in circles, or wait, while no
+// entry reaches any upstream: they are refused at once, as not run, with a time to return.
+func TestNoPathAtAllIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var members []upstream.Member
+	for i := range 4 {
+		members = append(members, upstream.Member{Announcement: upstream.Announcement{
+			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
+		}})
+	}
+	k := startCutKeeper(t, members)
+	entries := []*cutEntry{startCutEntry(t, "first", k), startCutEntry(t, "second", k), startCutEntry(t, "third", k)}
+	g.Eventually(func() bool {
+		return !slices.ContainsFunc(entries, func(e *cutEntry) bool {
+			e.paths.mu.Lock()
+			defer e.paths.mu.Unlock()
+			return len(e.paths.table.Helpers(e.options.Clock(), members[0].Address)) < len(entries)-1
+		})
+	}, 5*time.Second).Should(gomega.BeTrue())
+	// The entries lose their paths in turn, so that each has been another's helper.
+	for i, e := range entries {
+		e.path.set(resets)
+		for n := range 10 {
+			g.Expect(e.first("/look/x", fmt.Sprintf("turn-%d-%d", i, n))).To(gomega.Equal(i < len(entries)-1))
+		}
+	}
+	for i, e := range entries {
+		request, err := http.NewRequest(http.MethodPost, e.url+"/book/x", strings.NewReader("{}"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		request.Host = "mill.example"
+		request.Header.Set("X-Request-Id", fmt.Sprintf("none-%d", i))
+		began := time.Now()
+		response, err := http.DefaultClient.Do(request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = response.Body.Close()
+		g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(response.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+	}
+}
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -24,6 +24,9 @@
 	// hedged counts second attempts beside silent upstreams, and hedgesUsed those whose
 	// response was relayed.
 	hedged, hedgesUsed metrics.Counter
+	// tunnels counts the connections to upstreams through other entries, and
+	// tunnelsServed those that others had through this one.
+	tunnels, tunnelsServed metrics.Counter
 
 	firstByte metrics.Timer
 }
@@ -40,6 +43,10 @@
 
 		hedged:     metrics.GetOrRegisterCounter("ingress.hedged", r),
 		hedgesUsed: metrics.GetOrRegisterCounter("ingress.hedgesUsed", r),
+		tunnels:    metrics.GetOrRegisterCounter("ingress.tunnels", r),
+
+		tunnelsServed: metrics.GetOrRegisterCounter("ingress.tunnelsServed", r),
+
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
@@ -63,6 +70,13 @@
 		}
 		return 0
 	})
+	register("ingress.brokenPaths", func() int64 { return int64(in.paths.Broken()) })
+	register("ingress.isolated", func() int64 {
+		if in.paths.Isolated() {
+			return 1
+		}
+		return 0
+	})
 	registerCount := func(name string, count func(now clock.Instant, f *fleet.Fleet) int) {
 		register(name, func() int64 {
 			n := 0
--- a/ingress/plugin.go
+++ b/ingress/plugin.go
@@ -37,5 +37,6 @@
 		Metrics:     h.Metrics,
 
 		DialUpstream: exchange.DialDirect,
+		Server:       server,
 	})
 }
