--- a/detour/table.go
+++ b/detour/table.go
@@ -48,6 +48,8 @@
 type Table struct {
 	upstreams map[netip.AddrPort]*path
 	helpers   []Helper
+	// turn counts the requests for helpers, so that they take turns.
+	turn int
 	// restUntil is when helpers that failed may come first again.
 	restUntil map[netip.AddrPort]clock.Instant
 	// faults counts the paths that broke since an upstream was last reached directly.
@@ -151,10 +153,33 @@
 			fresh = append(fresh, h.Address)
 		}
 	}
+	t.rotate(fresh)
 	all := append(fresh, resting...)
 	return all[:min(len(all), maxTried)]
 }
 
+// rotate lets the helpers of the first one's zone come first in turn.
+func (t *Table) rotate(helpers []netip.AddrPort) {
+	near := 0
+	for near < len(helpers) && t.zoneOf(helpers[near]) == t.zoneOf(helpers[0]) {
+		near++
+	}
+	if near > 1 {
+		t.turn++
+		first := t.turn % near
+		helpers[0], helpers[first] = helpers[first], helpers[0]
+	}
+}
+
+func (t *Table) zoneOf(helper netip.AddrPort) string {
+	for _, h := range t.helpers {
+		if h.Address == helper {
+			return h.Zone
+		}
+	}
+	return ""
+}
+
 // Reached records that the upstream was reached directly. It reports whether the entry
 // was isolated until now.
 func (t *Table) Reached(now clock.Instant, upstream netip.AddrPort) (wasIsolated bool) {
--- a/ingress/path.go
+++ b/ingress/path.go
@@ -99,8 +99,8 @@
 }
 
 // Dial connects to an upstream. An upstream that refuses the connection is tried through
-// other entries at once; one that doesn't answer is looked for through them in the
-// background, as the request has other upstreams.
+// other entries at once, and so is one that doesn't answer while other paths are broken. Else
+// that one is looked for in the background, as the request has other upstreams.
 func (p *pathDialer) Dial(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
 	p.mu.Lock()
 	direct := p.table.Direct(p.clock(), upstream)
@@ -113,18 +113,31 @@
 	case err == nil:
 		p.reached(upstream)
 		return conn, nil
-	case errors.Is(err, unix.ECONNREFUSED):
+	case errors.Is(err, unix.ECONNREFUSED) || p.Broken() > 0:
 		if conn, throughErr := p.dialThrough(ctx, upstream); throughErr == nil {
 			return conn, nil
 		}
 	case ctx.Err() == nil:
-		p.check(context.WithoutCancel(ctx), upstream)
+		p.inBackground(upstream, func() (net.Conn, error) { return p.dialThrough(context.WithoutCancel(ctx), upstream) })
 	}
 	return nil, err
 }
 
 // check finds out in the background whether the path to an upstream is broken.
 func (p *pathDialer) check(ctx context.Context, upstream netip.AddrPort) {
+	p.inBackground(upstream, func() (net.Conn, error) {
+		conn, err := p.direct(ctx, upstream)
+		if err == nil {
+			p.reached(upstream)
+			return conn, nil
+		}
+		return p.dialThrough(ctx, upstream)
+	})
+}
+
+// inBackground dials an upstream only to learn how it is reached, unless that is under
+// way.
+func (p *pathDialer) inBackground(upstream netip.AddrPort, dial func() (net.Conn, error)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.checked[upstream] {
@@ -132,13 +145,7 @@
 	}
 	p.checked[upstream] = true
 	go func() {
-		conn, err := p.direct(ctx, upstream)
-		if err == nil {
-			p.reached(upstream)
-		} else {
-			conn, err = p.dialThrough(ctx, upstream)
-		}
-		if err == nil {
+		if conn, err := dial(); err == nil {
 			_ = conn.Close()
 		}
 		p.mu.Lock()
--- a/ingress/tunnel_test.go
+++ b/ingress/tunnel_test.go
@@ -189,3 +189,21 @@
 	h.end()
 	g.Expect(h.begin()).To(gomega.BeTrue())
 }
+
+// BenchmarkWholePaths compares a dial by the paths' dialer with the dial alone: an entry whose
+// paths are whole must not pay for the others.
+func BenchmarkWholePaths(b *testing.B) {
+	near, far := net.Pipe()
+	defer func() { _, _ = near.Close(), far.Close() }()
+	direct := func(context.Context, netip.AddrPort) (net.Conn, error) { return near, nil }
+	m := newMeters(metrics.NewRegistry())
+	paths := newPathDialer(b.Context(), clock.System(), direct, &m, func(bool) {})
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	for name, dial := range map[string]exchange.Dial{"direct": direct, "paths": paths.Dial} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				_, _ = dial(b.Context(), address)
+			}
+		})
+	}
+}
