control: Name the releases that upstreams replaced under their IDs

Cause: a keeper lists one announcement for each ID. When an upstream starts again under its ID with another release, the keeper forgets the release before at once, while one that ends is listed for a minute. An entry that missed both changes (it was cut off or stood still for less than ten seconds) then hears from all keepers that one release serves, and lets a stream that nobody knows go on there.

Evidence: TestRegistryRemembersReplacedReleases failed before, at the release that was tried and taken back within two seconds: found v1 only, wanted v1 and v2.

Why it works: what was replaced is named for forgetAfter, as what ended is, which is twice the time for which streams may be taken up.

--- a/control/origin.go
+++ b/control/origin.go
@@ -111,7 +111,7 @@
 	}
 	reply := &origin.Reply{Found: found.List()}
 	if unknown > 0 && len(request.Services) > 0 {
-		reply.Serving = c.registry.serving(request.Services)
+		reply.Serving = c.registry.serving(now, request.Services)
 		reply.Complete = now-c.startedAt >= origin.Retention
 	}
 	return reply, nil
--- a/control/registry.go
+++ b/control/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,9 @@
 	changes *list.List
 	// grownAt is when the last new upstream was heard of.
 	grownAt clock.Instant
+	// replaced are the releases that upstreams had which started again under their IDs
+	// with another one, with the time at which that was heard of.
+	replaced map[origin.Origin]clock.Instant
 }
 
 type registration struct {
@@ -40,7 +44,7 @@
 }
 
 func newRegistry() *registry {
-	return &registry{upstreams: map[string]*registration{}, changes: list.New()}
+	return &registry{upstreams: map[string]*registration{}, changes: list.New(), replaced: map[origin.Origin]clock.Instant{}}
 }
 
 // apply merges an announcement and reports whether entries need to know.
@@ -53,6 +57,11 @@
 		r.grownAt = now
 	}
 	changed := !ok || known.Silent || known.Ended || differs(a, known.Announcement)
+	for _, service := range known.Services {
+		if a.Release != known.Release || !slices.Contains(a.Services, service) {
+			r.replaced[origin.Origin{Service: service, Release: known.Release}] = now
+		}
+	}
 	known.Member = upstream.Member{Announcement: a}
 	known.lastAnnounced = now
 	if changed {
@@ -89,9 +98,11 @@
 }
 
 // sweep marks upstreams that are silent for silentAfter, and removes those that
-// ended forgetAfter ago. It reports whether entries need to know.
+// ended, and releases that were replaced, forgetAfter ago. It reports whether entries need
+// to know.
 func (r *registry) sweep(now clock.Instant) bool {
 	changed := false
+	maps.DeleteFunc(r.replaced, func(_ origin.Origin, at clock.Instant) bool { return now-at > forgetAfter })
 	for id, u := range r.upstreams {
 		switch {
 		case u.Ended && now-u.endedAt > forgetAfter:
@@ -128,8 +139,8 @@
 }
 
 // serving returns the releases of the upstreams of the services, with those that ended
-// less than forgetAfter ago.
-func (r *registry) serving(services []string) []origin.Origin {
+// or were replaced less than forgetAfter ago.
+func (r *registry) serving(now clock.Instant, services []string) []origin.Origin {
 	var releases []origin.Origin
 	for _, u := range r.upstreams {
 		for _, service := range u.Services {
@@ -139,6 +150,11 @@
 			}
 		}
 	}
+	for o, at := range r.replaced {
+		if now-at <= forgetAfter && slices.Contains(services, o.Service) && !slices.Contains(releases, o) {
+			releases = append(releases, o)
+		}
+	}
 	return releases
 }
 
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -88,3 +89,31 @@
 	d.requests[group] = &scaleRequest{count: 5, accepted: true, reached: true}
 	g.Expect(d.due(now, scaleOrder{group, 4, 5})).To(gomega.BeTrue(), "one of five")
 }
+
+// TestRegistryRemembersReplacedReleases guards against streams that are joined from two
+// releases: an upstream starts again under its ID with another release, and a keeper that
+// names only the new one tells an entry that missed the old one that there was no other.
+func TestRegistryRemembersReplacedReleases(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRegistry()
+	at := func(incarnation uint64, release string) upstream.Announcement {
+		a := announcement("u1", 1)
+		a.Incarnation, a.Release = incarnation, release
+		return a
+	}
+	v1, v2 := origin.Origin{Service: "s", Release: "v1"}, origin.Origin{Service: "s", Release: "v2"}
+	r.apply(time.Second, at(1, "v1"))
+	g.Expect(r.serving(time.Second, []string{"s"})).To(gomega.ConsistOf(v1))
+	r.apply(2*time.Second, at(2, "v2"))
+	replacedAt := 4 * time.Second
+	r.apply(replacedAt, at(3, "v1"))
+	r.sweep(replacedAt)
+	g.Expect(r.serving(replacedAt, []string{"s"})).To(gomega.ConsistOf(v1, v2), "streams that v2 began may still be taken up")
+	g.Expect(r.serving(replacedAt, []string{"other"})).To(gomega.BeEmpty())
+	r.apply(replacedAt+origin.Retention, at(3, "v1"))
+	r.sweep(replacedAt + origin.Retention)
+	g.Expect(r.serving(replacedAt+origin.Retention, []string{"s"})).To(gomega.ConsistOf(v1, v2))
+	r.sweep(replacedAt + forgetAfter + 1)
+	g.Expect(r.serving(replacedAt+forgetAfter+1, []string{"s"})).To(gomega.ConsistOf(v1), "nobody takes them up any more")
+	g.Expect(r.replaced).To(gomega.BeEmpty())
+}
