link, control: Ask for origins at keepers that the entry doesn't list

Cause: an entry took the answers of all keepers on its own list for complete. The list lacks a keeper that joined while the entry was cut off or stood still for less than ten seconds, and one that no majority has listed for 30 s, as it is cut off itself, though it goes on with entries and upstreams on its side. Only that keeper may know of the release that began a stream, or of the stream.

Evidence: TestKeepersThatOthersNameAreAsked failed before in four of five cases: the entry got v1 only, complete, while the keeper that wasn't asked knew the stream as v2's, listed v2, didn't answer, or had started lately.

Why it works: with an origin that it doesn't know, a keeper names the keepers in its own table, for two minutes also those that it lost without their having left. The entry asks each that it hasn't asked, until no other is named; one that doesn't answer makes the answer incomplete, and the stream is refused. A keeper of an older version names none.

Cost: a keeper that is gone for good without leaving delays, and then refuses, a stream that nobody knows for two minutes rather than 30 s. Streams that a keeper knows aren't concerned.

--- a/control/origin.go
+++ b/control/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -87,8 +88,8 @@
 
 // serveOrigins records the streams that an entry has begun, and returns what is known
 // of those that it asks for. If an origin isn't known, it returns the releases that may
-// have begun the stream.
-func (c *Control) serveOrigins(_ context.Context, body []byte) (any, error) {
+// have begun the stream, and the keepers that may know of others.
+func (c *Control) serveOrigins(ctx context.Context, body []byte) (any, error) {
 	var request origin.Request
 	if err := wire.Decode(body, &request); err != nil {
 		return nil, err
@@ -96,23 +97,54 @@
 	if len(request.Begun) > 0 {
 		c.originLog.add(body)
 	}
+	reply, unknown := c.findOrigins(&request)
+	if !unknown {
+		return reply, nil
+	}
+	var ok bool
+	if reply.Keepers, ok = c.unleftKeepers(ctx); !ok {
+		reply.Complete = false
+	}
+	return reply, nil
+}
+
+// findOrigins records and finds origins in the book. unknown says that one isn't there;
+// what the registry knows of it is in the reply.
+func (c *Control) findOrigins(request *origin.Request) (reply *origin.Reply, unknown bool) {
 	now := c.options.Clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	recordOrigins(now, c.origins, request.Begun)
 	var found origin.Groups
-	unknown := 0
 	for _, s := range request.Find {
 		if o, ok := c.origins.Find(now, s); ok {
 			found.Add(s, o)
 		} else {
-			unknown++
+			unknown = true
 		}
 	}
-	reply := &origin.Reply{Found: found.List()}
-	if unknown > 0 && len(request.Services) > 0 {
+	reply = &origin.Reply{Found: found.List()}
+	unknown = unknown && len(request.Services) > 0
+	if unknown {
 		reply.Serving = c.registry.serving(now, request.Services)
 		reply.Complete = now-c.startedAt >= origin.Retention
 	}
-	return reply, nil
+	return reply, unknown
+}
+
+// unleftKeepers returns the keepers that run, and those that were lost without having
+// left: these may go on with entries that are cut off with them. It returns false if they
+// can't be named.
+func (c *Control) unleftKeepers(ctx context.Context) (addresses []netip.AddrPort, ok bool) {
+	nodes, ok := c.options.Gossip.UnleftNodes(ctx)
+	for _, n := range nodes {
+		if n.KeeperID != "" {
+			addresses = append(addresses, n.Address)
+		}
+	}
+	if len(addresses) > origin.MaxKeepers {
+		klog.InfoS("too many keepers to name", "keepers", len(addresses))
+		return nil, false
+	}
+	return addresses, ok
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -214,9 +214,23 @@
 	return nodes
 }
 
+// UnleftNodes returns the nodes that haven't said that they stop: those that are alive,
+// and those that were lost lately. It returns false if ctx ended first.
+func (h *Host) UnleftNodes(ctx context.Context) ([]member.NodeInfo, bool) {
+	var nodes []member.NodeInfo
+	if !h.View(ctx, func(_ clock.Instant, t *member.Table) { nodes = decodeNodes(t.Unleft(member.Node)) }) {
+		return nil, false
+	}
+	return nodes, true
+}
+
 func liveNodes(now clock.Instant, t *member.Table) []member.NodeInfo {
+	return decodeNodes(t.Live(now, member.Node))
+}
+
+func decodeNodes(records []member.Record) []member.NodeInfo {
 	var nodes []member.NodeInfo
-	for _, r := range t.Live(now, member.Node) {
+	for _, r := range records {
 		var n member.NodeInfo
 		if err := wire.Decode(r.Payload, &n); err != nil {
 			klog.ErrorS(err, "node record dropped", "node", r.ID)
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -151,7 +151,7 @@
 }
 
 // findOrigins asks the keepers of the sync loops, then all others for what those don't
-// know.
+// know, and then those that the entry doesn't know but the keepers name.
 func (l *Link) findOrigins(ctx context.Context, batch []findRequest) {
 	current, others := l.originKeepers()
 	open := map[origin.Stream][]findRequest{}
@@ -160,11 +160,20 @@
 	}
 	var serving []origin.Origin
 	complete := len(current)+len(others) > 0
-	for _, keepers := range [][]netip.AddrPort{current, others} {
-		if len(open) > 0 {
-			releases, all := l.askForOrigins(ctx, keepers, open)
-			serving = append(serving, releases...)
-			complete = complete && all
+	known := slices.Concat(current, others)
+	for rounds := [][]netip.AddrPort{current, others}; len(rounds) > 0 && len(open) > 0; rounds = rounds[1:] {
+		reply := l.askForOrigins(ctx, rounds[0], open)
+		serving = append(serving, reply.Serving...)
+		complete = complete && reply.Complete
+		var named []netip.AddrPort
+		for _, address := range reply.Keepers {
+			if !slices.Contains(known, address) {
+				known, named = append(known, address), append(named, address)
+			}
+		}
+		if len(named) > 0 {
+			klog.InfoS("origins of streams asked for at keepers that only others know", "streams", len(open), "keepers", named)
+			rounds = append(rounds, named)
 		}
 	}
 	for _, requests := range open {
@@ -181,9 +190,10 @@
 }
 
 // askForOrigins asks the keepers at once, and answers and removes the requests whose
-// origin one of them knows. It returns the releases that the keepers know, and whether
-// all of them have answered with a complete directory.
-func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (serving []origin.Origin, all bool) {
+// origin one of them knows. It returns what they say together of the other streams: the
+// releases and the keepers that they know, and whether all of them have answered with a
+// complete directory.
+func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (all origin.Reply) {
 	request := &origin.Request{}
 	for s, requests := range open {
 		if len(request.Find) < origin.MaxStreams {
@@ -206,7 +216,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			serving = append(serving, reply.Serving...)
+			all.Serving, all.Keepers = append(all.Serving, reply.Serving...), append(all.Keepers, reply.Keepers...)
 			if reply.Complete {
 				complete++
 			}
@@ -221,5 +231,6 @@
 		})
 	}
 	wait.Wait()
-	return serving, complete == len(keepers)
+	all.Complete = complete == len(keepers)
+	return all
 }
--- /dev/null
+++ b/link/origin_test.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/origin"
+	"github.com/hyssopladder/hyssopladder/peer"
+)
+
+var (
+	v1 = origin.Origin{Service: "s", Release: "v1"}
+	v2 = origin.Origin{Service: "s", Release: "v2"}
+)
+
+// serveOrigins starts a keeper that answers requests for origins.
+func serveOrigins(t *testing.T, answer func(origin.Request) (origin.Reply, error)) netip.AddrPort {
+	t.Helper()
+	server, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	server.On(peer.Origins, func(_ context.Context, body []byte) (any, error) {
+		var request origin.Request
+		if err := wire.Decode(body, &request); err != nil {
+			return nil, err
+		}
+		reply, err := answer(request)
+		return &reply, err
+	})
+	return server.Address
+}
+
+// linkOf returns a link that knows the keepers, without its loops.
+func linkOf(keepers ...netip.AddrPort) *Link {
+	l := &Link{options: Options{Clock: func() clock.Instant { return 0 }, PeerClient: peer.NewClient()}, roster: newRoster("a", nil)}
+	for _, address := range keepers {
+		l.roster.add(control.Peer{Address: address, Zone: "a"})
+	}
+	return l
+}
+
+// find asks for the origins of streams of the service s.
+func (l *Link) find(ctx context.Context, streams ...origin.Stream) []Found {
+	var batch []findRequest
+	for _, s := range streams {
+		batch = append(batch, findRequest{s, v1.Service, make(chan Found, 1)})
+	}
+	l.findOrigins(ctx, batch)
+	var found []Found
+	for _, r := range batch {
+		found = append(found, <-r.done)
+	}
+	return found
+}
+
+// TestKeepersThatOthersNameAreAsked guards against streams that are joined from two
+// releases: the keeper that heard of the second release isn't on the entry's list, as it
+// joined while the entry was cut off or stood still, or was cut off itself for so long that
+// the entry forgot it.
+func TestKeepersThatOthersNameAreAsked(t *testing.T) {
+	const stream = origin.Stream(7)
+	answer := func(r origin.Reply) func(origin.Request) (origin.Reply, error) {
+		return func(origin.Request) (origin.Reply, error) { return r, nil }
+	}
+	lost := func(origin.Request) (origin.Reply, error) { return origin.Reply{}, errors.New("cut off") }
+	for name, c := range map[string]struct {
+		unlisted func(origin.Request) (origin.Reply, error)
+		want     Found
+	}{
+		"it knows the stream":          {answer(origin.Reply{Found: []origin.Group{{Origin: v2, Streams: []origin.Stream{stream}}}}), Found{Origin: v2, Known: true}},
+		"it knows of another release":  {answer(origin.Reply{Serving: []origin.Origin{v1, v2}, Complete: true}), Found{Serving: []origin.Origin{v1, v2}, Complete: true}},
+		"it doesn't answer":            {lost, Found{Serving: []origin.Origin{v1}}},
+		"it has started lately":        {answer(origin.Reply{Serving: []origin.Origin{v1}}), Found{Serving: []origin.Origin{v1}}},
+		"it knows of one release only": {answer(origin.Reply{Serving: []origin.Origin{v1}, Complete: true}), Found{Serving: []origin.Origin{v1}, Complete: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			unlisted := serveOrigins(t, c.unlisted)
+			// The entry lists the first two; the second names a third, which names the last.
+			third := serveOrigins(t, answer(origin.Reply{Serving: []origin.Origin{v1}, Complete: true, Keepers: []netip.AddrPort{unlisted}}))
+			second := serveOrigins(t, answer(origin.Reply{Serving: []origin.Origin{v1}, Complete: true, Keepers: []netip.AddrPort{third}}))
+			first := serveOrigins(t, answer(origin.Reply{Serving: []origin.Origin{v1}, Complete: true, Keepers: []netip.AddrPort{second}}))
+			found := linkOf(first, second).find(t.Context(), stream)[0]
+			found.Serving = slices.Compact(slices.SortedFunc(slices.Values(found.Serving), func(a, b origin.Origin) int { return strings.Compare(a.Release, b.Release) }))
+			g.Expect(found).To(gomega.Equal(c.want))
+		})
+	}
+}
--- a/member/table.go
+++ b/member/table.go
@@ -129,6 +129,19 @@
 	return live
 }
 
+// Unleft returns the records of a kind that aren't leaving: those that are alive, and for
+// tombstoneTime those whose lease ran out, whose owners may have been cut off.
+func (t *Table) Unleft(kind Kind) []Record {
+	var unleft []Record
+	for key, row := range t.rows {
+		if key.Kind == kind && !row.record.Leaving {
+			unleft = append(unleft, row.record)
+		}
+	}
+	sort.Slice(unleft, func(i, j int) bool { return unleft[i].ID < unleft[j].ID })
+	return unleft
+}
+
 // Get returns the record of a key, even if it is leaving or has ended.
 func (t *Table) Get(key Key) (Record, bool) {
 	row, ok := t.rows[key]
--- a/origin/message.go
+++ b/origin/message.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"net/netip"
+
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/common/wire"
@@ -12,6 +14,8 @@
 	MaxStreams = 4096
 	// maxNameBytes bounds the names of services and releases.
 	maxNameBytes = 200
+	// MaxKeepers bounds the keepers that a reply names, with those that were lost.
+	MaxKeepers = 256
 )
 
 // Group is the streams of one origin.
@@ -36,6 +40,9 @@
 	Serving []Origin `json:"s,omitempty"`
 	// Complete says that the keeper's directory goes back for Retention.
 	Complete bool `json:"c,omitempty"`
+	// Keepers are those that the keeper knows to run, or has lost touch with: they may have
+	// seen the streams begin, and the entry needn't know them.
+	Keepers []netip.AddrPort `json:"k,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -54,6 +61,9 @@
 	if len(r.Serving) > MaxStreams {
 		return errors.Errorf("%d releases of services, want at most %d", len(r.Serving), MaxStreams)
 	}
+	if len(r.Keepers) > MaxKeepers {
+		return errors.Errorf("%d keepers, want at most %d", len(r.Keepers), MaxKeepers)
+	}
 	for _, o := range r.Serving {
 		if err := o.check(); err != nil {
 			return err
