link: Ask for the origin of each stream that waits, not of 4096

Cause: a message asks for 4096 streams at most. Streams beyond that were left out, and the keepers' answer, that all of them have answered, was read for these as well: they were taken for unknown and might go on at the only release that serves.

Evidence: TestStreamsBeyondOneMessageAreAskedFor failed before with 4097 of 8193 streams unknown, all of which the keeper knows. Not seen in a deployment.

Why it works: each part of a batch that fits into a message is asked for by itself.

--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -63,7 +63,7 @@
 		go pace.Batches(ctx, l.begun[i], originInterval, func(batch []begunStream) { l.sendOrigins(ctx, i, batch) })
 	}
 	l.finds = make(chan findRequest, maxPendingOrigins)
-	go pace.Batches(ctx, l.finds, findInterval, func(batch []findRequest) { go l.findOrigins(ctx, batch) })
+	go pace.Batches(ctx, l.finds, findInterval, func(batch []findRequest) { l.findOrigins(ctx, batch) })
 }
 
 // StreamBegan tells keepers the origin of a stream. It doesn't wait.
@@ -150,9 +150,17 @@
 	return reply, true
 }
 
-// findOrigins asks the keepers of the sync loops, then all others for what those don't
-// know, and then those that the entry doesn't know but the keepers name.
+// findOrigins starts to find the origins that are asked for, in as many messages as it
+// takes.
 func (l *Link) findOrigins(ctx context.Context, batch []findRequest) {
+	for part := range slices.Chunk(batch, origin.MaxStreams) {
+		go l.findPart(ctx, part)
+	}
+}
+
+// findPart asks the keepers of the sync loops, then all others for what those don't
+// know, and then those that the entry doesn't know but the keepers name.
+func (l *Link) findPart(ctx context.Context, batch []findRequest) {
 	current, others := l.originKeepers()
 	open := map[origin.Stream][]findRequest{}
 	for _, r := range batch {
@@ -196,9 +204,7 @@
 func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (all origin.Reply) {
 	request := &origin.Request{}
 	for s, requests := range open {
-		if len(request.Find) < origin.MaxStreams {
-			request.Find = append(request.Find, s)
-		}
+		request.Find = append(request.Find, s)
 		for _, r := range requests {
 			if !slices.Contains(request.Services, r.service) {
 				request.Services = append(request.Services, r.service)
--- a/link/origin_test.go
+++ b/link/origin_test.go
@@ -94,3 +94,24 @@
 		})
 	}
 }
+
+// TestStreamsBeyondOneMessageAreAskedFor guards against streams that are joined from two
+// releases: more of them than fit into one message are taken up at once, as after the entry
+// stood still, and the keepers' answer was read for those that weren't asked for, too.
+func TestStreamsBeyondOneMessageAreAskedFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	keeper := serveOrigins(t, func(r origin.Request) (origin.Reply, error) {
+		return origin.Reply{Found: []origin.Group{{Origin: v2, Streams: r.Find}}, Serving: []origin.Origin{v1}, Complete: true}, nil
+	})
+	var streams []origin.Stream
+	for s := range origin.Stream(2*origin.MaxStreams + 1) {
+		streams = append(streams, s)
+	}
+	unknown := 0
+	for _, f := range linkOf(keeper).find(t.Context(), streams...) {
+		if !f.Known || f.Origin != v2 {
+			unknown++
+		}
+	}
+	g.Expect(unknown).To(gomega.BeZero())
+}
