link: Date the directory by the question, not by when the answer is read

Cause: an answer that waits while the entry stands still says what the directory was at the question. The entry took the time at which it read the answer, so that a directory counted as followed without a gap though it was up to twice maxDirectoryGap old.

Evidence: TestDirectoryIsAsOldAsItsQuestion failed before: followed for 41 s with a directory 11 s old. No stream was seen to be joined by this alone, as keepers name releases that ended for a minute, and are asked after the caller's request came.

Why it works: what a keeper answers is at least as new as the question, as is taken for the configuration's age.

--- a/link/link.go
+++ b/link/link.go
@@ -98,7 +98,8 @@
 	ownWall     clock.Wall
 	keeperWalls map[netip.AddrPort]*clock.Wall
 	// directorySince is when the directory began to be followed without a gap, and
-	// directoryAt when a keeper last brought it up to date; 0 before the first time.
+	// directoryAt when a keeper was last asked that brought it up to date; 0 before the
+	// first time.
 	directorySince, directoryAt clock.Instant
 
 	// begun are the streams to tell the keepers, by loop, and finds the origins to ask
@@ -269,7 +270,7 @@
 	l.synced.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.followDirectory(l.options.Clock())
+	l.followDirectory(askedAt)
 	wall, ok := l.keeperWalls[cursor.address]
 	if !ok {
 		wall = &clock.Wall{}
@@ -313,13 +314,14 @@
 // followed all the time. Keepers list upstreams that have ended for longer.
 const maxDirectoryGap = 10 * time.Second
 
-// followDirectory records that a keeper has just brought the directory up to date. The
+// followDirectory records that a keeper which was asked at askedAt has brought the
+// directory up to date: the entry may have stood still before it read the answer. The
 // caller holds l.mu.
-func (l *Link) followDirectory(now clock.Instant) {
-	if l.directoryAt == 0 || now-l.directoryAt > maxDirectoryGap {
-		l.directorySince = now
+func (l *Link) followDirectory(askedAt clock.Instant) {
+	if l.directoryAt == 0 || askedAt-l.directoryAt > maxDirectoryGap {
+		l.directorySince = askedAt
 	}
-	l.directoryAt = now
+	l.directoryAt = max(l.directoryAt, askedAt)
 }
 
 // DirectoryFollowed is for how long the directory has been followed without a gap; 0 if
--- a/link/origin_test.go
+++ b/link/origin_test.go
@@ -5,7 +5,9 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -15,6 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 var (
@@ -115,3 +118,48 @@
 	}
 	g.Expect(unknown).To(gomega.BeZero())
 }
+
+// TestDirectoryIsAsOldAsItsQuestion guards against a directory that counts as followed
+// though it is older than maxDirectoryGap: the entry stood still while a keeper's answer
+// waited for it, and was then cut off.
+func TestDirectoryIsAsOldAsItsQuestion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var nanos atomic.Int64
+	nanos.Store(int64(time.Hour))
+	read := func() clock.Instant { return clock.Instant(nanos.Load()) }
+	var standsStillFor time.Duration
+	server, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	server.On(peer.Sync, func(context.Context, []byte) (any, error) {
+		nanos.Add(int64(standsStillFor))
+		return &control.SyncReply{Source: 1, Generation: 1}, nil
+	})
+	l := &Link{
+		options: Options{Name: "e", Clock: read, PeerClient: peer.NewClient(), OnMembers: func([]upstream.Member) {}},
+		roster:  newRoster("a", nil), keeperWalls: map[netip.AddrPort]*clock.Wall{},
+	}
+	follow := func() {
+		g.Expect(l.syncOnce(t.Context(), &directoryCursor{address: server.Address})).To(gomega.Succeed())
+	}
+	for began := read(); read()-began < origin.Retention; nanos.Add(int64(time.Second)) {
+		follow()
+	}
+	g.Expect(l.DirectoryFollowed()).To(gomega.Equal(origin.Retention))
+
+	standsStillFor = maxDirectoryGap - time.Second
+	follow()
+	g.Expect(l.DirectoryFollowed()).To(gomega.BeNumerically(">", origin.Retention))
+	nanos.Add(int64(2 * time.Second))
+	g.Expect(l.DirectoryFollowed()).To(gomega.BeZero(), "the directory is %v old", maxDirectoryGap+time.Second)
+
+	standsStillFor = 0
+	follow()
+	g.Expect(l.DirectoryFollowed()).To(gomega.BeZero(), "it began to be followed just now")
+	standsStillFor = time.Hour
+	follow()
+	g.Expect(l.DirectoryFollowed()).To(gomega.BeZero())
+	standsStillFor = 0
+	follow()
+	nanos.Add(int64(time.Second))
+	g.Expect(l.DirectoryFollowed()).To(gomega.Equal(time.Second), "since the first question after the stand-still")
+}
