link, ingress: Wait for the directory after a stand-still

Cause: an entry that stood still for seconds knows an upstream by the release that it had before. If that started again meanwhile under its ID with another one, requests that are served before the first answer of a keeper go there: a stream of the old release is joined from two, and a new one is recorded with the wrong origin, for all entries.

Why it works: no call for the directory takes two seconds, and no two ends of calls lie so far apart, failed or not; if they do, the entry stood still, and its requests wait until a call ends that was made since, for half a second at most. After a call that a stand-still interrupted, the whole directory is asked for, which keepers answer at once. An entry that runs and is cut off waits for nothing (TestOnlyAStandStillMakesRequestsWait).

What remains: a stand-still below two seconds, and an entry that reaches no keeper, go by the directory that they have.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -111,6 +111,7 @@
 					return
 				}
 				d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
+				in.link.AwaitDirectory(ctx)
 				if ctx.Err() == nil {
 					in.meters.attemptFailed(lastOutcome.failure)
 					in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/exchange"
@@ -20,6 +23,7 @@
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -110,7 +114,7 @@
 	}
 	in.link = link.New(t.Context(), link.Options{
 		Name: "e", Zone: "a", Clock: read, PeerClient: peer.NewClient(), Seeds: seeds,
-		OnMembers: func([]upstream.Member) {}, BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} },
+		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} },
 	})
 	in.mergeMembers([]upstream.Member{{Announcement: upstream.Announcement{
 		ID: "u", Incarnation: 1, Sequence: 1, Address: netip.MustParseAddrPort("127.0.0.1:9"), Zone: "a", Slots: 1, Services: []string{"s"}, Release: "v1", Lease: time.Hour,
@@ -138,14 +142,20 @@
 type standInKeeper struct {
 	address netip.AddrPort
 	syncs   chan control.SyncReply
+	// asked gets a value for each sync, as long as there is room.
+	asked chan struct{}
 }
 
 func newStandInKeeper(t *testing.T, findOrigins func() (origin.Reply, error)) *standInKeeper {
 	t.Helper()
 	server, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	k := &standInKeeper{address: server.Address, syncs: make(chan control.SyncReply)}
+	k := &standInKeeper{address: server.Address, syncs: make(chan control.SyncReply), asked: make(chan struct{}, 4)}
 	server.On(peer.Sync, func(ctx context.Context, _ []byte) (any, error) {
+		select {
+		case k.asked <- struct{}{}:
+		default:
+		}
 		select {
 		case reply := <-k.syncs:
 			return &reply, nil
@@ -215,3 +225,78 @@
 		})
 	}
 }
+
+// TestNoStreamGoesOnByADirectoryFromBeforeAStandStill guards against streams that are joined
+// from two releases: while the entry stood still, an upstream started again under its ID
+// with another release, and the entry sends a stream there in the moment before it hears
+// of that.
+func TestNoStreamGoesOnByADirectoryFromBeforeAStandStill(t *testing.T) {
+	const document = `{"version":1,"routes":[{"name":"ask","host":"mill.example","pathPrefix":"/","kind":"streaming","timeoutMs":5000,"sloMs":500,` +
+		`"service":"s","attempts":2,"public":true,"resumable":true}],"services":[{"name":"s"}]}`
+	packed, err := pack.Deflate([]byte(document))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for name, c := range map[string]struct {
+		standStill time.Duration
+		// own says that the entry began the stream, resumes that the caller takes it up.
+		own, resumes bool
+		want         string
+	}{
+		"a stream that the entry began":    {5 * time.Second, true, true, "v1 on "},
+		"a stream that another one began":  {5 * time.Second, false, true, "v1 on "},
+		"a new stream":                     {5 * time.Second, false, false, "v2 on u"},
+		"a new stream after a longer time": {time.Hour, false, false, "v2 on u"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var nanos atomic.Int64
+			nanos.Store(int64(time.Hour))
+			read := func() clock.Instant { return clock.Instant(nanos.Load()) }
+			v1, stream := origin.Origin{Service: "s", Release: "v1"}, origin.StreamOf("", "r1")
+			keeper := newStandInKeeper(t, func() (origin.Reply, error) {
+				return origin.Reply{Found: []origin.Group{{Origin: v1, Streams: []origin.Stream{stream}}}}, nil
+			})
+			in := newFollowingIngress(t, read, keeper)
+			first := syncReplyOf(keeper)
+			first.Config = &config.Put{Number: 1, Packed: packed}
+			keeper.syncs <- first
+			keeper.syncs <- syncReplyOf(keeper)
+			// The entry's two loops have asked twice, so that the keeper holds a question of
+			// each while the entry stands still.
+			for range 4 {
+				<-keeper.asked
+			}
+			if c.own {
+				in.origins.Record(read(), stream, v1)
+			}
+			nanos.Add(int64(c.standStill))
+			go func() {
+				keeper.syncs <- syncReplyOf(keeper)
+				after := syncReplyOf(keeper)
+				after.Members = []upstream.Member{{Announcement: upstream.Announcement{
+					ID: "u", Incarnation: 2, Sequence: 1, Address: netip.MustParseAddrPort("127.0.0.1:9"), Zone: "a", Slots: 1, Kind: service.Plain, Services: []string{"s"}, Release: "v2", Lease: time.Minute,
+				}}}
+				for range 2 {
+					select {
+					case keeper.syncs <- after:
+					case <-t.Context().Done():
+					}
+				}
+			}()
+			httpRequest := httptest.NewRequest(http.MethodPost, "/ask", nil)
+			httpRequest.Host = "mill.example"
+			httpRequest.Header.Set("X-Request-Id", "r2")
+			if c.resumes {
+				httpRequest.Header.Set("Last-Event-Id", "1")
+				httpRequest.Header.Set("Resumes", "r1")
+			}
+			r, err := in.accept(httptest.NewRecorder(), httpRequest)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, actions := in.dispatcher.submit(r.ticket())
+			release, id := r.binding.Release, ""
+			if grant, ok := (<-actions).(fleet.Grant); ok {
+				release, id = grant.Upstream.Release, grant.Upstream.ID
+			}
+			g.Expect(release + " on " + id).To(gomega.Equal(c.want))
+		})
+	}
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -119,6 +119,7 @@
 	if !strings.HasPrefix(r.target, "/") {
 		return r, result.New(result.BadRequest, result.RanNo, "the request target does not begin with a slash")
 	}
+	in.link.AwaitDirectory(httpRequest.Context())
 	table := in.link.Table()
 	if table == nil {
 		return r, result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(notReadyRetryAfter)
--- a/link/link.go
+++ b/link/link.go
@@ -101,6 +101,10 @@
 	// directoryAt when a keeper was last asked that brought it up to date; 0 before the
 	// first time.
 	directorySince, directoryAt clock.Instant
+	// triedAt is when a call for the directory last ended during which the entry didn't
+	// stand still; 0 before the first. tried is closed and replaced then.
+	triedAt clock.Instant
+	tried   chan struct{}
 
 	// begun are the streams to tell the keepers, by loop, and finds the origins to ask
 	// for.
@@ -110,7 +114,7 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}}
+	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{})}
 	for i := range syncLoopCount {
 		go l.syncLoop(ctx, i)
 	}
@@ -254,8 +258,72 @@
 	}
 }
 
+// syncOnce makes one call. If the entry stood still meanwhile, the next one gets the whole
+// directory, as a keeper answers that at once.
 func (l *Link) syncOnce(ctx context.Context, cursor *directoryCursor) error {
 	askedAt := l.options.Clock()
+	err := l.follow(ctx, askedAt, cursor)
+	if !l.endTry(askedAt) {
+		klog.InfoS("the entry stood still during a call to a keeper", "keeper", cursor.address, "for", l.options.Clock()-askedAt)
+		cursor.source, cursor.generation = 0, 0
+	}
+	return err
+}
+
+// standStill is a time that no call for the directory takes, and that doesn't pass between
+// the ends of two, whether they fail or not, unless the entry itself stood still.
+const standStill = 2 * syncTimeout
+
+// endTry records the end of a call for the directory. It returns false if the entry stood
+// still meanwhile, so that the outcome says nothing of the present.
+func (l *Link) endTry(askedAt clock.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Clock()
+	if now-askedAt > standStill {
+		return false
+	}
+	l.triedAt = now
+	close(l.tried)
+	l.tried = make(chan struct{})
+	return true
+}
+
+// stoodStill reports whether the entry has stood still since a call for the directory last
+// ended, and returns what is closed when the next one ends.
+func (l *Link) stoodStill(now clock.Instant) (tried <-chan struct{}, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tried, l.triedAt > 0 && now-l.triedAt > standStill
+}
+
+// wakeTimeout bounds the wait for the first answer after a stand-still: a failed call is
+// repeated after firstRetryDelay, and keepers answer at once with the whole directory.
+const wakeTimeout = 500 * time.Millisecond
+
+// AwaitDirectory returns at once, unless the entry has stood still: then it waits until a
+// keeper that was asked since has answered or failed to. Meanwhile upstreams may have
+// started again with another release, or ended.
+func (l *Link) AwaitDirectory(ctx context.Context) {
+	now := l.options.Clock()
+	tried, ok := l.stoodStill(now)
+	if !ok {
+		return
+	}
+	bound := time.NewTimer(wakeTimeout)
+	defer bound.Stop()
+	answered := false
+	select {
+	case <-tried:
+		answered = true
+	case <-bound.C:
+	case <-ctx.Done():
+	}
+	klog.InfoS("waited for the directory after a stand-still", "waited", l.options.Clock()-now, "answered", answered)
+}
+
+// follow makes one call and applies what the keeper answers.
+func (l *Link) follow(ctx context.Context, askedAt clock.Instant, cursor *directoryCursor) error {
 	reply, err := l.callSync(ctx, cursor.address, control.SyncRequest{Source: cursor.source, Generation: cursor.generation})
 	if err != nil {
 		return err
--- a/link/origin_test.go
+++ b/link/origin_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pace"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/origin"
@@ -136,7 +137,7 @@
 	})
 	l := &Link{
 		options: Options{Name: "e", Clock: read, PeerClient: peer.NewClient(), OnMembers: func([]upstream.Member) {}},
-		roster:  newRoster("a", nil), keeperWalls: map[netip.AddrPort]*clock.Wall{},
+		roster:  newRoster("a", nil), keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{}),
 	}
 	follow := func() {
 		g.Expect(l.syncOnce(t.Context(), &directoryCursor{address: server.Address})).To(gomega.Succeed())
@@ -163,3 +164,37 @@
 	nanos.Add(int64(time.Second))
 	g.Expect(l.DirectoryFollowed()).To(gomega.Equal(time.Second), "since the first question after the stand-still")
 }
+
+// TestOnlyAStandStillMakesRequestsWait guards against requests that wait for the directory
+// at an entry that runs, in touch or cut off from all keepers, and against the outcome of a
+// call from before a stand-still that ends the wait for one after it.
+func TestOnlyAStandStillMakesRequestsWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := clock.Instant(time.Hour)
+	l := &Link{options: Options{Clock: func() clock.Instant { return now }}, tried: make(chan struct{})}
+	waits := func() bool {
+		_, ok := l.stoodStill(now)
+		return ok
+	}
+	g.Expect(waits()).To(gomega.BeFalse(), "nothing was ever heard")
+	// The slowest calls fail after syncTimeout, and the longest delay follows.
+	for range 20 {
+		askedAt := now
+		now += syncTimeout
+		g.Expect(l.endTry(askedAt)).To(gomega.BeTrue())
+		now += pace.Jitter(maxRetryDelay, 1)
+		g.Expect(waits()).To(gomega.BeFalse())
+	}
+	askedAt := now
+	now += syncTimeout / 2
+	g.Expect(waits()).To(gomega.BeFalse())
+	now += 2 * standStill
+	g.Expect(waits()).To(gomega.BeTrue())
+	tried, _ := l.stoodStill(now)
+	g.Expect(l.endTry(askedAt)).To(gomega.BeFalse(), "the keeper was asked before")
+	g.Expect(waits()).To(gomega.BeTrue())
+	g.Expect(tried).NotTo(gomega.BeClosed())
+	g.Expect(l.endTry(now)).To(gomega.BeTrue())
+	g.Expect(waits()).To(gomega.BeFalse())
+	g.Expect(tried).To(gomega.BeClosed())
+}
