ingress, link, config: Guess a stream's service only where its route led nowhere else

Cause: where no keeper knows a stream, it may go on at the only release of the service to which its route leads. Whether another service may have begun it was read from the entry's present configuration alone. One that came into force a moment ago, or that others have and the entry lacks as it was cut off or stood still, leads elsewhere.

Not seen in a run of the system.

Why it works: an entry keeps the tables that were replaced within the time for which origins are kept, and keepers name the number of their newest configuration. If any of these may lead elsewhere, the stream is refused.

--- a/control/control.go
+++ b/control/control.go
@@ -69,6 +69,9 @@
 type Control struct {
 	options Options
 
+	// newestConfig returns the number of the newest configuration that the keeper has.
+	newestConfig func() uint64
+
 	mu       sync.Mutex
 	registry *registry
 	// startedAt is when this keeper started.
@@ -96,6 +99,10 @@
 // ctx.
 func New(ctx context.Context, o Options) *Control {
 	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{})}
+	c.newestConfig = func() uint64 {
+		v, _ := o.Keeper.View()
+		return v.Config.Number
+	}
 	c.originLog = newOriginLog(ctx, o.Folder, o.Clock, c.origins)
 	o.Gossip.Subscribe(c.applyGossip)
 	o.Server.On(peer.Sync, c.serveSync)
--- a/control/origin.go
+++ b/control/origin.go
@@ -101,6 +101,7 @@
 	if !unknown {
 		return reply, nil
 	}
+	reply.Config = c.newestConfig()
 	var ok bool
 	if reply.Keepers, ok = c.unleftKeepers(ctx); !ok {
 		reply.Complete = false
--- a/control/origin_test.go
+++ b/control/origin_test.go
@@ -48,7 +48,7 @@
 	lost := node("k2", "2", false)
 	node("k3", "3", true)
 	node("e1", "", false)
-	c := &Control{options: Options{Gossip: host, Clock: read}, registry: newRegistry(), origins: origin.New(), startedAt: read()}
+	c := &Control{options: Options{Gossip: host, Clock: read}, registry: newRegistry(), origins: origin.New(), startedAt: read(), newestConfig: func() uint64 { return 7 }}
 	ask := func() *origin.Reply {
 		reply, err := c.serveOrigins(t.Context(), wire.MustEncode(&origin.Request{Find: []origin.Stream{1}, Services: []string{"s"}}))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -60,6 +60,7 @@
 	g.Expect(live).To(gomega.BeEmpty(), "no lease was renewed")
 	g.Expect(ask().Keepers).To(gomega.ConsistOf(server.Address, lost), "one that was lost may go on")
 	g.Expect(ask().Complete).To(gomega.BeTrue())
+	g.Expect(ask().Config).To(gomega.Equal(uint64(7)))
 
 	c.origins.Record(read(), 1, origin.Origin{Service: "s", Release: "v1"})
 	g.Expect(ask().Keepers).To(gomega.BeEmpty(), "an origin that is known needs no other keeper")
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -70,9 +71,11 @@
 	if found.Known {
 		return found.Origin, originKeeper
 	}
+	path, _, _ := strings.Cut(r.target, "?")
+	oneService := r.route.LeadsOnlyTo(r.service) && found.Config <= r.revision && in.link.LedOnlyTo(r.host, path, r.service)
 	klog.InfoS("origin of a stream not found", "request", r.ID, "stream", r.ResumedID, "allKeepersAnswered", found.Complete,
-		"serving", found.Serving, "directoryFollowed", in.link.DirectoryFollowed())
-	if len(r.route.Backends) != 1 || !found.Complete || in.link.DirectoryFollowed() < origin.Retention {
+		"serving", found.Serving, "directoryFollowed", in.link.DirectoryFollowed(), "revision", r.revision, "newestRevision", found.Config, "oneService", oneService)
+	if !oneService || !found.Complete || in.link.DirectoryFollowed() < origin.Retention {
 		return origin.Origin{}, originUnknown
 	}
 	only, source := origin.Origin{Service: r.service}, originUnknown
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -300,3 +301,73 @@
 		})
 	}
 }
+
+// TestStreamIsNotJoinedAcrossServices guards against streams that go on at another service
+// than the one that began them: the route led there until lately, at this entry or at
+// others that have a newer configuration, and no keeper knows the stream.
+func TestStreamIsNotJoinedAcrossServices(t *testing.T) {
+	document := func(number int, service string) *config.Put {
+		packed, err := pack.Deflate(fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"ask","host":"mill.example","pathPrefix":"/","kind":"streaming","timeoutMs":5000,"sloMs":500,`+
+			`"service":%q,"attempts":2,"public":true,"resumable":true}],"services":[{"name":"s"},{"name":"other"}]}`, number, service))
+		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+		return &config.Put{Number: uint64(number), Packed: packed}
+	}
+	for name, c := range map[string]struct {
+		// configs are the entry's configurations, one after the other, and since is how long
+		// it has had the last. newest is the one that the keeper has.
+		configs []*config.Put
+		since   time.Duration
+		newest  uint64
+		want    result.Code
+	}{
+		"the route led to another service a moment ago": {[]*config.Put{document(1, "other"), document(2, "s")}, 2 * time.Second, 2, result.OriginUnknown},
+		"it led there before that, too":                 {[]*config.Put{document(1, "s"), document(2, "other"), document(3, "s")}, 2 * time.Second, 3, result.OriginUnknown},
+		"a keeper has a newer configuration":            {[]*config.Put{document(1, "s")}, 2 * time.Second, 2, result.OriginUnknown},
+		"it led there long ago":                         {[]*config.Put{document(1, "other"), document(2, "s")}, origin.Retention + 2*time.Second, 2, 0},
+		"it always led to this service":                 {[]*config.Put{document(1, "s"), document(2, "s")}, 2 * time.Second, 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var nanos atomic.Int64
+			nanos.Store(int64(time.Hour))
+			read := func() clock.Instant { return clock.Instant(nanos.Load()) }
+			keeper := newStandInKeeper(t, func() (origin.Reply, error) {
+				return origin.Reply{Serving: []origin.Origin{{Service: "s", Release: "v1"}}, Complete: true, Config: c.newest}, nil
+			})
+			in := newFollowingIngress(t, read, keeper)
+			follow := func(d time.Duration) {
+				for range d / time.Second {
+					nanos.Add(int64(time.Second))
+					keeper.syncs <- syncReplyOf(keeper)
+					keeper.syncs <- syncReplyOf(keeper)
+				}
+			}
+			follow(2 * origin.Retention)
+			for _, put := range c.configs {
+				reply := syncReplyOf(keeper)
+				reply.Config = put
+				keeper.syncs <- reply
+				g.Eventually(func() uint64 {
+					if table := in.link.Table(); table != nil {
+						return table.Revision.Number
+					}
+					return 0
+				}).Should(gomega.Equal(put.Number))
+			}
+			follow(c.since)
+			httpRequest := httptest.NewRequest(http.MethodPost, "/ask", nil)
+			httpRequest.Host = "mill.example"
+			httpRequest.Header.Set("X-Request-Id", "r2")
+			httpRequest.Header.Set("Last-Event-Id", "1")
+			httpRequest.Header.Set("Resumes", "r1")
+			r, err := in.accept(httptest.NewRecorder(), httpRequest)
+			if c.want != 0 {
+				g.Expect(err).To(gomega.HaveOccurred())
+				g.Expect(result.From(err).Code).To(gomega.Equal(c.want))
+				return
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(r.binding).To(gomega.Equal(upstream.BoundTo("v1")))
+		})
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -105,6 +106,8 @@
 	// stand still; 0 before the first. tried is closed and replaced then.
 	triedAt clock.Instant
 	tried   chan struct{}
+	// tables are the configurations before the one in force.
+	tables *config.History
 
 	// begun are the streams to tell the keepers, by loop, and finds the origins to ask
 	// for.
@@ -114,7 +117,7 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{})}
+	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{}), tables: config.NewHistory(origin.Retention)}
 	for i := range syncLoopCount {
 		go l.syncLoop(ctx, i)
 	}
@@ -145,6 +148,14 @@
 // Table returns the configuration in force, or nil before the first.
 func (l *Link) Table() *config.Table { return l.table.Load() }
 
+// LedOnlyTo reports whether requests to the host and path could go to no other service
+// than this one within origin.Retention, before the configuration in force.
+func (l *Link) LedOnlyTo(host, path, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tables.LedOnlyTo(l.options.Clock(), host, path, service)
+}
+
 // ConfigAge is how long ago the configuration was last known to be the newest;
 // the longest time.Duration if it never was.
 func (l *Link) ConfigAge() time.Duration {
@@ -478,7 +489,9 @@
 		return nil
 	}
 	table := config.NewTable(revision)
-	l.table.Store(table)
+	if before := l.table.Swap(table); before != nil {
+		l.tables.Replaced(l.options.Clock(), before)
+	}
 	l.options.OnConfig(table)
 	klog.InfoS("configuration in force", "revision", revision.Number, "routes", len(revision.Routes), "organisations", len(revision.Organisations))
 	return nil
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -46,6 +46,8 @@
 	// begin has answered, and its directory goes back for origin.Retention.
 	Serving  []origin.Origin
 	Complete bool
+	// Config is the number of the newest configuration that one of them has.
+	Config uint64
 }
 
 // findRequest asks for the origin of a stream, which the service may have begun. done has
@@ -167,12 +169,13 @@
 		open[r.stream] = append(open[r.stream], r)
 	}
 	var serving []origin.Origin
+	var newest uint64
 	complete := len(current)+len(others) > 0
 	known := slices.Concat(current, others)
 	for rounds := [][]netip.AddrPort{current, others}; len(rounds) > 0 && len(open) > 0; rounds = rounds[1:] {
 		reply := l.askForOrigins(ctx, rounds[0], open)
 		serving = append(serving, reply.Serving...)
-		complete = complete && reply.Complete
+		complete, newest = complete && reply.Complete, max(newest, reply.Config)
 		var named []netip.AddrPort
 		for _, address := range reply.Keepers {
 			if !slices.Contains(known, address) {
@@ -186,7 +189,7 @@
 	}
 	for _, requests := range open {
 		for _, r := range requests {
-			f := Found{Complete: complete}
+			f := Found{Complete: complete, Config: newest}
 			for _, o := range serving {
 				if o.Service == r.service {
 					f.Serving = append(f.Serving, o)
@@ -199,8 +202,8 @@
 
 // askForOrigins asks the keepers at once, and answers and removes the requests whose
 // origin one of them knows. It returns what they say together of the other streams: the
-// releases and the keepers that they know, and whether all of them have answered with a
-// complete directory.
+// releases and the keepers that they know, the newest configuration, and whether all of
+// them have answered with a complete directory.
 func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (all origin.Reply) {
 	request := &origin.Request{}
 	for s, requests := range open {
@@ -223,6 +226,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			all.Serving, all.Keepers = append(all.Serving, reply.Serving...), append(all.Keepers, reply.Keepers...)
+			all.Config = max(all.Config, reply.Config)
 			if reply.Complete {
 				complete++
 			}
--- a/origin/message.go
+++ b/origin/message.go
@@ -43,6 +43,9 @@
 	// Keepers are those that the keeper knows to run, or has lost touch with: they may have
 	// seen the streams begin, and the entry needn't know them.
 	Keepers []netip.AddrPort `json:"k,omitempty"`
+	// Config is the number of the newest configuration that the keeper has: entries that
+	// have it may send streams to other services.
+	Config uint64 `json:"n,omitempty"`
 }
 
 // Check verifies a decoded request.
