e2e: Hold that streams keep their release at an entry that stood still

Two replicas of a second release join while one entry stands still; streams begin at both releases through the other entry, which is then killed, and all are taken up at the first entry as soon as it wakes.

--- a/e2e/release_test.go
+++ b/e2e/release_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -187,4 +188,47 @@
 	ginkgo.It("go on at their release only when callers take them up, after all entries were killed", func() { takeUp(false) })
 
 	ginkgo.It("go on at their release only when callers take them up, after all entries and keepers were killed", func() { takeUp(true) })
+
+	ginkgo.It("go on at their release only at an entry that stood still while the second one joined", func() {
+		const streams = 12
+		d, all := startSpeech(2)
+		d.entries[1].signal(syscall.SIGSTOP)
+		ginkgo.DeferCleanup(func() { d.entries[1].signal(syscall.SIGCONT) })
+		all = append(all, startReplicaOf("v2", "i-n0", "speech", "a", d.keepers), startReplicaOf("v2", "i-n1", "speech", "b", d.keepers))
+		gomega.Eventually(func() map[string]bool {
+			_, body := d.ask(0, fmt.Sprint(requestNumber.Add(1)))
+			return releasesOf(body)
+		}, startLimit).Should(gomega.HaveKey("v2"))
+		for _, r := range all {
+			r.holdAfter.Store(2)
+		}
+		var broken []brokenStream
+		begunAt := map[string]int{}
+		for range streams {
+			s := d.beginStream(0, 2)
+			begunAt[s.release]++
+			broken = append(broken, s)
+		}
+		gomega.Expect(begunAt).To(gomega.HaveLen(2), "releases at which streams began")
+		// What the entry tells the keepers is on its way for a moment.
+		gomega.Consistently(func() int { return d.readyStatus(0) }, 300*time.Millisecond).Should(gomega.Equal(http.StatusOK))
+		d.entries[0].Kill()
+		d.entries[0].Wait()
+		for _, r := range all {
+			r.holdAfter.Store(0)
+		}
+		d.entries[1].signal(syscall.SIGCONT)
+		for n, s := range broken {
+			body := ""
+			gomega.Eventually(func() int {
+				var status int
+				if status, body = d.resume(1, s); status != http.StatusOK {
+					gomega.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable), body)
+				}
+				return status
+			}, startLimit).Should(gomega.Equal(http.StatusOK), "stream %d, begun at %s", n, s.release)
+			gomega.Expect(releasesOf(body)).To(gomega.Equal(map[string]bool{s.release: true}), "stream %d, begun at %s", n, s.release)
+			gomega.Expect(body).To(gomega.HavePrefix(fmt.Sprintf("id: %d\n", s.lastEvent+1)))
+		}
+	})
 })
