--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -132,6 +132,7 @@
 				if lastOutcome.done {
 					return
 				}
+				in.link.AwaitDirectory(ctx)
 				if ctx.Err() == nil {
 					in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 						return f.Failed(now, d.ticket, lastOutcome.failure)
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -62,6 +62,11 @@
 			case <-ctx.Done():
 				return
 			case <-t.C:
+				if !d.in.dispatcher.stalled(ticket, stallTimeout) {
+					continue
+				}
+				// After a stand-still of this entry, upstreams may be of other releases.
+				d.in.link.AwaitDirectory(ctx)
 				if h := d.startHedge(requestCtx, ctx, ticket); h != nil {
 					d.runHedge(h, giveUp)
 				}
--- a/link/link__origin.go
+++ b/link/link__origin.go
@@ -46,6 +46,8 @@
 	// begin has answered, and its directory goes back for origin.Retention.
 	Serving  []origin.Origin
 	Complete bool
+	// Config is the number of the newest configuration that one of them has.
+	Config uint64
 }
 
 // findRequest asks for the origin of a stream, which the service may have begun. done has
@@ -63,7 +65,7 @@
 		go pace.Batches(ctx, l.begun[i], originInterval, func(batch []begunStream) { l.sendOrigins(ctx, i, batch) })
 	}
 	l.finds = make(chan findRequest, maxPendingOrigins)
-	go pace.Batches(ctx, l.finds, findInterval, func(batch []findRequest) { go l.findOrigins(ctx, batch) })
+	go pace.Batches(ctx, l.finds, findInterval, func(batch []findRequest) { l.findOrigins(ctx, batch) })
 }
 
 // StreamBegan tells keepers the origin of a stream. It doesn't wait.
@@ -150,26 +152,44 @@
 	return reply, true
 }
 
-// findOrigins asks the keepers of the sync loops, then all others for what those don't
-// know.
+// findOrigins starts to find the origins that are asked for, in as many messages as it
+// takes.
 func (l *Link) findOrigins(ctx context.Context, batch []findRequest) {
+	for part := range slices.Chunk(batch, origin.MaxStreams) {
+		go l.findPart(ctx, part)
+	}
+}
+
+// findPart asks the keepers of the sync loops, then all others for what those don't
+// know, and then those that the entry doesn't know but the keepers name.
+func (l *Link) findPart(ctx context.Context, batch []findRequest) {
 	current, others := l.originKeepers()
 	open := map[origin.Stream][]findRequest{}
 	for _, r := range batch {
 		open[r.stream] = append(open[r.stream], r)
 	}
 	var serving []origin.Origin
+	var newest uint64
 	complete := len(current)+len(others) > 0
-	for _, keepers := range [][]netip.AddrPort{current, others} {
-		if len(open) > 0 {
-			releases, all := l.askForOrigins(ctx, keepers, open)
-			serving = append(serving, releases...)
-			complete = complete && all
+	known := slices.Concat(current, others)
+	for rounds := [][]netip.AddrPort{current, others}; len(rounds) > 0 && len(open) > 0; rounds = rounds[1:] {
+		reply := l.askForOrigins(ctx, rounds[0], open)
+		serving = append(serving, reply.Serving...)
+		complete, newest = complete && reply.Complete, max(newest, reply.Config)
+		var named []netip.AddrPort
+		for _, address := range reply.Keepers {
+			if !slices.Contains(known, address) {
+				known, named = append(known, address), append(named, address)
+			}
+		}
+		if len(named) > 0 {
+			klog.InfoS("origins of streams asked for at keepers that only others know", "streams", len(open), "keepers", named)
+			rounds = append(rounds, named)
 		}
 	}
 	for _, requests := range open {
 		for _, r := range requests {
-			f := Found{Complete: complete}
+			f := Found{Complete: complete, Config: newest}
 			for _, o := range serving {
 				if o.Service == r.service {
 					f.Serving = append(f.Serving, o)
@@ -181,14 +201,13 @@
 }
 
 // askForOrigins asks the keepers at once, and answers and removes the requests whose
-// origin one of them knows. It returns the releases that the keepers know, and whether
-// all of them have answered with a complete directory.
-func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (serving []origin.Origin, all bool) {
+// origin one of them knows. It returns what they say together of the other streams: the
+// releases and the keepers that they know, the newest configuration, and whether all of
+// them have answered with a complete directory.
+func (l *Link) askForOrigins(ctx context.Context, keepers []netip.AddrPort, open map[origin.Stream][]findRequest) (all origin.Reply) {
 	request := &origin.Request{}
 	for s, requests := range open {
-		if len(request.Find) < origin.MaxStreams {
-			request.Find = append(request.Find, s)
-		}
+		request.Find = append(request.Find, s)
 		for _, r := range requests {
 			if !slices.Contains(request.Services, r.service) {
 				request.Services = append(request.Services, r.service)
@@ -206,7 +225,8 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			serving = append(serving, reply.Serving...)
+			all.Serving, all.Keepers = append(all.Serving, reply.Serving...), append(all.Keepers, reply.Keepers...)
+			all.Config = max(all.Config, reply.Config)
 			if reply.Complete {
 				complete++
 			}
@@ -221,5 +241,6 @@
 		})
 	}
 	wait.Wait()
-	return serving, complete == len(keepers)
+	all.Complete = complete == len(keepers)
+	return all
 }
