--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -113,8 +113,15 @@
 	return text + o.extra
 }
 
+// startNode starts a node. Its addresses are never in the range of outgoing connections,
+// one of which could have taken them by the time the node starts again.
 func startNode(o nodeOptions) *process {
 	ginkgo.GinkgoHelper()
+	for _, a := range []*netip.AddrPort{&o.callers, &o.peers} {
+		if !a.IsValid() {
+			*a = freeAddress()
+		}
+	}
 	path := filepath.Join(ginkgo.GinkgoT().TempDir(), o.name+".ini")
 	gomega.Expect(os.WriteFile(path, []byte(o.settings()), 0o600)).To(gomega.Succeed())
 	p := &process{Session: startProcess("node", "--settings", path), options: o}
