link: Remember keepers that a majority no longer lists

Cause: a confirmed list of keepers removes those that aren't in it, and what was known of them. A keeper that is cut off goes on listing itself, so that it came back as one that had never missed a question, and had majorityGrace again. When the first majority is found more than two seconds after the cut, its list doesn't hold the cut-off keepers any more, and the entry forgot them with each question, every two seconds.

Evidence: a trial of the roster's emulation with the times at which the probe loop really asks (the emulation asks four times a second) had entries that were still with the cut-off keeper after 8 s. TestUnlistedKeepersStayInMinority failed before: the keeper that was asked in vain a second ago, was left out by a majority and listed itself wasn't in a minority.

What is known of a keeper now stays as long as listedAt does, which is origin.Retention.

--- a/link/roster.go
+++ b/link/roster.go
@@ -88,7 +88,8 @@
 }
 
 // list records the live keepers that a keeper has listed. One without a majority may be
-// cut off from the others, so that only a confirmed list removes keepers.
+// cut off from the others, so that only a confirmed list removes keepers. What is known of
+// them stays as long as listedAt: one that is cut off goes on listing itself.
 func (r *roster) list(now clock.Instant, peers []control.Peer, confirmed bool) {
 	if len(peers) == 0 {
 		return
@@ -108,7 +109,10 @@
 	}
 	maps.DeleteFunc(r.listedAt, func(_ netip.AddrPort, at clock.Instant) bool { return now-at > origin.Retention })
 	for _, m := range []map[netip.AddrPort]clock.Instant{r.failedAt, r.confirmedAt, r.minoritySince} {
-		maps.DeleteFunc(m, func(address netip.AddrPort, _ clock.Instant) bool { return !r.knows(address) })
+		maps.DeleteFunc(m, func(address netip.AddrPort, _ clock.Instant) bool {
+			_, listed := r.listedAt[address]
+			return !listed && !r.knows(address)
+		})
 	}
 }
 
--- a/link/roster_test.go
+++ b/link/roster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/origin"
 )
 
 func init() { _ = flag.Set("rapid.seed", "20261205") }
@@ -213,6 +214,26 @@
 	}
 }
 
+// TestUnlistedKeepersStayInMinority guards against an entry that never leaves keepers that are
+// cut off: a majority that lists them no more made it forget what they missed, they listed
+// themselves again, and had another second.
+func TestUnlistedKeepersStayInMinority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newEmulation(1, "a", "a", "b", "b", "c")
+	r, cutOff := e.roster, e.keepers[:2]
+	r.list(e.now, e.keepers, true)
+	r.answered(e.now, cutOff[0].Address, control.QuorumMissed)
+	e.now += majorityGrace
+	r.list(e.now, e.keepers[2:], true)
+	r.list(e.now, cutOff, false)
+	g.Expect(r.knows(cutOff[0].Address)).To(gomega.BeTrue())
+	g.Expect(r.inMinority(e.now, cutOff[0].Address)).To(gomega.BeTrue())
+	// What is known of a keeper goes when it hasn't been listed for long.
+	e.now += origin.Retention + time.Second
+	r.list(e.now, e.keepers[2:], true)
+	g.Expect(r.inMinority(e.now, cutOff[0].Address)).To(gomega.BeFalse())
+}
+
 // TestElectionsMoveNobody guards against entries that all get a whole directory from
 // another keeper at each election.
 func TestElectionsMoveNobody(t *testing.T) {
