link: Count misses from after an election only

Cause: a keeper counted as cut off when it had failed to reach a majority for a second and another one was known to reach it. After an election of over a second that holds for the polled keepers too, until they have answered a question from after the election's end; but a poll is held for 0.3 to 0.6 s, and whoever is asked while there is no leader answers that it missed. The first other keeper that confirmed moved both polls, a whole directory each, and later back. By the same misses the keepers that were asked in the election in vain counted as bad choices for up to many seconds after it.

A poll now leaves its keeper only if that missed a question which was asked at least leaderNoticeTime after another one's confirmed answer had come, to a question from after the keeper's first miss. So an answer from before an election doesn't prove a majority in it, and after a gap of majorityValid it has to be proved anew. Polled keepers that are undecided are asked at once, without a directory: one that is cut off misses again, and is left after the poll that is under way, one that isn't confirms. A miss that was asked for before the keeper's newer confirmation doesn't count. Keepers that weren't asked since the election are a little worse than those that confirmed, not excluded.

--- a/link/link.go
+++ b/link/link.go
@@ -299,9 +299,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.setLeader(reply.Leader, reply.Term)
-	l.roster.answered(askedAt, address, reply.Quorum)
+	now := l.options.Clock()
+	l.roster.answered(now, askedAt, address, reply.Quorum)
 	before := len(l.roster.keepers)
-	l.roster.list(l.options.Clock(), reply.Peers, reply.Quorum == control.QuorumConfirmed)
+	l.roster.list(now, reply.Peers, reply.Quorum == control.QuorumConfirmed)
 	if after := len(l.roster.keepers); after != before {
 		klog.InfoS("keepers listed", "by", address, "quorum", reply.Quorum, "leader", reply.Leader, "term", reply.Term, "listed", len(reply.Peers), "keepers", after, "before", before)
 	}
--- a/link/roster.go
+++ b/link/roster.go
@@ -20,13 +20,19 @@
 	// majorityValid is how long a keeper counts as connected to a majority after a
 	// question that it confirmed.
 	majorityValid = 2 * time.Second
+	// leaderNoticeTime is within which all keepers that reach a majority have heard of a
+	// new leader, once one of them has: two intervals between the leader's heartbeats.
+	leaderNoticeTime = 200 * time.Millisecond
 	// maxProbes is the number of keepers that are asked at once for a majority.
 	maxProbes = 3
 
 	// The costs by which a keeper is chosen. A failure counts less with each second.
+	// A keeper that is undecided, unless it is the current one, counts little more than one
+	// of another zone: after an election it has a majority like the others.
 	sharedCost    = 100
 	minorityCost  = 60
 	failureCost   = 50
+	undecidedCost = 5
 	otherZoneCost = 2
 	currentGain   = 1
 )
@@ -45,15 +51,29 @@
 	listedAt map[netip.AddrPort]clock.Instant
 	// failedAt is when a keeper last failed to answer. An answer removes it.
 	failedAt map[netip.AddrPort]clock.Instant
-	// confirmedAt is when a keeper was last asked something that a majority confirmed.
-	// minoritySince is when it was first asked in vain since then.
-	confirmedAt, minoritySince map[netip.AddrPort]clock.Instant
+	// confirmedAt is when a keeper was last asked something that a majority confirmed, and
+	// misses are the questions since then that none did.
+	confirmedAt map[netip.AddrPort]clock.Instant
+	misses      map[netip.AddrPort]misses
+	// majorityAt is when an answer of any keeper last said that a majority confirmed it.
+	majorityAt clock.Instant
+}
+
+// misses are the questions that no majority confirmed to a keeper in a row, while there may
+// have been no majority at all.
+type misses struct {
+	// firstAt and lastAt are when the first and the last of them were asked.
+	firstAt, lastAt clock.Instant
+	// elsewhereAt is when another keeper's answer came to a question from firstAt or later,
+	// and a majority had confirmed that; 0 before. Later answers follow without a gap of
+	// majorityValid, in which there may have been another election.
+	elsewhereAt clock.Instant
 }
 
 func newRoster(zone string, seeds []netip.AddrPort) *roster {
 	r := &roster{
 		zone: zone, listedAt: map[netip.AddrPort]clock.Instant{}, failedAt: map[netip.AddrPort]clock.Instant{},
-		confirmedAt: map[netip.AddrPort]clock.Instant{}, minoritySince: map[netip.AddrPort]clock.Instant{},
+		confirmedAt: map[netip.AddrPort]clock.Instant{}, misses: map[netip.AddrPort]misses{},
 	}
 	r.setSeeds(seeds)
 	return r
@@ -108,12 +128,14 @@
 		r.addSeeds()
 	}
 	maps.DeleteFunc(r.listedAt, func(_ netip.AddrPort, at clock.Instant) bool { return now-at > origin.Retention })
-	for _, m := range []map[netip.AddrPort]clock.Instant{r.failedAt, r.confirmedAt, r.minoritySince} {
-		maps.DeleteFunc(m, func(address netip.AddrPort, _ clock.Instant) bool {
-			_, listed := r.listedAt[address]
-			return !listed && !r.knows(address)
-		})
+	forgotten := func(address netip.AddrPort) bool {
+		_, listed := r.listedAt[address]
+		return !listed && !r.knows(address)
 	}
+	for _, m := range []map[netip.AddrPort]clock.Instant{r.failedAt, r.confirmedAt} {
+		maps.DeleteFunc(m, func(address netip.AddrPort, _ clock.Instant) bool { return forgotten(address) })
+	}
+	maps.DeleteFunc(r.misses, func(address netip.AddrPort, _ misses) bool { return forgotten(address) })
 }
 
 // recent returns the keepers that were listed within origin.Retention of now, and those
@@ -134,25 +156,63 @@
 // failed records a call that the keeper didn't answer.
 func (r *roster) failed(now clock.Instant, address netip.AddrPort) { r.failedAt[address] = now }
 
-// answered records an answer to a call that was made at askedAt.
-func (r *roster) answered(askedAt clock.Instant, address netip.AddrPort, q control.Quorum) {
+// answered records an answer, which came at now, to a call that was made at askedAt.
+func (r *roster) answered(now, askedAt clock.Instant, address netip.AddrPort, q control.Quorum) {
 	delete(r.failedAt, address)
 	switch q {
 	case control.QuorumConfirmed:
 		r.confirmedAt[address] = max(r.confirmedAt[address], askedAt)
-		delete(r.minoritySince, address)
+		delete(r.misses, address)
+		for other, m := range r.misses {
+			if now-r.majorityAt > majorityValid {
+				m.elsewhereAt = 0
+			}
+			if m.elsewhereAt == 0 && askedAt >= m.firstAt {
+				m.elsewhereAt = now
+			}
+			r.misses[other] = m
+		}
+		r.majorityAt = now
 	case control.QuorumMissed:
-		if _, ok := r.minoritySince[address]; !ok {
-			r.minoritySince[address] = askedAt
+		if askedAt < r.confirmedAt[address] {
+			return
 		}
+		m, ok := r.misses[address]
+		if !ok {
+			m.firstAt = askedAt
+		}
+		m.lastAt = max(m.lastAt, askedAt)
+		r.misses[address] = m
 	case control.QuorumUnasked:
 	}
 }
 
 // inMinority reports whether the keeper has failed to reach a majority for majorityGrace.
+// There may be none to reach, as in an election.
 func (r *roster) inMinority(now clock.Instant, address netip.AddrPort) bool {
-	since, ok := r.minoritySince[address]
-	return ok && now-since >= majorityGrace
+	m, ok := r.misses[address]
+	return ok && now-m.firstAt >= majorityGrace
+}
+
+// cutOff reports whether the keeper has failed to reach a majority for majorityGrace, and
+// also when it was asked after another keeper had reached one. What was asked before, in an
+// election, says nothing of the time after it.
+func (r *roster) cutOff(now clock.Instant, address netip.AddrPort) bool {
+	m := r.misses[address]
+	return r.inMinority(now, address) && m.elsewhereAt != 0 && m.lastAt >= m.elsewhereAt+leaderNoticeTime
+}
+
+// undecided returns the polled keepers that may be cut off, or not have been asked since an
+// election; elsewhere says that a majority has answered other keepers meanwhile.
+func (r *roster) undecided(now clock.Instant) (addresses []netip.AddrPort, elsewhere bool) {
+	elsewhere = true
+	for _, address := range r.current {
+		if r.inMinority(now, address) && !r.cutOff(now, address) && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+			elsewhere = elsewhere && r.misses[address].elsewhereAt != 0
+		}
+	}
+	return addresses, elsewhere
 }
 
 // majorityKnown reports whether a keeper is known that has reached a majority lately.
@@ -165,7 +225,8 @@
 
 // choose picks the keeper of the lowest cost for a sync loop. In this order of weight it
 // avoids a keeper that another loop polls, one without a majority if another has one, one
-// that has failed lately and one of another zone, and prefers the current one.
+// that has failed lately and one of another zone, and prefers the current one. The current
+// one is left only if it is known to be cut off: a move costs a whole directory.
 func (r *roster) choose(now clock.Instant, loop int, random func() float64) (best netip.AddrPort, cost float64) {
 	cost = 1e9
 	majorityKnown := r.majorityKnown(now)
@@ -176,8 +237,12 @@
 				c += sharedCost
 			}
 		}
-		if majorityKnown && r.inMinority(now, p.Address) {
+		switch {
+		case !majorityKnown:
+		case r.cutOff(now, p.Address):
 			c += minorityCost
+		case r.current[loop] != p.Address && r.inMinority(now, p.Address):
+			c += undecidedCost
 		}
 		if failedAt, ok := r.failedAt[p.Address]; ok {
 			c += failureCost / (1 + (now - failedAt).Seconds())
@@ -196,9 +261,10 @@
 	return best, cost
 }
 
-// probes returns the keepers to ask whether they reach a majority. While one is known that
-// does, it returns one that didn't, as that may do so again; else others than those that
-// are polled. It returns none unless a keeper is in a minority.
+// probes returns the keepers to ask whether they reach a majority, and none unless a keeper
+// is in a minority. While nothing tells whether a majority is to be had, it returns others
+// than those that are polled; then the polled ones that are undecided, as the entry leaves
+// them with their next miss; then one that didn't reach a majority, as it may do so again.
 func (r *roster) probes(now clock.Instant, random func() float64) []netip.AddrPort {
 	var minority, others []netip.AddrPort
 	for _, p := range r.keepers {
@@ -209,11 +275,14 @@
 			others = append(others, p.Address)
 		}
 	}
-	if len(minority) == 0 {
+	undecided, elsewhere := r.undecided(now)
+	switch known := r.majorityKnown(now); {
+	case len(minority) == 0:
 		return nil
-	}
-	if r.majorityKnown(now) {
+	case known && len(undecided) == 0:
 		return []netip.AddrPort{minority[int(random()*float64(len(minority)))]}
+	case known && elsewhere:
+		return undecided
 	}
 	// Those that haven't answered lately come last.
 	order := make(map[netip.AddrPort]float64, len(others)+len(minority))
--- a/link/roster_test.go
+++ b/link/roster_test.go
@@ -23,9 +23,14 @@
 	// contactTime is within which an entry has to notice what a keeper that reaches a
 	// majority could tell it: the shortest contactMs of the deployments.
 	contactTime = 3 * time.Second
-	// tick is the step of the emulation, pollTime the time that a keeper holds a poll.
-	tick     = 10 * time.Millisecond
-	pollTime = 300 * time.Millisecond
+	// tick is the step of the emulation, pollTime the time that a keeper holds a poll, and
+	// maxPollTime that time with many entries.
+	tick        = 10 * time.Millisecond
+	pollTime    = 300 * time.Millisecond
+	maxPollTime = 600 * time.Millisecond
+	// maxNoticeTime is how much later than others a keeper may hear of a new leader: the
+	// interval between the leader's heartbeats.
+	maxNoticeTime = 100 * time.Millisecond
 )
 
 // emulation plays an entry's sync loops and probes against keepers, some of which are cut
@@ -39,6 +44,10 @@
 	// keeper on side unreachable doesn't answer the entry.
 	side  []int
 	cutAt clock.Instant
+	// pollTime is the time that a keeper holds a poll. From leaderAt on, each keeper knows
+	// the leader of its side, if that has one.
+	pollTime time.Duration
+	leaderAt []clock.Instant
 	// polled is the keeper of each loop, busyUntil when its answer comes, and confirmed
 	// whether it had a majority when it was asked.
 	polled    [syncLoopCount]netip.AddrPort
@@ -52,7 +61,7 @@
 const unreachable = -1
 
 func newEmulation(seed uint64, zones ...string) *emulation {
-	e := &emulation{random: rand.New(rand.NewPCG(seed, 0)), now: time.Minute, side: make([]int, len(zones))}
+	e := &emulation{random: rand.New(rand.NewPCG(seed, 0)), now: time.Minute, side: make([]int, len(zones)), pollTime: pollTime, leaderAt: make([]clock.Instant, len(zones))}
 	var seeds []netip.AddrPort
 	for i, zone := range zones {
 		p := control.Peer{Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1)), Zone: zone}
@@ -86,6 +95,11 @@
 	return e.side[keeper] != unreachable && 2*len(e.sideOf(keeper)) > len(e.keepers)
 }
 
+// confirms reports whether the keeper is on such a side and has heard of the leader.
+func (e *emulation) confirms(keeper int) bool {
+	return e.hasMajority(keeper) && e.now >= e.leaderAt[keeper]
+}
+
 // answer has the keeper answer a call that was made at askedAt; confirmed says that it had
 // a majority then.
 func (e *emulation) answer(askedAt clock.Instant, address netip.AddrPort, confirmed bool) {
@@ -100,7 +114,7 @@
 		e.confirmedAt = e.now
 	}
 	e.answeredAt = e.now
-	e.roster.answered(askedAt, address, quorum)
+	e.roster.answered(e.now, askedAt, address, quorum)
 	peers := e.keepers
 	if e.now-e.cutAt > 2*time.Second {
 		peers = e.sideOf(i)
@@ -115,11 +129,11 @@
 				continue
 			}
 			if e.polled[loop].IsValid() {
-				e.answer(e.now-pollTime, e.polled[loop], e.confirmed[loop])
+				e.answer(e.now-e.pollTime, e.polled[loop], e.confirmed[loop])
 			}
 			e.polled[loop], _ = e.roster.choose(e.now, loop, e.random.Float64)
-			e.confirmed[loop] = e.hasMajority(e.index(e.polled[loop]))
-			hold := time.Duration(pollTime)
+			e.confirmed[loop] = e.confirms(e.index(e.polled[loop]))
+			hold := e.pollTime
 			if e.side[e.index(e.polled[loop])] == unreachable {
 				hold = syncTimeout
 			}
@@ -127,7 +141,7 @@
 		}
 		if e.now >= e.probeAt {
 			for _, address := range e.roster.probes(e.now, e.random.Float64) {
-				e.answer(e.now, address, e.hasMajority(e.index(address)))
+				e.answer(e.now, address, e.confirms(e.index(address)))
 			}
 			e.probeAt = e.now + minProbeInterval
 		}
@@ -136,6 +150,15 @@
 
 func (e *emulation) cut(side ...int) { e.side, e.cutAt = side, e.now }
 
+// elect ends an election: the keepers have these sides, and those of a side hear of their
+// leader one after the other.
+func (e *emulation) elect(side ...int) {
+	e.cut(side...)
+	for i := range e.leaderAt {
+		e.leaderAt[i] = e.now + time.Duration(e.random.Float64()*float64(maxNoticeTime))
+	}
+}
+
 // polls returns the indices of the polled keepers.
 func (e *emulation) polls() []int {
 	var indices []int
@@ -222,7 +245,7 @@
 	e := newEmulation(1, "a", "a", "b", "b", "c")
 	r, cutOff := e.roster, e.keepers[:2]
 	r.list(e.now, e.keepers, true)
-	r.answered(e.now, cutOff[0].Address, control.QuorumMissed)
+	r.answered(e.now, e.now, cutOff[0].Address, control.QuorumMissed)
 	e.now += majorityGrace
 	r.list(e.now, e.keepers[2:], true)
 	r.list(e.now, cutOff, false)
@@ -268,6 +291,75 @@
 	}
 }
 
+// electionTimes are how long elections take in the tests, without the part that a seed adds.
+var electionTimes = []time.Duration{
+	200 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond, time.Second, 1200 * time.Millisecond,
+	1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second, 9500 * time.Millisecond,
+}
+
+// electionSeeds is how many seeds each of the times has.
+const electionSeeds = 25
+
+// forEachElection calls the test with emulated entries whose polls are held for several times,
+// and with elections of 0.2 to 10 s.
+func forEachElection(test func(e *emulation, election time.Duration, name string)) {
+	for _, held := range []time.Duration{pollTime, 450 * time.Millisecond, maxPollTime} {
+		for _, election := range electionTimes {
+			for seed := range uint64(electionSeeds) {
+				e := newEmulation(seed, "a", "a", "b", "b", "c", "c", "d", "d")
+				e.pollTime = held
+				e.run(10 * time.Second)
+				test(e, election+time.Duration(seed)*2*tick, fmt.Sprintf("seed %d, election of %v, polls of %v", seed, election+time.Duration(seed)*2*tick, held))
+			}
+		}
+	}
+}
+
+// TestElectionsOfAnyLengthMoveNobody guards against entries that all get whole directories from
+// other keepers after an election, as their own answer questions from before its end, or hear
+// of the leader a moment later.
+func TestElectionsOfAnyLengthMoveNobody(t *testing.T) {
+	forEachElection(func(e *emulation, election time.Duration, name string) {
+		before := e.polled
+		e.cut(0, 1, 2, 3, 4, 5, 6, 7)
+		e.run(election)
+		e.elect(0, 0, 0, 0, 0, 0, 0, 0)
+		for range 500 {
+			e.run(tick)
+			if e.polled != before {
+				t.Fatalf("%s: polls have moved %v after it", name, e.now-e.cutAt)
+			}
+		}
+	})
+}
+
+// TestOnlyLaterMissesCutAKeeperOff guards against a keeper that is left for what it couldn't
+// know: misses of questions from before another keeper was confirmed, from the moment after it,
+// or from before the keeper itself was confirmed.
+func TestOnlyLaterMissesCutAKeeperOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newEmulation(1, "a", "a", "b")
+	r, polled, other := e.roster, e.keepers[0].Address, e.keepers[2].Address
+	const start, end = clock.Instant(time.Hour), clock.Instant(time.Hour + 3*time.Second)
+	r.list(start, e.keepers, true)
+	r.answered(start+pollTime, start-tick, other, control.QuorumConfirmed)
+	r.answered(start+pollTime, start, polled, control.QuorumMissed)
+	r.answered(start+2*time.Second, start+2*time.Second, polled, control.QuorumMissed)
+	g.Expect(r.inMinority(end, polled)).To(gomega.BeTrue())
+	g.Expect(r.cutOff(end, polled)).To(gomega.BeFalse(), "the other one was asked before the election")
+	r.answered(end, end-tick, other, control.QuorumConfirmed)
+	r.answered(end+tick, end-pollTime, polled, control.QuorumMissed)
+	g.Expect(r.cutOff(end+tick, polled)).To(gomega.BeFalse(), "it was asked in the election")
+	r.answered(end+maxNoticeTime, end+maxNoticeTime, polled, control.QuorumMissed)
+	g.Expect(r.cutOff(end+maxNoticeTime, polled)).To(gomega.BeFalse(), "it may not have heard of the leader")
+	later := end + leaderNoticeTime
+	r.answered(later, later, polled, control.QuorumMissed)
+	g.Expect(r.cutOff(later, polled)).To(gomega.BeTrue())
+	r.answered(later+2*tick, later+tick, polled, control.QuorumConfirmed)
+	r.answered(later+pollTime, later, polled, control.QuorumMissed)
+	g.Expect(r.misses).NotTo(gomega.HaveKey(polled))
+}
+
 // TestEntryFindsAnyMajority cuts keepers apart at random, again and again, and takes some
 // of them away.
 func TestEntryFindsAnyMajority(t *testing.T) {
