link: Ask for a majority as soon as polled keepers have none

Cause: the loop that asks for a majority slept by what it had found before it asked. While a majority was known and any keeper lacked it, it slept for 2 s: keepers that were asked in vain in an election, and not since, kept it asleep while the polled ones were cut off. In a long election of the others it slept for up to 2.2 s, and a keeper that didn't answer held up the questions to all others for a second.

Evidence: the roster's emulation asked four times a second, whatever the loop did, so that its tests saw nothing of this.

When to ask is now up to the roster, which the emulation runs as it is: every 0.25 s for polled keepers that are undecided and for a fresh proof that a majority is to be had, with a backoff while none is known, and every 2 s for keepers that lack it and aren't polled. Each question has a goroutine of its own, one per keeper at a time.

--- a/link/link__probe.go
+++ b/link/link__probe.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -14,48 +14,48 @@
 )
 
 // The times between two questions for a majority, if there is reason to ask: minProbeInterval
-// at first, and more while none is found, up to maxProbeInterval.
+// at first and for polled keepers; more while none is found, up to maxSearchInterval, as an
+// entry has to notice within three seconds that there is one again; and maxProbeInterval for
+// a keeper that may reach one again.
 const (
-	minProbeInterval = 250 * time.Millisecond
-	maxProbeInterval = 2 * time.Second
+	minProbeInterval  = 250 * time.Millisecond
+	maxSearchInterval = time.Second
+	maxProbeInterval  = 2 * time.Second
 )
 
-// probeLoop looks for keepers that reach a majority while one that is known doesn't.
+// probeLoop looks for keepers that reach a majority while one that is known doesn't. One that
+// doesn't answer delays no question to others.
 func (l *Link) probeLoop(ctx context.Context) {
-	backoff := pace.Backoff{First: minProbeInterval, Max: maxProbeInterval}
-	wait := minProbeInterval
+	underWay := map[netip.AddrPort]bool{}
 	for {
 		select {
-		case <-time.After(pace.Jitter(wait, rand.Float64())):
+		case <-time.After(pace.Jitter(minProbeInterval, rand.Float64())):
 		case <-ctx.Done():
 			return
 		}
 		now := l.options.Clock()
 		l.mu.Lock()
 		addresses, found := l.roster.probes(now, rand.Float64), l.roster.majorityKnown(now)
+		addresses = slices.DeleteFunc(addresses, func(address netip.AddrPort) bool { return underWay[address] })
+		for _, address := range addresses {
+			underWay[address] = true
+		}
 		l.mu.Unlock()
-		switch {
-		case len(addresses) == 0:
-			backoff.Succeeded()
-			wait = minProbeInterval
+		if len(addresses) == 0 {
 			continue
-		case found:
-			backoff.Succeeded()
-			wait = maxProbeInterval
-		default:
-			wait = backoff.Failed(rand.Float64())
 		}
 		klog.InfoS("keepers without a majority", "majorityKnown", found, "asking", addresses, "configurationAge", l.ConfigAge())
-		var probes sync.WaitGroup
 		for _, address := range addresses {
-			probes.Go(func() {
+			go func() {
 				if err := l.probe(ctx, address); err != nil && ctx.Err() == nil {
 					klog.InfoS("keeper can't be asked for a majority", "keeper", address, "err", err)
 					l.markFailed(address)
 				}
-			})
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				delete(underWay, address)
+			}()
 		}
-		probes.Wait()
 	}
 }
 
--- a/link/roster.go
+++ b/link/roster.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pace"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/origin"
 )
@@ -57,6 +58,10 @@
 	misses      map[netip.AddrPort]misses
 	// majorityAt is when an answer of any keeper last said that a majority confirmed it.
 	majorityAt clock.Instant
+	// search spaces the questions for a majority while none is known, and searchAt is when
+	// the next are due. recheckAt is when a keeper without one may be asked again.
+	search              pace.Backoff
+	searchAt, recheckAt clock.Instant
 }
 
 // misses are the questions that no majority confirmed to a keeper in a row, while there may
@@ -74,6 +79,7 @@
 	r := &roster{
 		zone: zone, listedAt: map[netip.AddrPort]clock.Instant{}, failedAt: map[netip.AddrPort]clock.Instant{},
 		confirmedAt: map[netip.AddrPort]clock.Instant{}, misses: map[netip.AddrPort]misses{},
+		search: pace.Backoff{First: minProbeInterval, Max: maxSearchInterval},
 	}
 	r.setSeeds(seeds)
 	return r
@@ -261,10 +267,11 @@
 	return best, cost
 }
 
-// probes returns the keepers to ask whether they reach a majority, and none unless a keeper
-// is in a minority. While nothing tells whether a majority is to be had, it returns others
-// than those that are polled; then the polled ones that are undecided, as the entry leaves
-// them with their next miss; then one that didn't reach a majority, as it may do so again.
+// probes returns the keepers to ask whether they reach a majority, which is called again after
+// minProbeInterval. It returns none unless a keeper is in a minority. While nothing tells whether
+// a majority is to be had, it returns others than those that are polled; then the polled ones
+// that are undecided, as the entry leaves them with their next miss; then one that didn't
+// reach a majority, as it may do so again.
 func (r *roster) probes(now clock.Instant, random func() float64) []netip.AddrPort {
 	var minority, others []netip.AddrPort
 	for _, p := range r.keepers {
@@ -275,15 +282,27 @@
 			others = append(others, p.Address)
 		}
 	}
+	known := r.majorityKnown(now)
+	if known || len(minority) == 0 {
+		r.search.Succeeded()
+		r.searchAt = now
+	}
 	undecided, elsewhere := r.undecided(now)
-	switch known := r.majorityKnown(now); {
+	switch {
 	case len(minority) == 0:
 		return nil
 	case known && len(undecided) == 0:
+		if now < r.recheckAt {
+			return nil
+		}
+		r.recheckAt = now + pace.Jitter(maxProbeInterval, random())
 		return []netip.AddrPort{minority[int(random()*float64(len(minority)))]}
 	case known && elsewhere:
 		return undecided
+	case now < r.searchAt:
+		return nil
 	}
+	r.searchAt = now + r.search.Failed(random())
 	// Those that haven't answered lately come last.
 	order := make(map[netip.AddrPort]float64, len(others)+len(minority))
 	for _, address := range others {
--- a/link/roster_test.go
+++ b/link/roster_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pace"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/origin"
 )
@@ -143,7 +144,7 @@
 			for _, address := range e.roster.probes(e.now, e.random.Float64) {
 				e.answer(e.now, address, e.confirms(e.index(address)))
 			}
-			e.probeAt = e.now + minProbeInterval
+			e.probeAt = e.now + pace.Jitter(minProbeInterval, e.random.Float64())
 		}
 	}
 }
@@ -315,6 +316,20 @@
 	}
 }
 
+// expectToLeave fails the test unless both polls are at keepers with a majority within
+// contactTime, and stay there.
+func (e *emulation) expectToLeave(t *testing.T, name string) {
+	t.Helper()
+	e.run(contactTime)
+	for end := e.now + 5*time.Second; e.now < end; e.run(tick) {
+		for _, address := range e.polled {
+			if i := e.index(address); !e.hasMajority(i) {
+				t.Fatalf("%s: keeper %d is polled %v after it was cut off", name, i, e.now-e.cutAt)
+			}
+		}
+	}
+}
+
 // TestElectionsOfAnyLengthMoveNobody guards against entries that all get whole directories from
 // other keepers after an election, as their own answer questions from before its end, or hear
 // of the leader a moment later.
@@ -333,6 +348,43 @@
 	})
 }
 
+// TestEntryLeavesKeepersThatAreCutOffInAnElection guards against an entry that stays with the
+// keepers of its zone, which were cut off while there was no leader and which it takes for
+// keepers that haven't heard of the election's end.
+func TestEntryLeavesKeepersThatAreCutOffInAnElection(t *testing.T) {
+	forEachElection(func(e *emulation, election time.Duration, name string) {
+		e.cut(0, 1, 2, 3, 4, 5, 6, 7)
+		e.run(election)
+		e.elect(1, 1, 0, 0, 0, 0, 0, 0)
+		e.expectToLeave(t, name)
+	})
+}
+
+// TestEntryLeavesOneKeeperThatIsCutOffInAnElection has the other polled keeper reach a
+// majority again: its answers must not hide that the first one doesn't.
+func TestEntryLeavesOneKeeperThatIsCutOffInAnElection(t *testing.T) {
+	forEachElection(func(e *emulation, election time.Duration, name string) {
+		e.cut(0, 1, 2, 3, 4, 5, 6, 7)
+		e.run(election)
+		e.elect(1, 0, 0, 0, 0, 0, 0, 0)
+		e.expectToLeave(t, name)
+	})
+}
+
+// TestEntryLeavesKeepersThatAreCutOffAfterAnElection guards against an entry that gives
+// keepers more time as it has just seen them without a majority and with one again.
+func TestEntryLeavesKeepersThatAreCutOffAfterAnElection(t *testing.T) {
+	forEachElection(func(e *emulation, election time.Duration, name string) {
+		e.cut(0, 1, 2, 3, 4, 5, 6, 7)
+		e.run(election)
+		e.elect(0, 0, 0, 0, 0, 0, 0, 0)
+		after := time.Duration(e.random.Float64() * float64(2*time.Second))
+		e.run(after)
+		e.cut(1, 1, 0, 0, 0, 0, 0, 0)
+		e.expectToLeave(t, fmt.Sprintf("%s, cut off %v after it", name, after))
+	})
+}
+
 // TestOnlyLaterMissesCutAKeeperOff guards against a keeper that is left for what it couldn't
 // know: misses of questions from before another keeper was confirmed, from the moment after it,
 // or from before the keeper itself was confirmed.
