peer: Let requests wait for their handlers while a node starts

Cause: the peer server serves from its own start on, and the plug-ins that start after it set their handlers one after the other. What came in between was answered 404, or "unimplemented" to a call of another node, which upstreams and operators take for final.

Evidence: TestRequestsDuringTheStartFindTheirHandlers failed: a request that was sent from the start of a later plug-in, before its handler was set, got 404.

The kernel now tells a plug-in that implements Starter when all have started. Until then, the server holds a request whose pattern or method has no handler. It gets its handler when the start has ended, 404 if there is none, and after maxStartWait 503 with a time to come back ("unavailable" to nodes): shorter than the timeouts between nodes, so that a long start, which reads its log, uses up no caller's time. Requests that have a handler already, such as gossip's, are served at once, as starting needs them. Binding late was ruled out for that reason.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -36,6 +36,11 @@
 	Reload(s settings.Settings)
 }
 
+// Starter is a plug-in that has to know when all plug-ins of the node have started.
+type Starter interface {
+	Started()
+}
+
 // Factory starts a plug-in. Its goroutines end with ctx.
 type Factory func(ctx context.Context, host *Host) (Plugin, error)
 
@@ -115,6 +120,11 @@
 		}
 		h.plugins = append(h.plugins, runningPlugin{r.Name, p})
 	}
+	for _, p := range h.plugins {
+		if s, ok := p.plugin.(Starter); ok {
+			s.Started()
+		}
+	}
 	klog.InfoS("node started", "instance", s.Node.Name, "zone", s.Node.Zone, "roles", s.Node.Roles)
 	return h, nil
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -158,14 +158,19 @@
 type rpcService struct {
 	mu       sync.RWMutex
 	handlers map[Method]Handler
+	start    *start
 }
 
 var _ rpc.Peer = (*rpcService)(nil)
 
 func (s *rpcService) serve(ctx context.Context, m Method, f *rpc.Frame) (*rpc.Frame, error) {
-	s.mu.RLock()
-	h := s.handlers[m]
-	s.mu.RUnlock()
+	h := s.handler(m)
+	if h == nil {
+		started := s.start.wait(ctx)
+		if h = s.handler(m); h == nil && !started {
+			return nil, twirp.NewError(twirp.Unavailable, "the node is starting")
+		}
+	}
 	if h == nil {
 		return nil, twirp.NewError(twirp.Unimplemented, "no role of this node serves the method")
 	}
@@ -180,6 +185,12 @@
 	return &rpc.Frame{Body: body}, nil
 }
 
+func (s *rpcService) handler(m Method) Handler {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.handlers[m]
+}
+
 func (s *rpcService) Exchange(ctx context.Context, f *rpc.Frame) (*rpc.Frame, error) {
 	return s.serve(ctx, Exchange, f)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,12 +5,15 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/peer/rpc"
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
 // Timeouts of the server.
@@ -18,9 +21,16 @@
 	readHeaderTimeout = 2 * time.Second
 	serverIdleTimeout = time.Minute
 	drainTimeout      = time.Second
+	// maxStartWait bounds how long a request waits for a handler that no plug-in has set
+	// yet while the node starts. It is shorter than the timeouts of calls between nodes.
+	maxStartWait = 500 * time.Millisecond
+	// startRetryAfter is when a caller that has waited in vain is asked to come back.
+	startRetryAfter = time.Second
 )
 
-// Server serves peers, upstreams and operators on one address.
+// Server serves peers, upstreams and operators on one address. It serves from its start on,
+// as gossip and elections need it early; while the node starts, requests for which there is
+// no handler yet wait for it.
 type Server struct {
 	// Address is where the server listens.
 	Address netip.AddrPort
@@ -29,9 +39,13 @@
 	mux     *http.ServeMux
 	service *rpcService
 	http    *http.Server
+	start   *start
 }
 
-var _ kernel.Plugin = (*Server)(nil)
+var (
+	_ kernel.Plugin  = (*Server)(nil)
+	_ kernel.Starter = (*Server)(nil)
+)
 
 func init() {
 	kernel.Register(kernel.Registration{Name: "peer", Order: 10, New: newPlugin})
@@ -52,16 +66,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
+	starting := &start{done: make(chan struct{})}
 	s := &Server{
 		Address: listener.Addr().(*net.TCPAddr).AddrPort(),
 		Client:  NewClient(),
 		mux:     http.NewServeMux(),
-		service: &rpcService{handlers: map[Method]Handler{}},
+		service: &rpcService{handlers: map[Method]Handler{}, start: starting},
+		start:   starting,
 	}
 	twirpServer := rpc.NewPeerServer(s.service)
 	s.mux.Handle(twirpServer.PathPrefix(), http.MaxBytesHandler(twirpServer, maxMessageBytes))
 	s.http = &http.Server{
-		Handler:           s.mux,
+		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       serverIdleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
@@ -71,6 +87,41 @@
 	return s, nil
 }
 
+// serve passes a request to its handler.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	served := func() bool {
+		_, pattern := s.mux.Handler(r)
+		return pattern != ""
+	}
+	if !served() && !s.start.wait(r.Context()) && !served() {
+		problem.Write(w, result.New(result.NotReady, result.RanNo, "the node is starting").WithRetry(startRetryAfter))
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// Started implements kernel.Starter: from now on, what has no handler is unknown.
+func (s *Server) Started() { s.start.once.Do(func() { close(s.start.done) }) }
+
+// start is a node's start; done is closed when all plug-ins have set their handlers.
+type start struct {
+	done chan struct{}
+	once sync.Once
+}
+
+// wait waits for the end of the start, and reports whether it has come within maxStartWait.
+func (s *start) wait(ctx context.Context) bool {
+	timeout := time.NewTimer(maxStartWait)
+	defer timeout.Stop()
+	select {
+	case <-s.done:
+		return true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // On sets the handler of a method.
 func (s *Server) On(m Method, h Handler) {
 	s.service.mu.Lock()
