--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -1,10 +1,12 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime"
 	"testing"
@@ -30,6 +32,10 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
+				// A response before its request isn't read by the client at all.
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
 				_, _ = io.WriteString(c, head)
 				data := bytes.Repeat([]byte(block), 64<<10/len(block))
 				for {
