ingress: Keep connections whose request was read with the one before

Cause: a stopping entry closes connections that count as idle. The ConnState hook made one idle after each response, and only a read made it busy. A request that came in one packet with the one before it is served from the buffer of net/http, without a read, so that its connection was closed while an upstream ran it.

Evidence: TestPipelinedRequestIsServedToItsEnd failed before, 2.3 s after the stop began: "the connection ended without an answer: unexpected EOF".

Why it works: the hook's StateActive marks the connection as busy too. Between the response and that, the connection isn't closed either: that happens only while the server waits in a read, when nothing whole is left in its buffer.

--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -17,14 +17,16 @@
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
-// on it, closed that closeIdle has closed it.
+// on it, closed that closeIdle has closed it. reading says that the server waits
+// for bytes: until then it may hold a request that it read with the one before.
 type trackedConn struct {
 	net.Conn
 	listener *trackingListener
 
-	mu     sync.Mutex
-	busy   bool
-	closed bool
+	mu      sync.Mutex
+	busy    bool
+	reading bool
+	closed  bool
 }
 
 func newTrackingListener(l net.Listener) *trackingListener {
@@ -47,9 +49,13 @@
 // Read implements net.Conn. The connection is busy once Read has returned
 // bytes; after closeIdle has closed it, Read returns none.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.reading = true
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.closed {
 		return 0, net.ErrClosed
 	}
@@ -68,19 +74,20 @@
 }
 
 // stateChanged is the http.Server's ConnState hook: an idle connection has no
-// request under way.
+// request under way, and one is on an active connection, also if no byte was read
+// for it since the request before.
 func (l *trackingListener) stateChanged(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*trackedConn)
-	if !ok || s != http.StateIdle {
+	if !ok || s != http.StateIdle && s != http.StateActive {
 		return
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = false
+	conn.busy = s == http.StateActive
 }
 
-// closeIdle closes the connections that have no request under way and returns
-// the number of those that remain.
+// closeIdle closes the connections that wait for a request and returns the number
+// of those that remain.
 func (l *trackingListener) closeIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
@@ -102,7 +109,7 @@
 func (c *trackedConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy {
+	if c.busy || !c.reading {
 		return false
 	}
 	c.closed = true
--- /dev/null
+++ b/ingress/stop_test.go
@@ -0,0 +1,249 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/pack"
+	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/origin"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/service"
+	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/upstream"
+)
+
+// stopLimit is the time that a stop may take in these tests, and longTimeout a
+// route's timeout that is longer.
+const (
+	stopLimit   = 5 * time.Second
+	longTimeout = 4 * stopLimit
+)
+
+// stopConfig has a route for plain requests, one for streams, both of which may take
+// longer than a stop, and one for requests that end in time.
+var stopConfig = fmt.Sprintf(`{"version":1,"routes":[
+	{"name":"once","host":"h","pathPrefix":"/once/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
+	{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
+	{"name":"short","host":"h","pathPrefix":"/short/","kind":"non_idempotent","attempts":1,"timeoutMs":1000,"sloMs":1000,"service":"s"}],
+	"services":[{"name":"s"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds())
+
+// stopCase is an entry that is about to stop, with one upstream.
+type stopCase struct {
+	g  *gomega.WithT
+	in *Ingress
+	// reached are the paths of the requests that reached the upstream. It answers a
+	// path, or ends its stream, once finish was called for it.
+	mu      sync.Mutex
+	reached []string
+	ends    map[string]chan struct{}
+	// drained is closed when Drain has returned.
+	drained chan struct{}
+}
+
+func (s *stopCase) end(path string) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.ends[path]; !ok {
+		s.ends[path] = make(chan struct{})
+	}
+	return s.ends[path]
+}
+
+// finish lets the upstream answer the path, or end its stream.
+func (s *stopCase) finish(path string) { close(s.end(path)) }
+
+func (s *stopCase) reachedPaths() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.reached...)
+}
+
+// answer is the upstream: it answers once finish was called.
+func (s *stopCase) answer(c net.Conn, r *http.Request) {
+	s.mu.Lock()
+	s.reached = append(s.reached, r.URL.Path)
+	s.mu.Unlock()
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Replica-Seal: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		_, _ = io.WriteString(c, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(event(1)))
+		<-s.end(r.URL.Path)
+		_, _ = io.WriteString(c, chunk(event(2))+lastChunk)
+		return
+	}
+	<-s.end(r.URL.Path)
+	_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\nok")
+}
+
+// startStopCase starts an entry with its listeners, a keeper and an upstream.
+func startStopCase(t *testing.T) *stopCase {
+	t.Helper()
+	s := &stopCase{g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
+	address := startUpstream(t, s.answer)
+	packed, err := pack.Deflate([]byte(stopConfig))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	member := upstream.Member{Announcement: upstream.Announcement{
+		ID: "u0", Kind: service.Plain, Incarnation: 1, Sequence: 1, Address: address, Zone: "a", Slots: 8, Services: []string{"s"}, Lease: time.Minute,
+	}}
+	keeper, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	keeper.On(peer.Sync, func(ctx context.Context, body []byte) (any, error) {
+		var request control.SyncRequest
+		if err := wire.Decode(body, &request); err != nil {
+			return nil, err
+		}
+		reply := &control.SyncReply{
+			Source: 1, Generation: 1, ConfirmedConfig: 1, Quorum: control.QuorumConfirmed, Leader: keeper.Address, Term: 1, Wall: time.Now(),
+			Peers: []control.Peer{{Address: keeper.Address, Zone: "a"}},
+		}
+		if request.Source != 1 {
+			reply.Config = &config.Put{Number: 1, Packed: packed}
+			reply.Members = []upstream.Member{member}
+			return reply, nil
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return reply, nil
+	})
+	keeper.On(peer.Origins, func(context.Context, []byte) (any, error) { return &origin.Reply{Complete: true}, nil })
+	keeper.On(peer.Account, func(_ context.Context, body []byte) (any, error) {
+		var request control.AccountRequest
+		if err := wire.Decode(body, &request); err != nil {
+			return nil, err
+		}
+		return &control.AccountReply{Leading: !request.UsageOnly, Leader: keeper.Address, Term: 1, Entries: 1}, nil
+	})
+	s.in, err = New(t.Context(), Options{
+		Name: "e", Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: peer.NewClient(),
+		Peers: settings.Peer{Seeds: []netip.AddrPort{keeper.Address}},
+		Settings: settings.Ingress{
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Ready: netip.MustParseAddrPort("127.0.0.1:0"), RevokeWithin: time.Hour,
+			RetryRatio: 1, RetrySlack: 100, AssumedEntries: 1, UsageWindow: time.Second, DrainWithin: time.Second,
+		},
+	})
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.g.Eventually(s.in.ready, stopLimit).Should(gomega.BeTrue())
+	return s
+}
+
+// stopCaller is a caller's connection.
+type stopCaller struct {
+	net.Conn
+	s      *stopCase
+	reader *bufio.Reader
+}
+
+func (s *stopCase) dial() *stopCaller {
+	c, err := net.Dial("tcp", s.in.listener.Addr().String())
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.g.Expect(c.SetDeadline(time.Now().Add(2 * stopLimit))).To(gomega.Succeed())
+	return &stopCaller{Conn: c, s: s, reader: bufio.NewReader(c)}
+}
+
+// request is the text of a request with a body of two bytes.
+func stopRequest(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nX-Request-Id: " + strings.ReplaceAll(path, "/", "-") + "\r\nContent-Length: 2\r\n\r\nab"
+}
+
+func (c *stopCaller) send(text string) {
+	_, err := io.WriteString(c, text)
+	c.s.g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+// sendAndReach sends a request and waits until it has reached the upstream.
+func (c *stopCaller) sendAndReach(path string) {
+	c.send(stopRequest(path))
+	c.s.g.Eventually(c.s.reachedPaths, stopLimit).Should(gomega.ContainElement(path))
+}
+
+// receive reads a response; its body is read too if whole is set.
+func (c *stopCaller) receive(whole bool) (*http.Response, string) {
+	response, err := http.ReadResponse(c.reader, nil)
+	c.s.g.Expect(err).NotTo(gomega.HaveOccurred(), "the connection ended without an answer")
+	if !whole {
+		return response, ""
+	}
+	body, err := io.ReadAll(response.Body)
+	c.s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return response, string(body)
+}
+
+// beginStop begins to stop the entry. All connections end when Drain returns, as they do
+// with the process.
+func (s *stopCase) beginStop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), stopLimit)
+	go func() {
+		defer cancel()
+		defer close(s.drained)
+		_ = s.in.Drain(ctx)
+		s.in.listener.mu.Lock()
+		defer s.in.listener.mu.Unlock()
+		for c := range s.in.listener.open {
+			_ = c.Conn.Close()
+		}
+	}()
+	s.g.Eventually(s.in.ready, stopLimit).Should(gomega.BeFalse())
+}
+
+// waitClosed waits until the entry takes no more connections.
+func (s *stopCase) waitClosed() {
+	s.g.Eventually(func() error {
+		c, err := net.Dial("tcp", s.in.listener.Addr().String())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err
+	}, stopLimit, 20*time.Millisecond).ShouldNot(gomega.Succeed())
+}
+
+// busyConns is the number of connections from which bytes of a request were read.
+func (s *stopCase) busyConns() int {
+	l := s.in.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.open {
+		c.mu.Lock()
+		if c.busy {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// TestPipelinedRequestIsServedToItsEnd guards against a stop that closes the connection of
+// a request which was read together with the one before it: no byte is read from the
+// connection any more when it is served.
+func TestPipelinedRequestIsServedToItsEnd(t *testing.T) {
+	t.Parallel()
+	s := startStopCase(t)
+	caller := s.dial()
+	s.finish("/once/1")
+	caller.send(stopRequest("/once/1") + stopRequest("/once/2"))
+	_, _ = caller.receive(true)
+	s.g.Eventually(s.reachedPaths, stopLimit).Should(gomega.ContainElement("/once/2"))
+	s.beginStop(t)
+	s.waitClosed()
+	s.finish("/once/2")
+	response, body := caller.receive(true)
+	s.g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	s.g.Expect(body).To(gomega.Equal("ok"))
+}
