ingress: Refuse what a stop leaves no time to answer

Cause: a stopping entry did not know when its process ends. After its listener had closed it still served each request that became whole on a connection in use, waited for all answers alike, and ended with them unanswered.

Evidence, each failing before, in a stop of 5 s with routes of 20 s: TestRequestsThatComeLateInAStopAreRefused, four of four: pipelined behind a stream, with the body or the head whole only late: "the connection ended without an answer: unexpected EOF" at the end of the stop, and the request had reached the upstream; sent after the stream: it reached the upstream ("/stream/1", "/once/late"). TestEveryRequestGetsAnAnswerBeforeTheEnd: "the connection ended without an answer: unexpected EOF" for a body that never came whole. Ruled out by reading: a connection that is read only after the listener has closed is closed with the request unread, so nothing is lost.

Why it works: Drain passes the end of the stop, the deadline of its context, to package drain, which each request asks before it is accepted, sent and answered. Once the balancer has acted, a request is taken only if its own deadline comes before the last answers, as another entry takes it at once. A request that waits for an upstream is refused while another entry still has time for it. Responses that begin within the stop close their connections, so that no further request follows on them. TestLateRequestThatEndsInTimeIsServed passed before and holds what is still taken.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/origin"
@@ -41,6 +42,7 @@
 	countedAt clock.Instant
 	// mayHaveRun says that an earlier attempt may have run the request.
 	mayHaveRun bool
+	stop       *drain.Request
 	// origin is what began the stream, nil if nobody may resume it; it was last told to
 	// the keepers at originToldAt.
 	origin       *origin.Origin
@@ -92,7 +94,8 @@
 	_ = controller.SetWriteDeadline(time.Now().Add(r.deadline - in.options.Clock() + time.Second))
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 
-	d := &forwarding{in: in, r: r, w: w}
+	d := &forwarding{in: in, r: r, w: w, stop: in.stop.Open(r.deadline, r.answerTime(), cancel)}
+	defer d.stop.Close()
 	d.events.start(r.LastEvent, r.Resumes)
 	d.ticket, d.actions = in.dispatcher.submit(r.ticket())
 	defer in.dispatcher.withdraw(d.ticket)
@@ -106,11 +109,17 @@
 				return
 			case fleet.Grant:
 				lastOutcome.close()
+				if !d.stop.Send(in.options.Clock()) {
+					break
+				}
 				lastOutcome = d.attempt(ctx, a)
 				if lastOutcome.done {
 					return
 				}
 				d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
+				if !d.mayHaveRun {
+					d.stop.Unsent()
+				}
 				if ctx.Err() == nil {
 					in.meters.attemptFailed(lastOutcome.failure)
 					in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
@@ -127,12 +136,17 @@
 	}
 }
 
-// abandon ends a request whose caller is gone or whose deadline has passed.
+// abandon ends a request whose caller is gone, whose deadline has passed, or that can't
+// be answered before the entry stops.
 func (d *forwarding) abandon(callerCtx context.Context) {
 	if callerCtx.Err() != nil {
 		klog.InfoS("caller gone", "request", d.r.ID, "route", d.r.routeName(), "held", d.in.options.Clock()-d.r.arrived)
 		panic(http.ErrAbortHandler)
 	}
+	if d.stop.Ended() {
+		d.answerFailure(outcome{}, d.stoppingError())
+		return
+	}
 	d.answerFailure(outcome{}, result.New(result.TimedOut, result.RanUnknown, "the deadline of the request has passed"))
 }
 
@@ -397,6 +411,10 @@
 	if err != nil {
 		return err
 	}
+	if !d.stop.Answer() && len(body) > maxBufferedBytes {
+		// A whole answer is delivered all the same.
+		return errStopping
+	}
 	d.copyHeaders(response)
 	if len(body) <= maxBufferedBytes {
 		d.w.Header().Set("Content-Length", itoa(len(body)))
@@ -447,6 +465,9 @@
 func (d *forwarding) copyHeaders(response *exchange.Response) {
 	h := d.w.Header()
 	connectionHeader := h.Get("Connection")
+	if d.in.stopping.Load() {
+		connectionHeader = "close"
+	}
 	platform.CopyResponseHeaders(h, response.Header)
 	if connectionHeader != "" {
 		h.Set("Connection", connectionHeader)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -23,6 +23,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/link"
@@ -48,8 +49,8 @@
 	// drainDelay is how long a stopping entry still accepts requests: the load
 	// balancer checks readiness every second and acts on the second failure.
 	drainDelay = 2300 * time.Millisecond
-	// drainPollInterval is the time between two checks for open connections
-	// while the entry stops.
+	// drainPollInterval is the time between two checks of the open connections
+	// and requests while the entry stops.
 	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is the time between two checks for expired idle
 	// connections to upstreams.
@@ -76,6 +77,7 @@
 	upstreamClient *exchange.Client
 	listener       *trackingListener
 	stopping       atomic.Bool
+	stop           drain.Stop
 	meters         meters
 
 	mu sync.Mutex
@@ -261,21 +263,28 @@
 }
 
 // Drain implements kernel.Plugin. The readiness check fails first; the entry
-// accepts requests until the load balancer has acted on that.
+// accepts requests until the load balancer has acted on that. Requests that
+// can't be answered before ctx ends are refused, or answered in place of the
+// upstream.
 func (in *Ingress) Drain(ctx context.Context) error {
+	now := in.options.Clock()
+	in.stop.Begin(now, endOf(ctx, now), drainDelay)
 	in.stopping.Store(true)
 	klog.InfoS("entry is stopping; waiting for the load balancer", "instance", in.options.Name)
-	select {
-	case <-time.After(drainDelay):
-	case <-ctx.Done():
-	}
-	_ = in.listener.Listener.Close()
+	accepting, remaining := true, 0
 	for {
-		remaining := in.listener.closeIdle()
-		if remaining == 0 {
-			// All keepers get the last usage, as any may be the next leader.
-			in.link.ReportUsage(ctx)
-			return nil
+		now := in.options.Clock()
+		in.stop.Expire(now)
+		if accepting && !in.stop.Accepting(now) {
+			accepting = false
+			_ = in.listener.Listener.Close()
+		}
+		if !accepting {
+			if remaining = in.listener.closeIdle(); remaining == 0 {
+				// All keepers get the last usage, as any may be the next leader.
+				in.link.ReportUsage(ctx)
+				return nil
+			}
 		}
 		select {
 		case <-time.After(drainPollInterval):
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
@@ -85,7 +86,7 @@
 	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "revision", r.revision,
 		"code", int(e.Code), "reason", e.Title, "detail", e.Detail, "ran", e.Ran, "retryAfter", e.RetryAfter, "held", in.options.Clock()-r.arrived)
 	switch e.Code {
-	case result.ConfigNotConfirmed, result.NotReady:
+	case result.ConfigNotConfirmed, result.NotReady, result.Draining:
 		// Another entry may be able to serve the caller; a new connection leads
 		// there.
 		w.Header().Set("Connection", "close")
@@ -131,14 +132,20 @@
 	if err := in.identify(r, table); err != nil {
 		return r, err
 	}
-	if err := r.read(w, httpRequest, table.Revision.Limits); err != nil {
-		return r, err
-	}
 	timeout := r.route.Timeout
 	if r.Patience > 0 {
 		timeout = min(timeout, r.Patience)
 	}
 	r.deadline = r.arrived + timeout
+	if in.stop.TooLate(r.arrived, r.deadline) {
+		return r, drainingError()
+	}
+	if err := r.read(w, httpRequest, table.Revision.Limits, &in.stop); err != nil {
+		return r, err
+	}
+	if in.stop.TooLate(in.options.Clock(), r.deadline) {
+		return r, drainingError()
+	}
 	r.service = r.route.Pick(hashFraction(r.ID))
 	r.rank = rank(r.route, r.org)
 	if err := in.findOrigin(httpRequest.Context(), r); err != nil {
@@ -194,8 +201,8 @@
 	return result.New(result.ConfigNotConfirmed, result.RanNo, "no majority of the keepers has confirmed the configuration for %v", in.link.ConfigAge()).WithRetry(retryAfter)
 }
 
-// read reads the whole body.
-func (r *request) read(w http.ResponseWriter, httpRequest *http.Request, limits config.Limits) error {
+// read reads the whole body, unless it would be whole too late in the stop.
+func (r *request) read(w http.ResponseWriter, httpRequest *http.Request, limits config.Limits, stop *drain.Stop) error {
 	limit := int64(limits.MaxBodyBytes)
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -209,7 +216,13 @@
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	open := stop.Open(r.deadline, r.deadline-r.arrived, func() { _ = controller.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, httpRequest.Body, limit))
+	open.Close()
+	if open.Ended() {
+		w.Header().Set("Connection", "close")
+		return drainingError()
+	}
 	if err != nil {
 		// The read deadline stays, so that the server doesn't wait for the rest
 		// of the body, and the connection closes after the response.
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -36,18 +36,20 @@
 )
 
 // stopConfig has a route for plain requests, one for streams, both of which may take
-// longer than a stop, and one for requests that end in time.
+// longer than a stop, one for requests that end in time, and one whose upstream runs one
+// request at a time.
 var stopConfig = fmt.Sprintf(`{"version":1,"routes":[
 	{"name":"once","host":"h","pathPrefix":"/once/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
 	{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
-	{"name":"short","host":"h","pathPrefix":"/short/","kind":"non_idempotent","attempts":1,"timeoutMs":1000,"sloMs":1000,"service":"s"}],
-	"services":[{"name":"s"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds())
+	{"name":"short","host":"h","pathPrefix":"/short/","kind":"non_idempotent","attempts":1,"timeoutMs":1000,"sloMs":1000,"service":"s"},
+	{"name":"full","host":"h","pathPrefix":"/full/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":%[1]d,"service":"full"}],
+	"services":[{"name":"s"},{"name":"full"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds())
 
-// stopCase is an entry that is about to stop, with one upstream.
+// stopCase is an entry that is about to stop, with its upstreams.
 type stopCase struct {
 	g  *gomega.WithT
 	in *Ingress
-	// reached are the paths of the requests that reached the upstream. It answers a
+	// reached are the paths of the requests that reached an upstream. It answers a
 	// path, or ends its stream, once finish was called for it.
 	mu      sync.Mutex
 	reached []string
@@ -65,7 +67,7 @@
 	return s.ends[path]
 }
 
-// finish lets the upstream answer the path, or end its stream.
+// finish lets its upstream answer the path, or end its stream.
 func (s *stopCase) finish(path string) { close(s.end(path)) }
 
 func (s *stopCase) reachedPaths() []string {
@@ -74,7 +76,7 @@
 	return append([]string(nil), s.reached...)
 }
 
-// answer is the upstream: it answers once finish was called.
+// answer is what the upstreams do: they answer once finish was called.
 func (s *stopCase) answer(c net.Conn, r *http.Request) {
 	s.mu.Lock()
 	s.reached = append(s.reached, r.URL.Path)
@@ -90,16 +92,18 @@
 	_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\nok")
 }
 
-// startStopCase starts an entry with its listeners, a keeper and an upstream.
+// startStopCase starts an entry with its listeners, a keeper and two upstreams.
 func startStopCase(t *testing.T) *stopCase {
 	t.Helper()
 	s := &stopCase{g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
-	address := startUpstream(t, s.answer)
 	packed, err := pack.Deflate([]byte(stopConfig))
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
-	member := upstream.Member{Announcement: upstream.Announcement{
-		ID: "u0", Kind: service.Plain, Incarnation: 1, Sequence: 1, Address: address, Zone: "a", Slots: 8, Services: []string{"s"}, Lease: time.Minute,
-	}}
+	start := func(id, name string, slots int) upstream.Member {
+		return upstream.Member{Announcement: upstream.Announcement{
+			ID: id, Kind: service.Plain, Incarnation: 1, Sequence: 1, Address: startUpstream(t, s.answer), Zone: "a", Slots: slots, Services: []string{name}, Lease: time.Minute,
+		}}
+	}
+	members := []upstream.Member{start("u0", "s", 8), start("u1", "full", 1)}
 	keeper, err := peer.New(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
 	keeper.On(peer.Sync, func(ctx context.Context, body []byte) (any, error) {
@@ -113,7 +117,7 @@
 		}
 		if request.Source != 1 {
 			reply.Config = &config.Put{Number: 1, Packed: packed}
-			reply.Members = []upstream.Member{member}
+			reply.Members = members
 			return reply, nil
 		}
 		select {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -93,6 +93,9 @@
 // relayStream relays the events of one attempt's response.
 func (d *forwarding) relayStream(response *exchange.Response) outcome {
 	if !d.headSent {
+		if !d.stop.Answer() {
+			return outcome{failure: retry.Broken, cause: errStopping}
+		}
 		d.bind()
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
