link, ingress: Report the last usage to the leader

Cause: an entry that stops reports its usage to the keepers that do not lead, and the leader gets it with the reports at intervals of 0.3 to 0.9 s, which end with the process. The leader reports the usage to the platform, without what was counted since.

Evidence: TestLastUsageReachesTheLeader failed before: the leader heard of 0 requests in place of 1 by a report of the usage at the end of the stop.

Why it works: the last report goes to the leader as well; a keeper takes the usage of each report, whether it leads or not.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -282,7 +282,7 @@
 		if !accepting {
 			if remaining = in.listener.closeIdle(); remaining == 0 {
 				// All keepers get the last usage, as any may be the next leader.
-				in.link.ReportUsage(ctx)
+				in.link.ReportLastUsage(ctx)
 				return nil
 			}
 		}
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -47,6 +47,7 @@
 
 // stopCase is an entry that is about to stop, with its upstreams.
 type stopCase struct {
+	t  *testing.T
 	g  *gomega.WithT
 	in *Ingress
 	// reached are the paths of the requests that reached an upstream. It answers a
@@ -54,6 +55,8 @@
 	mu      sync.Mutex
 	reached []string
 	ends    map[string]chan struct{}
+	// usage is the number of requests in the newest report that held the usage only.
+	usage uint64
 	// drained is closed when Drain has returned.
 	drained chan struct{}
 }
@@ -95,7 +98,7 @@
 // startStopCase starts an entry with its listeners, a keeper and two upstreams.
 func startStopCase(t *testing.T) *stopCase {
 	t.Helper()
-	s := &stopCase{g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
+	s := &stopCase{t: t, g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
 	packed, err := pack.Deflate([]byte(stopConfig))
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
 	start := func(id, name string, slots int) upstream.Member {
@@ -132,6 +135,14 @@
 		if err := wire.Decode(body, &request); err != nil {
 			return nil, err
 		}
+		if request.UsageOnly {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.usage = 0
+			for _, w := range request.Usage {
+				s.usage += w.Counts["o"]
+			}
+		}
 		return &control.AccountReply{Leading: !request.UsageOnly, Leader: keeper.Address, Term: 1, Entries: 1}, nil
 	})
 	s.in, err = New(t.Context(), Options{
@@ -139,7 +150,7 @@
 		Peers: settings.Peer{Seeds: []netip.AddrPort{keeper.Address}},
 		Settings: settings.Ingress{
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Ready: netip.MustParseAddrPort("127.0.0.1:0"), RevokeWithin: time.Hour,
-			RetryRatio: 1, RetrySlack: 100, AssumedEntries: 1, UsageWindow: time.Second, DrainWithin: time.Second,
+			RetryRatio: 1, RetrySlack: 100, AssumedEntries: 1, UsageWindow: time.Hour, DrainWithin: time.Second,
 		},
 	})
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -147,6 +158,14 @@
 	return s
 }
 
+// reportedUsage is the number of requests that the leader heard of in a report of its own
+// for the usage.
+func (s *stopCase) reportedUsage() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usage
+}
+
 // stopCaller is a caller's connection.
 type stopCaller struct {
 	net.Conn
@@ -157,6 +176,7 @@
 func (s *stopCase) dial() *stopCaller {
 	c, err := net.Dial("tcp", s.in.listener.Addr().String())
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.t.Cleanup(func() { _ = c.Close() })
 	s.g.Expect(c.SetDeadline(time.Now().Add(2 * stopLimit))).To(gomega.Succeed())
 	return &stopCaller{Conn: c, s: s, reader: bufio.NewReader(c)}
 }
--- /dev/null
+++ b/ingress/stop_usage_test.go
@@ -0,0 +1,24 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// TestLastUsageReachesTheLeader guards against usage that is lost with an entry: the leader,
+// which reports it to the platform, got none since the last report before the stop's end.
+func TestLastUsageReachesTheLeader(t *testing.T) {
+	t.Parallel()
+	s := startStopCase(t)
+	caller := s.dial()
+	caller.sendAndReach("/once/1")
+	s.beginStop(t)
+	s.waitClosed()
+	s.finish("/once/1")
+	response, _ := caller.receive(true)
+	s.g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	s.g.Eventually(s.drained, stopLimit).Should(gomega.BeClosed())
+	s.g.Expect(s.reportedUsage()).To(gomega.Equal(uint64(1)))
+}
--- a/link/link.go
+++ b/link/link.go
@@ -352,7 +352,13 @@
 
 // ReportUsage reports the usage to the keepers that don't lead, and returns when
 // all have answered or failed.
-func (l *Link) ReportUsage(ctx context.Context) {
+func (l *Link) ReportUsage(ctx context.Context) { l.reportUsage(ctx, false) }
+
+// ReportLastUsage reports the usage of an entry that stops to the leader too, which gets
+// no further report.
+func (l *Link) ReportLastUsage(ctx context.Context) { l.reportUsage(ctx, true) }
+
+func (l *Link) reportUsage(ctx context.Context, toLeader bool) {
 	l.mu.Lock()
 	var keepers []netip.AddrPort
 	for _, p := range l.roster.keepers {
@@ -360,6 +366,9 @@
 			keepers = append(keepers, p.Address)
 		}
 	}
+	if toLeader && l.leader.IsValid() {
+		keepers = append(keepers, l.leader)
+	}
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
