ingress: Report the usage before a stop ends beside open streams

Cause: the last report of the usage waited until no connection was in use. With a stream that goes on to the end of the stop there was none.

Why it works: a quarter of a second before the end, after the requests without an answer have ended and count, the usage is reported while streams go on. A stream whose first event comes later than that is still not counted.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -52,6 +52,11 @@
 	// drainPollInterval is the time between two checks of the open connections
 	// and requests while the entry stops.
 	drainPollInterval = 20 * time.Millisecond
+	// usageMargin is the last part of a stop, at whose beginning the usage is
+	// reported though requests are under way: a call to the keepers fits into
+	// it, and the requests that end drain.AnswerMargin before the stop's end
+	// are counted.
+	usageMargin = 250 * time.Millisecond
 	// sweepInterval is the time between two checks for expired idle
 	// connections to upstreams.
 	sweepInterval = 2 * time.Second
@@ -268,10 +273,11 @@
 // upstream.
 func (in *Ingress) Drain(ctx context.Context) error {
 	now := in.options.Clock()
-	in.stop.Begin(now, endOf(ctx, now), drainDelay)
+	end := endOf(ctx, now)
+	in.stop.Begin(now, end, drainDelay)
 	in.stopping.Store(true)
 	klog.InfoS("entry is stopping; waiting for the load balancer", "instance", in.options.Name)
-	accepting, remaining := true, 0
+	accepting, reported, remaining := true, false, 0
 	for {
 		now := in.options.Clock()
 		in.stop.Expire(now)
@@ -286,6 +292,11 @@
 				return nil
 			}
 		}
+		if !reported && now >= end-usageMargin {
+			// Streams may go on beyond the last moment for a report.
+			reported = true
+			in.link.ReportLastUsage(ctx)
+		}
 		select {
 		case <-time.After(drainPollInterval):
 		case <-ctx.Done():
