drain: Hold the listener and the answers of a stop for both roles

The role entry needs what the role ingress has: the tracking listener, the end of a stop, and the errors of requests that it leaves no time for. They move to package drain; nothing else changes. The tests ask for the number of busy connections by a method.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,14 +1,22 @@
 // Package drain decides, while an entry stops, which requests can still be
-// answered before its process ends. It does no I/O: callers pass in the time.
+// answered before its process ends, and which connections may be closed. Callers pass in
+// the time.
 package drain
 
 import (
+	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
+// Never is the deadline of a request that has none, and the end of a process that stops
+// without one.
+const Never = clock.Instant(math.MaxInt64)
+
 // AnswerMargin is the last part of a stop, in which no answer begins any more: the
 // last answers are written, and the usage is reported.
 const AnswerMargin = 500 * time.Millisecond
@@ -17,6 +25,27 @@
 // outlast it, however short the stop is.
 const acceptFraction = 0.5
 
+// retryAfter is the Retry-After of a refusal: a new connection leads to another entry at
+// once.
+const retryAfter = 100 * time.Millisecond
+
+// Error ends a request that no upstream can answer any more before the process ends. It
+// says "not run" only if no attempt may have run the request.
+func Error(mayHaveRun bool) *result.Error {
+	if mayHaveRun {
+		return result.New(result.UpstreamUnknown, result.RanUnknown, "the entry stops before the upstream has answered")
+	}
+	return result.New(result.Draining, result.RanNo, "the entry stops before the request is sure to be answered").WithRetry(retryAfter)
+}
+
+// EndOf is when a process ends that stops with ctx.
+func EndOf(ctx context.Context, now clock.Instant) clock.Instant {
+	if deadline, ok := ctx.Deadline(); ok {
+		return now + time.Until(deadline)
+	}
+	return Never
+}
+
 // Stop is the stop of an entry and the requests that are open in it. Its zero value
 // is that of an entry that isn't stopping.
 type Stop struct {
--- a/ingress/listener.go
+++ b/drain/listener.go
@@ -1,4 +1,4 @@
-package ingress
+package drain
 
 import (
 	"net"
@@ -6,10 +6,10 @@
 	"sync"
 )
 
-// trackingListener tracks the callers' connections, so that a stopping entry
+// Listener tracks the callers' connections, so that a stopping entry
 // closes only those from which no byte of a request was read.
 // http.Server.Shutdown may close a connection whose request it has just read.
-type trackingListener struct {
+type Listener struct {
 	net.Listener
 
 	mu   sync.Mutex
@@ -17,11 +17,11 @@
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
-// on it, closed that closeIdle has closed it. reading says that the server waits
+// on it, closed that CloseIdle has closed it. reading says that the server waits
 // for bytes: until then it may hold a request that it read with the one before.
 type trackedConn struct {
 	net.Conn
-	listener *trackingListener
+	listener *Listener
 
 	mu      sync.Mutex
 	busy    bool
@@ -29,12 +29,13 @@
 	closed  bool
 }
 
-func newTrackingListener(l net.Listener) *trackingListener {
-	return &trackingListener{Listener: l, open: map[*trackedConn]bool{}}
+// NewListener tracks the connections that l accepts.
+func NewListener(l net.Listener) *Listener {
+	return &Listener{Listener: l, open: map[*trackedConn]bool{}}
 }
 
 // Accept implements net.Listener.
-func (l *trackingListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -47,7 +48,7 @@
 }
 
 // Read implements net.Conn. The connection is busy once Read has returned
-// bytes; after closeIdle has closed it, Read returns none.
+// bytes; after CloseIdle has closed it, Read returns none.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
@@ -73,10 +74,10 @@
 	return c.Conn.Close()
 }
 
-// stateChanged is the http.Server's ConnState hook: an idle connection has no
+// StateChanged is the http.Server's ConnState hook: an idle connection has no
 // request under way, and one is on an active connection, also if no byte was read
 // for it since the request before.
-func (l *trackingListener) stateChanged(c net.Conn, s http.ConnState) {
+func (l *Listener) StateChanged(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*trackedConn)
 	if !ok || s != http.StateIdle && s != http.StateActive {
 		return
@@ -86,9 +87,9 @@
 	conn.busy = s == http.StateActive
 }
 
-// closeIdle closes the connections that wait for a request and returns the number
+// CloseIdle closes the connections that wait for a request and returns the number
 // of those that remain.
-func (l *trackingListener) closeIdle() int {
+func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
 	for conn := range l.open {
@@ -106,6 +107,21 @@
 	return remaining
 }
 
+// Busy returns the number of connections that have a request under way.
+func (l *Listener) Busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for conn := range l.open {
+		conn.mu.Lock()
+		if conn.busy {
+			n++
+		}
+		conn.mu.Unlock()
+	}
+	return n
+}
+
 func (c *trackedConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/ingress/listener_test.go
+++ b/drain/listener_test.go
@@ -1,4 +1,4 @@
-package ingress
+package drain
 
 import (
 	"io"
@@ -22,7 +22,7 @@
 func (q connQueue) Close() error   { return nil }
 func (q connQueue) Addr() net.Addr { return &net.TCPAddr{} }
 
-// TestStopKeepsConnectionsWithRequestsUnderWay calls closeIdle while a request
+// TestStopKeepsConnectionsWithRequestsUnderWay calls CloseIdle while a request
 // is read, while it is served, after it, and once the server waits for the next
 // one. http.Server.Shutdown may close a connection whose request it has read but
 // not yet begun to serve.
@@ -31,7 +31,7 @@
 	serverEnd, callerEnd := net.Pipe()
 	queue := make(connQueue, 1)
 	queue <- serverEnd
-	l := newTrackingListener(queue)
+	l := NewListener(queue)
 	c, err := l.Accept()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	go func() { _, _ = callerEnd.Write([]byte("GET / ")) }()
@@ -40,17 +40,17 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(n).To(gomega.BeNumerically(">", 0))
 
-	g.Expect(l.closeIdle()).To(gomega.Equal(1), "a request is being read")
-	l.stateChanged(c, http.StateActive)
-	g.Expect(l.closeIdle()).To(gomega.Equal(1), "a request is served")
-	l.stateChanged(c, http.StateIdle)
-	g.Expect(l.closeIdle()).To(gomega.Equal(1), "the server may hold the next request")
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1), "a request is being read")
+	l.StateChanged(c, http.StateActive)
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1), "a request is served")
+	l.StateChanged(c, http.StateIdle)
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1), "the server may hold the next request")
 	readErr := make(chan error, 1)
 	go func() {
 		_, err := c.Read(buffer)
 		readErr <- err
 	}()
-	g.Eventually(l.closeIdle).Should(gomega.Equal(0))
+	g.Eventually(l.CloseIdle).Should(gomega.Equal(0))
 
 	// Bytes that arrive while the connection is closed aren't returned.
 	g.Eventually(readErr).Should(gomega.Receive(gomega.HaveOccurred()))
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -144,7 +144,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if d.stop.Ended() {
-		d.answerFailure(outcome{}, d.stoppingError())
+		d.answerFailure(outcome{}, drain.Error(d.mayHaveRun))
 		return
 	}
 	d.answerFailure(outcome{}, result.New(result.TimedOut, result.RanUnknown, "the deadline of the request has passed"))
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -80,7 +80,7 @@
 	link           *link.Link
 	dispatcher     *dispatcher
 	upstreamClient *exchange.Client
-	listener       *trackingListener
+	listener       *drain.Listener
 	stopping       atomic.Bool
 	stop           drain.Stop
 	meters         meters
@@ -137,8 +137,8 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		if s.server == callerServer {
-			in.listener = newTrackingListener(l)
-			callerServer.ConnState = in.listener.stateChanged
+			in.listener = drain.NewListener(l)
+			callerServer.ConnState = in.listener.StateChanged
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
@@ -273,7 +273,7 @@
 // upstream.
 func (in *Ingress) Drain(ctx context.Context) error {
 	now := in.options.Clock()
-	end := endOf(ctx, now)
+	end := drain.EndOf(ctx, now)
 	in.stop.Begin(now, end, drainDelay)
 	in.stopping.Store(true)
 	klog.InfoS("entry is stopping; waiting for the load balancer", "instance", in.options.Name)
@@ -283,10 +283,10 @@
 		in.stop.Expire(now)
 		if accepting && !in.stop.Accepting(now) {
 			accepting = false
-			_ = in.listener.Listener.Close()
+			_ = in.listener.Close()
 		}
 		if !accepting {
-			if remaining = in.listener.closeIdle(); remaining == 0 {
+			if remaining = in.listener.CloseIdle(); remaining == 0 {
 				// All keepers get the last usage, as any may be the next leader.
 				in.link.ReportLastUsage(ctx)
 				return nil
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -138,13 +138,13 @@
 	}
 	r.deadline = r.arrived + timeout
 	if in.stop.TooLate(r.arrived, r.deadline) {
-		return r, drainingError()
+		return r, drain.Error(false)
 	}
 	if err := r.read(w, httpRequest, table.Revision.Limits, &in.stop); err != nil {
 		return r, err
 	}
 	if in.stop.TooLate(in.options.Clock(), r.deadline) {
-		return r, drainingError()
+		return r, drain.Error(false)
 	}
 	r.service = r.route.Pick(hashFraction(r.ID))
 	r.rank = rank(r.route, r.org)
@@ -221,7 +221,7 @@
 	open.Close()
 	if open.Ended() {
 		w.Header().Set("Connection", "close")
-		return drainingError()
+		return drain.Error(false)
 	}
 	if err != nil {
 		// The read deadline stays, so that the server doesn't wait for the rest
--- a/ingress/stop_late_test.go
+++ b/ingress/stop_late_test.go
@@ -54,7 +54,7 @@
 				s.g.Expect(err).NotTo(gomega.HaveOccurred())
 			} else {
 				caller.send(c.before)
-				s.g.Eventually(func() bool { return s.busyConns() == 1 }, stopLimit).Should(gomega.BeTrue())
+				s.g.Eventually(s.in.listener.Busy, stopLimit).Should(gomega.Equal(1))
 				s.beginStop(t)
 				s.waitClosed()
 			}
@@ -87,7 +87,7 @@
 	waiting.send(stopRequest("/full/waiting"))
 	text := stopRequest("/once/trickling")
 	trickling.send(text[:len(text)-1])
-	s.g.Eventually(s.busyConns, stopLimit).Should(gomega.Equal(4))
+	s.g.Eventually(s.in.listener.Busy, stopLimit).Should(gomega.Equal(4))
 	s.beginStop(t)
 
 	trickling.expectRefusal()
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -59,6 +59,8 @@
 	usage uint64
 	// drained is closed when Drain has returned.
 	drained chan struct{}
+	// endProcess closes all connections.
+	endProcess func()
 }
 
 func (s *stopCase) end(path string) chan struct{} {
@@ -145,7 +147,9 @@
 		}
 		return &control.AccountReply{Leading: !request.UsageOnly, Leader: keeper.Address, Term: 1, Entries: 1}, nil
 	})
-	s.in, err = New(t.Context(), Options{
+	ctx, cancel := context.WithCancel(t.Context())
+	s.endProcess = cancel
+	s.in, err = New(ctx, Options{
 		Name: "e", Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: peer.NewClient(),
 		Peers: settings.Peer{Seeds: []netip.AddrPort{keeper.Address}},
 		Settings: settings.Ingress{
@@ -217,11 +221,7 @@
 		defer cancel()
 		defer close(s.drained)
 		_ = s.in.Drain(ctx)
-		s.in.listener.mu.Lock()
-		defer s.in.listener.mu.Unlock()
-		for c := range s.in.listener.open {
-			_ = c.Conn.Close()
-		}
+		s.endProcess()
 	}()
 	s.g.Eventually(s.in.ready, stopLimit).Should(gomega.BeFalse())
 }
@@ -237,22 +237,6 @@
 	}, stopLimit, 20*time.Millisecond).ShouldNot(gomega.Succeed())
 }
 
-// busyConns is the number of connections from which bytes of a request were read.
-func (s *stopCase) busyConns() int {
-	l := s.in.listener
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for c := range l.open {
-		c.mu.Lock()
-		if c.busy {
-			n++
-		}
-		c.mu.Unlock()
-	}
-	return n
-}
-
 // TestPipelinedRequestIsServedToItsEnd guards against a stop that closes the connection of
 // a request which was read together with the one before it: no byte is read from the
 // connection any more when it is served.
