entry: Refuse what a stop leaves no time to answer

Cause: as in the role ingress, a draining entry did not know when its process ends. It passed on calls whose body was whole only then, and ended with calls unanswered. http.Server.Shutdown also drops a request whose head becomes whole after it was called.

Evidence, each failing before with "the connection ended without an answer: unexpected EOF", in a stop of 4 s: TestRequestThatIsWholeLateInAStopIsRefused (late head, late body), TestEveryCallGetsAnAnswerBeforeTheEnd (a call that waits for an upstream), TestWholeChatGetsAnAnswerBeforeTheEnd. TestPipelinedCallIsServedToItsEnd passed before and guards the new listener.

Why it works: the entry uses package drain as the role ingress does. Calls name no deadline, so that none is taken after drainDelay; one that waits for an upstream is refused when the first token or answer would come too late by its target. Half a second before the end the others are answered; an attempt that ends so does not count against its upstream. A stream that has begun goes on, and can be taken up at another entry.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/relay"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
@@ -78,6 +79,9 @@
 	// text is the answer up to stream.Offset().
 	text  strings.Builder
 	began time.Time
+	stop  *drain.Request
+	// mayHaveRun says that an attempt may have run the request.
+	mayHaveRun bool
 	// emitted is stream.Offset(), readable by other goroutines.
 	emitted atomic.Int64
 }
@@ -86,17 +90,30 @@
 // request is refused.
 func (c *chatCall) run(ctx context.Context) error {
 	e := c.entry
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A stream that the stop cuts off can be taken up at another entry, so that the
+	// first token counts.
+	c.stop = e.stop.Open(drain.Never, c.firstTokenTarget, cancel)
+	defer c.stop.Close()
 	c.job = e.dispatch.submit(c.ticket)
 	for {
 		select {
 		case <-ctx.Done():
 			e.dispatch.withdraw(c.job)
+			if c.stop.Ended() {
+				return drain.Error(c.mayHaveRun)
+			}
 			return result.New(result.Expired, result.RanUnknown, "the caller closed the connection")
 		case o := <-c.job.decisions:
 			switch o := o.(type) {
 			case refused:
 				return c.refuse(o.err)
 			case granted:
+				if !c.stop.Send(e.dispatch.clock()) {
+					e.dispatch.withdraw(c.job)
+					return drain.Error(c.mayHaveRun)
+				}
 				done, err := c.attempt(ctx, o.upstream)
 				if done {
 					e.dispatch.finish(c.job)
@@ -131,17 +148,23 @@
 		e.meters.recomputed.Inc(int64(offset + c.ticket.Query.PromptTokens))
 	}
 	failure, err := c.relayFrom(ctx, u, number, offset)
+	c.mayHaveRun = c.mayHaveRun || failure.MayHaveRun()
 	switch {
 	case err != nil:
 		return true, err
 	case c.stream.Ended():
 		e.meters.answered.Inc(1)
 		return true, c.out.end(c.stream.Offset(), &u)
+	case c.stop.Ended():
+		return true, drain.Error(c.mayHaveRun)
 	case ctx.Err() != nil:
 		return true, result.New(result.Expired, result.RanUnknown, "the caller closed the connection")
 	}
 	klog.V(1).InfoS("attempt failed; requesting another upstream", "instance", e.options.Node.Name, "zone", e.options.Node.Zone,
 		"request", c.job.ticket.ID, "upstream", u.ID, "attempt", number, "offset", c.stream.Offset(), "failure", int(failure))
+	if !c.mayHaveRun {
+		c.stop.Unsent()
+	}
 	e.dispatch.failed(c.job, failure)
 	return false, nil
 }
@@ -208,6 +231,9 @@
 func (c *chatCall) accept(chunk relay.Chunk, u *upstream.Announcement) (*retry.Failure, error) {
 	switch c.stream.Accept(chunk) {
 	case relay.Emit:
+		if c.request.Stream && !c.stop.Answer() {
+			return nil, drain.Error(true)
+		}
 		if chunk.Offset == 0 {
 			c.entry.dispatch.bind(c.job, u.Release)
 			c.entry.meters.firstToken.UpdateSince(c.began)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
@@ -35,8 +36,11 @@
 	idleTimeout       = 2 * time.Minute
 	// drainDelay is how long a draining entry keeps accepting requests, so
 	// that the load balancer first sees that it isn't ready.
-	drainDelay  = 500 * time.Millisecond
-	dumpTimeout = time.Second
+	drainDelay = 500 * time.Millisecond
+	// drainPollInterval is the time between two checks of the open connections
+	// and requests while the entry drains.
+	drainPollInterval = 20 * time.Millisecond
+	dumpTimeout       = time.Second
 )
 
 // Options configure an Entry.
@@ -56,8 +60,9 @@
 	options        Options
 	dispatch       *dispatchActor
 	upstreams      *upstreamClient
-	http           *http.Server
+	listener       *drain.Listener
 	draining       atomic.Bool
+	stop           drain.Stop
 	pendingSettles sync.WaitGroup
 	openRequests   openRequests
 	meters         meters
@@ -105,6 +110,7 @@
 	e := &Entry{
 		Address:      l.Addr().(*net.TCPAddr).AddrPort(),
 		options:      o,
+		listener:     drain.NewListener(netutil.LimitListener(l, o.Settings.MaxConnections)),
 		dispatch:     h,
 		upstreams:    newUpstreamClient(),
 		openRequests: openRequests{perCallerLimit: o.Settings.MaxStreamsPerCaller, byCaller: map[string]int{}},
@@ -112,14 +118,15 @@
 		inTime:       newInTimeTracker(),
 	}
 	o.Server.Handle("POST /upstream/announce", http.HandlerFunc(e.announce))
-	e.http = &http.Server{
+	server := &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    o.Settings.MaxHeaderBytes,
+		ConnState:         e.listener.StateChanged,
 	}
-	go func() { _ = e.http.Serve(netutil.LimitListener(l, o.Settings.MaxConnections)) }()
-	context.AfterFunc(ctx, func() { _ = e.http.Close() })
+	go func() { _ = server.Serve(e.listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return e, nil
 }
 
@@ -161,20 +168,42 @@
 
 // Drain implements kernel.Plugin. The entry reports to the load balancer that it
 // isn't ready, accepts requests for drainDelay more, and then waits until the
-// open requests have ended and their claims are settled.
+// open requests have ended and their claims are settled. Requests that can't be
+// answered before ctx ends are refused, or answered in place of the upstream.
 func (e *Entry) Drain(ctx context.Context) error {
+	now := e.dispatch.clock()
+	e.stop.Begin(now, drain.EndOf(ctx, now), drainDelay)
 	e.draining.Store(true)
 	klog.InfoS("entry draining", "instance", e.options.Node.Name, "open", e.openRequests.total())
-	select {
-	case <-time.After(drainDelay):
-	case <-ctx.Done():
-	}
-	e.http.SetKeepAlivesEnabled(false)
-	err := e.http.Shutdown(ctx)
+	err := e.waitAnswered(ctx)
 	e.waitSettled(ctx)
 	return errors.Wrap(err, "drain callers")
 }
 
+// waitAnswered waits until no connection has a request under way any more.
+func (e *Entry) waitAnswered(ctx context.Context) error {
+	poll := time.NewTicker(drainPollInterval)
+	defer poll.Stop()
+	for accepting, remaining := true, 0; ; {
+		now := e.dispatch.clock()
+		e.stop.Expire(now)
+		if accepting && !e.stop.Accepting(now) {
+			accepting = false
+			_ = e.listener.Close()
+		}
+		if !accepting {
+			if remaining = e.listener.CloseIdle(); remaining == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return errors.Errorf("%d connections were still in use at the end of the drain", remaining)
+		}
+	}
+}
+
 // Dump implements kernel.Plugin.
 func (e *Entry) Dump() any {
 	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/problem"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -49,6 +51,10 @@
 // writing of errors.
 func (e *Entry) serve(handle requestHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			// A new connection of the caller leads to another entry.
+			w.Header().Set("Connection", "close")
+		}
 		in, err := e.readRequest(w, r)
 		if err == nil {
 			defer e.openRequests.end(in.caller)
@@ -71,10 +77,17 @@
 	if !e.options.Gossip.Ready(r.Context()) {
 		return in, result.New(result.NotReady, result.RanNo, "this entry hasn't received its documents yet").WithRetry(drainDelay)
 	}
+	// Requests name no time by which they fail, so that all may outlast a stop.
+	if e.stop.TooLate(e.dispatch.clock(), drain.Never) {
+		return in, drain.Error(false)
+	}
 	body, err := e.readBody(w, r)
 	if err != nil {
 		return in, err
 	}
+	if e.stop.TooLate(e.dispatch.clock(), drain.Never) {
+		return in, drain.Error(false)
+	}
 	in.body = body
 	if !e.openRequests.begin(in.caller) {
 		return in, result.New(result.CallerStreams, result.RanNo, "%d requests of caller %s are open, which is the limit", e.openRequests.perCallerLimit, in.caller).WithRetry(drainDelay)
@@ -85,7 +98,12 @@
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline(readBodyTimeout))
+	open := e.stop.Open(drain.Never, drain.Never, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.options.Settings.MaxBodyBytes)))
+	open.Close()
+	if open.Ended() {
+		return nil, drain.Error(false)
+	}
 	_ = control.SetReadDeadline(noDeadline)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -100,6 +118,9 @@
 // problem writes an error as problem+json and counts it.
 func (e *Entry) problem(w http.ResponseWriter, in callerRequest, err error) {
 	p := result.From(err)
+	if p.Code == result.Draining {
+		w.Header().Set("Connection", "close")
+	}
 	if p.Ran == result.RanNo {
 		e.meters.refused.Inc(1)
 	} else {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/service"
@@ -50,7 +51,9 @@
 	request *http.Request
 	path    string
 	in      callerRequest
-	timeout time.Duration
+	// target is the time within which the answer should come, and timeout bounds an
+	// attempt.
+	target, timeout time.Duration
 }
 
 // plain serves /services/{service}/{path}.
@@ -85,6 +88,7 @@
 		request: r,
 		path:    path,
 		in:      in,
+		target:  d.Ranks[rank].FirstToken,
 		timeout: max(d.Ranks[rank].FirstToken, e.options.Settings.ProgressTimeout),
 	}
 	run := p.run
@@ -114,10 +118,19 @@
 // repeatable runs at most once.
 func (p *plainCall) run(ctx context.Context) (*plainResponse, error) {
 	e := p.entry
+	// The stop of the entry ends an attempt, as the process ends; the caller that
+	// disconnects doesn't.
+	stopCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	open := e.stop.Open(drain.Never, p.target, cancel)
+	defer open.Close()
 	p.job = e.dispatch.submit(p.ticket)
 	first, ran := true, result.RanNo
 	for {
 		select {
+		case <-stopCtx.Done():
+			e.dispatch.withdraw(p.job)
+			return nil, drain.Error(ran != result.RanNo)
 		case <-ctx.Done():
 			e.dispatch.withdraw(p.job)
 			return nil, result.New(result.Expired, ran, "the caller closed the connection")
@@ -130,7 +143,11 @@
 					e.meters.accepted.Inc(1)
 				}
 				first = false
-				response, failure, err := p.attempt(ctx, o.upstream)
+				if !open.Send(e.dispatch.clock()) {
+					e.dispatch.withdraw(p.job)
+					return nil, drain.Error(ran != result.RanNo)
+				}
+				response, failure, err := p.attempt(stopCtx, o.upstream)
 				if response != nil || err != nil {
 					e.dispatch.finish(p.job)
 					e.meters.answered.Inc(1)
@@ -139,16 +156,25 @@
 				if failure.MayHaveRun() {
 					ran = result.RanUnknown
 				}
+				if open.Ended() {
+					// The upstream hasn't failed.
+					e.dispatch.withdraw(p.job)
+					return nil, drain.Error(ran != result.RanNo)
+				}
+				if ran == result.RanNo {
+					open.Unsent()
+				}
 				e.dispatch.failed(p.job, failure)
 			}
 		}
 	}
 }
 
-// attempt sends the call to one upstream. It goes on when the caller disconnects,
-// so that the outcome of a call that has started becomes known.
+// attempt sends the call to one upstream. Its context is that of the entry's stop, so that
+// it goes on when the caller disconnects and the outcome of a call that has started becomes
+// known.
 func (p *plainCall) attempt(ctx context.Context, u upstream.Announcement) (*plainResponse, retry.Failure, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.timeout)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	r, err := p.upstreamRequest(ctx, u)
 	if err != nil {
