--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/link"
@@ -49,9 +50,14 @@
 	// drainDelay is how long a stopping entry still accepts requests: the load
 	// balancer checks readiness every second and acts on the second failure.
 	drainDelay = 2300 * time.Millisecond
-	// drainPollInterval is the time between two checks for open connections
-	// while the entry stops.
+	// drainPollInterval is the time between two checks of the open connections
+	// and requests while the entry stops.
 	drainPollInterval = 20 * time.Millisecond
+	// usageMargin is the last part of a stop, at whose beginning the usage is
+	// reported though requests are under way: a call to the keepers fits into
+	// it, and the requests that end drain.AnswerMargin before the stop's end
+	// are counted.
+	usageMargin = 250 * time.Millisecond
 	// sweepInterval is the time between two checks for expired idle
 	// connections to upstreams.
 	sweepInterval = 2 * time.Second
@@ -81,8 +87,9 @@
 	upstreamClient *exchange.Client
 	paths          *pathDialer
 	tunnels        *tunnels
-	listener       *trackingListener
+	listener       *drain.Listener
 	stopping       atomic.Bool
+	stop           drain.Stop
 	meters         meters
 
 	mu sync.Mutex
@@ -141,8 +148,8 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		if s.server == callerServer {
-			in.listener = newTrackingListener(l)
-			callerServer.ConnState = in.listener.stateChanged
+			in.listener = drain.NewListener(l)
+			callerServer.ConnState = in.listener.StateChanged
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
@@ -317,22 +324,35 @@
 }
 
 // Drain implements kernel.Plugin. The readiness check fails first; the entry
-// accepts requests until the load balancer has acted on that.
+// accepts requests until the load balancer has acted on that. Requests that
+// can't be answered before ctx ends are refused, or answered in place of the
+// upstream.
 func (in *Ingress) Drain(ctx context.Context) error {
+	now := in.options.Clock()
+	end := drain.EndOf(ctx, now)
+	in.stop.Begin(now, end, drainDelay)
 	in.stopping.Store(true)
 	klog.InfoS("entry is stopping; waiting for the load balancer", "instance", in.options.Name)
-	select {
-	case <-time.After(drainDelay):
-	case <-ctx.Done():
-	}
-	_ = in.listener.Listener.Close()
+	accepting, reported, remaining := true, false, 0
 	for {
-		remaining := in.listener.closeIdle()
-		if remaining == 0 {
-			in.tunnels.drain(ctx)
-			// All keepers get the last usage, as any may be the next leader.
-			in.link.ReportUsage(ctx)
-			return nil
+		now := in.options.Clock()
+		in.stop.Expire(now)
+		if accepting && !in.stop.Accepting(now) {
+			accepting = false
+			_ = in.listener.Close()
+		}
+		if !accepting {
+			if remaining = in.listener.CloseIdle(); remaining == 0 {
+				// All keepers get the last usage, as any may be the next leader.
+				in.link.ReportLastUsage(ctx)
+				in.tunnels.drain(ctx)
+				return nil
+			}
+		}
+		if !reported && now >= end-usageMargin {
+			// Streams may go on beyond the last moment for a report.
+			reported = true
+			in.link.ReportLastUsage(ctx)
 		}
 		select {
 		case <-time.After(drainPollInterval):
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -96,6 +96,9 @@
 		if !d.claimHead() {
 			return outcome{failure: retry.Broken, cause: errReplaced}
 		}
+		if !d.stop.Answer() {
+			return outcome{failure: retry.Broken, cause: errStopping}
+		}
 		d.bind()
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
