exchange: Tell a reset from the end of an answer, whoever sees it first

Cause: the kernel reports a reset once. If the request's body is still being sent, the writer gets ECONNRESET and the reader then an io.EOF like that of a connection that was closed in order. For an answer with neither a length nor chunks this is its end, so that what came until then passed as the whole body.

Evidence: TestResetWhileSendingIsNoEnd failed in both cases ("" and "half" look complete), with the reset seen by the writer first, without sleeps. TestCutAnswersAreNeverWhole cuts 40 answers after each byte, by a close and by a reset, and failed nowhere: http.ReadResponse takes no head without its empty line, and lengths and chunks are checked by its bodies.

Fix: at io.EOF the connection's state is asked for. After a close by the other side it is CLOSE_WAIT, after a reset CLOSED, whoever got the error. A connection that was closed and then reset counts as reset, which errs on the safe side. TestResetThatAWriterSawIsNoEnd failed in a trial without the question.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -19,6 +19,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 )
 
 // Timeouts and limits of the connections to upstreams.
@@ -111,8 +113,10 @@
 
 type connection struct {
 	net.Conn
-	address netip.AddrPort
-	reader  *bufio.Reader
+	// incoming reads from the connection, and fails if it was reset.
+	incoming io.Reader
+	address  netip.AddrPort
+	reader   *bufio.Reader
 	// headBytes is how many more bytes may be read while a head is read.
 	headBytes   int
 	readingHead bool
@@ -221,7 +225,7 @@
 			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 		})
 	}
-	opened := &connection{Conn: conn, address: address}
+	opened := &connection{Conn: conn, incoming: tcpconn.Conn{Conn: conn}, address: address}
 	opened.reader = bufio.NewReaderSize(opened, readBufferBytes)
 	return opened, nil
 }
@@ -244,12 +248,12 @@
 // Read implements io.Reader. While a head is read it fails after maxHeadBytes.
 func (c *connection) Read(p []byte) (int, error) {
 	if !c.readingHead {
-		return c.Conn.Read(p)
+		return c.incoming.Read(p)
 	}
 	if c.headBytes <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headBytes)])
+	n, err := c.incoming.Read(p[:min(len(p), c.headBytes)])
 	c.headBytes -= n
 	return n, err
 }
