entry: Tell a reset from the end of an answer, whoever sees it first

Cause: as in exchange, and one more. net/http closes the connection after the write of a request has failed. Its reader may find the end of the connection before that and ask for its state after it, when there is none.

Fix: the entry's transports read through tcpconn.Conn, and an end whose reason can't be found out is an error there. TestConnectionClosedHereHasNoEnd holds this.

--- a/common/tcpconn/tcpconn.go
+++ b/common/tcpconn/tcpconn.go
@@ -24,26 +24,37 @@
 // Read implements io.Reader.
 func (c Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
-		err = unix.ECONNRESET
+	if errors.Is(err, io.EOF) {
+		err = endOf(c.Conn)
 	}
 	return n, err
 }
 
-// wasReset reports whether the connection was reset. It is false if that can't be read.
-func wasReset(c net.Conn) bool {
+// endOf is the error by which reading from a connection ends that has no more bytes. A
+// connection that has been closed on this side meanwhile, as after a failed write,
+// doesn't say why there are no more.
+func endOf(c net.Conn) error {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return io.EOF
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	reset := false
+	var info *unix.TCPInfo
+	var infoErr error
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		reset = err == nil && info.State == stateClosed
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return err == nil && reset
+	switch {
+	case err != nil:
+		return err
+	case infoErr != nil:
+		return infoErr
+	case info.State == stateClosed:
+		return unix.ECONNRESET
+	default:
+		return io.EOF
+	}
 }
--- a/common/tcpconn/tcpconn_test.go
+++ b/common/tcpconn/tcpconn_test.go
@@ -52,3 +52,12 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(string(text)).To(gomega.Equal("whole"))
 }
+
+// TestConnectionClosedHereHasNoEnd guards against a connection that another goroutine closes
+// after a failed write, between a read without bytes and the question why there are none.
+func TestConnectionClosedHereHasNoEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	here, _ := pair(t)
+	g.Expect(here.Close()).To(gomega.Succeed())
+	g.Expect(endOf(here)).To(gomega.MatchError(net.ErrClosed))
+}
--- a/entry/client.go
+++ b/entry/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 )
 
 // Limits of the connections to one upstream.
@@ -44,7 +46,13 @@
 func newTransport(singleUse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout, KeepAlive: keepAliveInterval}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return tcpconn.Conn{Conn: c}, nil
+		},
 		DisableKeepAlives:   singleUse,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
