ingress: A stream that goes on and ends before an event is broken off, too

Cause: an answer with neither a length nor chunks that is closed before its first event counted as broken off only if the caller had no event yet. The second upstream of a stream may crash there just as well, and more likely than at any other place: it may send its head before it has read the prompt. The caller's stream then ended in order after the first upstream's events.

Fix: such an answer has to bring an event, whatever the caller has. An upstream that has nothing left to send says so by a length or chunks; one that says so by a close alone is asked again elsewhere, and the caller's connection is closed at last. Two that agree prove nothing: some requests crash each upstream.

--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -71,6 +71,14 @@
 // startEntry serves one route by the upstreams, the first of which is preferred,
 // and returns the entry's URL.
 func startEntry(t *testing.T, route config.Route, timeout time.Duration, upstreams ...netip.AddrPort) string {
+	t.Helper()
+	server := httptest.NewServer(newEntry(t, route, timeout, upstreams...))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// newEntry is an entry without a listener.
+func newEntry(t *testing.T, route config.Route, timeout time.Duration, upstreams ...netip.AddrPort) http.Handler {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -97,7 +105,7 @@
 	}
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Merge(now, members) })
 	route.Timeout, route.Target, route.Attempts = timeout, time.Second, 3
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, httpRequest *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, httpRequest *http.Request) {
 		id := requestID
 		if named := httpRequest.Header.Get("X-Request-Id"); named != "" {
 			id = named
@@ -106,9 +114,7 @@
 			Request: call.Request{ID: id}, arrived: in.options.Clock(), deadline: in.options.Clock() + timeout,
 			method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header, route: &route, service: "s",
 		})
-	}))
-	t.Cleanup(server.Close)
-	return server.URL
+	})
 }
 
 // get sends the request and reads the answer.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -126,8 +126,9 @@
 		switch {
 		case eventErr != nil:
 			return outcome{failure: retry.Broken, cause: eventErr}
-		case errors.Is(err, io.EOF) && !response.Framed() && !began && !d.events.hasLast:
-			// The upstream may have crashed before it wrote anything.
+		case errors.Is(err, io.EOF) && !response.Framed() && !began:
+			// The upstream may have crashed before it wrote anything, also where it goes on
+			// with a stream. That nothing is left it can say by a length or chunks.
 			return outcome{failure: retry.Broken, cause: errors.New("the connection ended before the first event")}
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0:
 			d.finish(true, inTime)
