--- a/exchange/cut_test.go
+++ b/exchange/cut_test.go
@@ -52,6 +52,7 @@
 		{name: "body in place of the empty line", text: head + "Content-Length: 2\nok", unsound: true},
 		{name: "colon in a body in place of the empty line", text: head + "data: x\n", unsound: true},
 		{name: "unknown transfer encoding", text: head + "Transfer-Encoding: chunk\n\n2\nok\n0\n\n", unsound: true},
+		{name: "another request's, whose ID begins like this one's", text: "HTTP/1.1 200 OK\nX-Id: 17\nContent-Length: 3\n\nold", unsound: true},
 		{name: "longer length", text: head + "Content-Length: 1234\n\nabcdefghijkl", unsound: true},
 	}
 	var answers []cutAnswer
