--- /dev/null
+++ b/common/cuttest/cuttest.go
@@ -0,0 +1,117 @@
+// Package cuttest has servers for tests whose answers are cut off.
+package cuttest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+)
+
+// Cut is an answer of which a server sends the first Sent bytes, before it closes the
+// connection or resets it.
+type Cut struct {
+	// Text is the whole answer, Body what its caller gets.
+	Text, Body string
+	// Endless says that the answer has neither a length nor chunks.
+	Endless bool
+	Sent    int
+	Reset   bool
+}
+
+// String says for messages where the answer was cut.
+func (c *Cut) String() string { return fmt.Sprintf("%q, reset=%v", c.Text[:c.Sent], c.Reset) }
+
+// Whole returns the body that counts as a whole one. If the answer has neither a length
+// nor chunks it ends wherever its connection is closed.
+func (c *Cut) Whole() (body string, ok bool) {
+	if !c.Endless {
+		return c.Body, c.Sent == len(c.Text)
+	}
+	bodyAt := len(c.Text) - len(c.Body)
+	if c.Reset || c.Sent < bodyAt {
+		return "", false
+	}
+	return c.Body[:c.Sent-bodyAt], true
+}
+
+// Write sends the part and ends the connection.
+func (c *Cut) Write(conn net.Conn) {
+	_, _ = io.WriteString(conn, c.Text[:c.Sent])
+	if c.Reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// Of returns an answer by its framing, cut after each byte, by a close and by a reset.
+func Of(head, body string) map[string][]*Cut {
+	const length, endless = "length", "until closed"
+	cuts := map[string][]*Cut{}
+	for framing, text := range map[string]string{
+		length:   fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body),
+		"chunks": fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body),
+		endless:  head + "\r\n" + body,
+	} {
+		first := 0
+		if framing != length {
+			// Cut earlier, all framings are the same bytes.
+			first = len(head) + 1
+		}
+		for sent := first; sent <= len(text); sent++ {
+			for _, reset := range []bool{false, true} {
+				cuts[framing] = append(cuts[framing], &Cut{Text: text, Body: body, Endless: framing == endless, Sent: sent, Reset: reset})
+			}
+		}
+	}
+	return cuts
+}
+
+// Each calls test with a server for each cut of an answer.
+func Each(t *testing.T, head, body string, test func(t *testing.T, server netip.AddrPort, c *Cut)) {
+	t.Helper()
+	var next atomic.Pointer[Cut]
+	server := start(t, &next)
+	for framing, cuts := range Of(head, body) {
+		t.Run(framing, func(t *testing.T) {
+			for _, c := range cuts {
+				next.Store(c)
+				test(t, server, c)
+			}
+		})
+	}
+}
+
+// start starts a server that answers each request by the next cut.
+func start(t *testing.T, next *atomic.Pointer[Cut]) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answer(c, next)
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func answer(c net.Conn, next *atomic.Pointer[Cut]) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	next.Load().Write(c)
+}
