ingress: Reset the connection of an old caller if its answer breaks off

Cause: an answer that breaks off after its head ends by a close of the caller's connection, before the last chunk or the stated length. A caller of HTTP/1.0 gets no chunks: to it the close is the end of a body without a length. Proxies that speak HTTP/1.0 to their servers pass such an answer on as a whole one.

Evidence: a stream of one event and a body beyond what is buffered, whose upstream closed before the last chunk, failed TestBrokenAnswersAreResetForOldCallers ("71 bytes look complete", "262201 bytes look complete").

Fix: the connection is taken from the server and reset.

--- /dev/null
+++ b/ingress/abort.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+)
+
+// abort ends an answer that has begun and broken off, by an end of the caller's connection
+// that doesn't look like that of a whole answer.
+func (d *forwarding) abort() {
+	if !d.chunks {
+		// A close would end the body.
+		if err := reset(d.w); err != nil {
+			klog.InfoS("caller's connection can't be reset, and is closed", "request", d.r.ID, "route", d.r.routeName(), "err", err)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// lingerer is a connection whose Close can be made a reset.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// reset resets the connection of an answer.
+func reset(w http.ResponseWriter) error {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	l, ok := c.(lingerer)
+	if !ok {
+		return errors.Errorf("%T has no reset", c)
+	}
+	return l.SetLinger(0)
+}
+
+// SetLinger implements lingerer.
+func (c *trackedConn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(lingerer)
+	if !ok {
+		return errors.Errorf("%T has no reset", c.Conn)
+	}
+	return l.SetLinger(seconds)
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -28,6 +28,9 @@
 	w       http.ResponseWriter
 	ticket  uint64
 	actions <-chan fleet.Action
+	// chunks says that the caller knows chunks; for one that doesn't, a body without a
+	// length ends with the connection.
+	chunks bool
 	// events tracks the events of a stream across attempts.
 	events eventTracker
 	// headSent says that the status and headers went to the caller: status and
@@ -92,7 +95,7 @@
 	_ = controller.SetWriteDeadline(time.Now().Add(r.deadline - in.options.Clock() + time.Second))
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 
-	d := &forwarding{in: in, r: r, w: w}
+	d := &forwarding{in: in, r: r, w: w, chunks: httpRequest.ProtoAtLeast(1, 1)}
 	d.events.start(r.LastEvent, r.Resumes)
 	d.ticket, d.actions = in.dispatcher.submit(r.ticket())
 	defer in.dispatcher.withdraw(d.ticket)
@@ -151,7 +154,7 @@
 	}
 	if d.headSent {
 		klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "events", d.events.forwarded, "code", int(err.Code), "detail", err.Detail)
-		panic(http.ErrAbortHandler)
+		d.abort()
 	}
 	d.in.refuse(d.w, d.r, err)
 }
@@ -421,7 +424,7 @@
 	}
 	klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "bytes", n, "limit", limit, "err", err)
 	d.finish(false, false)
-	panic(http.ErrAbortHandler)
+	d.abort()
 }
 
 // copyErrorResponse sends the upstream's error response to the caller.
