--- a/drain/listener.go
+++ b/drain/listener.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // Listener tracks the callers' connections, so that a stopping entry
@@ -74,6 +76,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what Close does with unsent bytes, as for net.TCPConn.
+func (c *trackedConn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.Errorf("%T has no reset", c.Conn)
+	}
+	return l.SetLinger(seconds)
+}
+
 // StateChanged is the http.Server's ConnState hook: an idle connection has no
 // request under way, and one is on an active connection, also if no byte was read
 // for it since the request before.
