fleet: Record a hedge at its request from its start

Callers saw: a request that failed while its hedge was still ending ran at three upstreams where two were allowed, or twice at the same one; and a refusal with "not run", with its quota given back, for a request that had run at its second upstream.

Cause: attempts and runs were copied from the hedge when it ended. Between the end of the attempt and that of the hedge the request was repeated without them, and the copy undid the count of the repeat. That a hedge may have run wasn't recorded.

Now the request is charged in the step that starts the hedge, gets the run back if the hedge didn't run, and avoids the upstream of a hedge that is still open.

Evidence: TestHedgesCountAsRunsFromTheirStart failed with two runs ("u3" instead of upstreamUnknown), TestRefusalsKnowOfHedges in all three cases (ran "no" instead of "unknown").

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -489,7 +489,7 @@
 		t.upstream.end(now, t)
 		f.endTrial(t.upstream, t, false)
 	}
-	f.endHedge(t)
+	t.dropHedge()
 	f.removeTicket(s, t)
 	f.schedule(now, s)
 	return f.takeActions()
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -43,7 +43,7 @@
 		f.service(t.Service).recordOutcome(u, false)
 	}
 	t.failedOn = append(t.failedOn, u.ID)
-	t.mayHaveRun = t.mayHaveRun || failure.MayHaveRun()
+	t.mayHaveRun = t.mayHaveRun || failure.MayHaveRun() || t.hedge != nil
 	if !failure.MayHaveRun() {
 		t.runs--
 	}
@@ -76,9 +76,12 @@
 	})
 }
 
-// mayRunOn reports whether the upstream hasn't failed the ticket, and is of the
-// release that the ticket is bound to.
+// mayRunOn reports whether the upstream hasn't failed the ticket, doesn't run its hedge, and
+// is of the release that the ticket is bound to.
 func (t *ticket) mayRunOn(u *upstreamView) bool {
+	if t.hedge != nil && t.hedge.upstream == u {
+		return false
+	}
 	return !slices.Contains(t.failedOn, u.ID) && t.Fits(&u.Announcement)
 }
 
--- a/fleet/fleet__hedge.go
+++ b/fleet/fleet__hedge.go
@@ -31,6 +31,8 @@
 	t.hedge = h
 	f.tickets[hedgeID] = h
 	f.grant(now, s, h, u, e)
+	// The request may fail while its hedge still ends.
+	t.attempts, t.runs = h.attempts, h.runs
 	return f.takeActions()
 }
 
@@ -40,24 +42,25 @@
 	if !ok || h.state != running {
 		return nil
 	}
+	u := h.upstream
 	f.recordFailure(now, h, failure)
 	f.removeTicket(f.service(h.Service), h)
-	f.endHedge(h)
+	if t := h.hedgeOf; t != nil {
+		t.hedge = nil
+		t.failedOn = append(t.failedOn, u.ID)
+		t.mayHaveRun = t.mayHaveRun || failure.MayHaveRun()
+		if !failure.MayHaveRun() {
+			t.runs--
+		}
+	}
 	f.schedule(now, f.service(h.Service))
 	return f.takeActions()
 }
 
-// endHedge charges the ticket for the attempt of its hedge.
-func (f *Fleet) endHedge(h *ticket) {
-	t := h.hedgeOf
-	if t == nil || t.hedge != h {
-		return
-	}
-	t.hedge, t.attempts, t.runs = nil, h.attempts, h.runs
-	t.failedOn = slices.Clone(h.failedOn)
-	if t.upstream != nil {
-		// The hedge avoided the ticket's own upstream, which hasn't failed.
-		t.failedOn = slices.DeleteFunc(t.failedOn, func(id string) bool { return id == t.upstream.ID })
+// dropHedge ends a hedge that may have run, while its ticket goes on.
+func (h *ticket) dropHedge() {
+	if t := h.hedgeOf; t != nil {
+		t.hedge, t.mayHaveRun = nil, true
 	}
 }
 
@@ -68,6 +71,9 @@
 		return nil
 	}
 	f.recordFailure(now, t, failure)
+	if !failure.MayHaveRun() {
+		t.hedge.runs--
+	}
 	t.hedge.hedgeOf = nil
 	t.hedge.Binding = t.Binding
 	f.removeTicket(f.service(t.Service), t)
--- a/fleet/hedge_test.go
+++ b/fleet/hedge_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -185,3 +186,51 @@
 		}
 	})
 }
+
+// TestHedgesCountAsRunsFromTheirStart guards against a request that is repeated while its hedge
+// still ends: the hedge wasn't counted yet, so that the request ran at more upstreams than it
+// may, or a second time at the one of its hedge.
+func TestHedgesCountAsRunsFromTheirStart(t *testing.T) {
+	for maxRuns, want := range map[int]string{2: "upstreamUnknown", 3: "u3"} {
+		g := gomega.NewWithT(t)
+		f := plainFleet(member("u1", 1, 1), member("u2", 2, 1))
+		ticket := newTicket(1)
+		ticket.MaxRuns = maxRuns
+		g.Expect(destination(f.Submit(0, ticket))).To(gomega.Equal("u1"))
+		g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+		f.Merge(2*second, []upstream.Member{member("u3", 3, 1)})
+		g.Expect(destination(f.Failed(2*second, 1, retry.Broken))).To(gomega.Equal(want), "%d runs", maxRuns)
+		f.Withdraw(2*second, 2)
+		g.Expect(granted(f.Failed(2*second, 1, retry.Broken))).To(gomega.BeEmpty(), "%d runs", maxRuns)
+	}
+}
+
+// TestRefusalsKnowOfHedges guards against a refusal that says that a request hasn't run, and
+// gives its quota back, though the request ran at its second upstream.
+func TestRefusalsKnowOfHedges(t *testing.T) {
+	ends := map[string]func(f *Fleet){
+		"broke off":   func(f *Fleet) { f.HedgeFailed(2*second, 2, retry.Broken) },
+		"was dropped": func(f *Fleet) { f.Withdraw(2*second, 2) },
+		"still runs":  func(*Fleet) {},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := plainFleet(member("u1", 1, 1), member("u2", 2, 1))
+			f.Submit(0, newTicket(1))
+			g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+			end(f)
+			f.Merge(2*second, []upstream.Member{leaving(member("u2", 2, 1))})
+			actions := f.Failed(2*second, 1, retry.Refused)
+			g.Expect(actions).To(gomega.HaveLen(1))
+			refusal, ok := actions[0].(Refuse)
+			g.Expect(ok).To(gomega.BeTrue())
+			g.Expect(refusal.Err.Ran).To(gomega.Equal(result.RanUnknown))
+		})
+	}
+}
+
+func leaving(m upstream.Member) upstream.Member {
+	m.Leaving, m.Sequence = true, m.Sequence+1
+	return m
+}
