ingress: Claim an event before it is sent

Callers saw: a stream joined of two runs. The hedge had been asked to go on after event n and had begun with n+1 when the silent upstream sent its own n+1; the caller got that one, and n+2 of the hedge.

Cause: the event was written first; that the hedge had won was asked afterwards, and the answer wasn't used.

Now the event is accepted and the hedge dropped in one step, before anything is written; if the hedge has won, the event isn't sent.

Evidence: TestEventsAreClaimedBeforeTheyAreSent failed ("Expected an error, got nil": the event was sent) and passes; TestStreamsOutliveShortSilences is green.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -186,6 +186,11 @@
 func (d *forwarding) dropHedge() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.dropHedgeLocked()
+}
+
+// dropHedgeLocked is dropHedge for callers that hold mu.
+func (d *forwarding) dropHedgeLocked() bool {
 	h := d.hedge
 	if h == nil {
 		return true
@@ -198,6 +203,20 @@
 	return true
 }
 
+// acceptEvent reports whether to send the present attempt's next event to the caller, and
+// ends the hedge before: its events go on where this one was still to come.
+func (d *forwarding) acceptEvent(event []byte) (forward bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.hedge != nil && d.hedge.won {
+		return false, errReplaced
+	}
+	if forward, err = d.events.accept(event); err == nil {
+		d.dropHedgeLocked()
+	}
+	return forward, err
+}
+
 // claim reports whether the present attempt's response may be sent to the caller; its
 // hedge ends then.
 func (d *forwarding) claim() bool { return d.dropHedge() }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -116,7 +116,6 @@
 		if len(rest) < len(pending) {
 			// Bytes that complete no event aren't progress.
 			began = true
-			d.dropHedge()
 			d.recordProgress()
 			d.keepOrigin()
 		}
@@ -152,9 +151,7 @@
 		if n == 0 {
 			return b, wrote, nil
 		}
-		d.mu.Lock()
-		forward, err := d.events.accept(b[:n])
-		d.mu.Unlock()
+		forward, err := d.acceptEvent(b[:n])
 		if err != nil {
 			return b, wrote, err
 		}
