ingress: Claim the head of a response in one step

Callers saw: the head of one upstream's stream with the body of a second upstream's response of another kind, or of another release, which the origin that keepers are told of didn't name either.

Cause: whether the hedge may go on, the binding of the request to its release and the record of the head were three steps. A hedge could begin (unbound, at another release) or win (compared with no head) in between.

Now the three are one step under the lock that hedges begin and win under.

Evidence: TestHeadIsClaimedInOneStep failed (the hedge won after the head was claimed), TestStreamsAreBoundWithTheirHead failed (a hedge at release v2 beside a claimed head of v1). Both pass, also under the race detector.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -409,7 +409,7 @@
 	if err != nil {
 		return err
 	}
-	if !d.claim() {
+	if !d.claim(response) {
 		return errReplaced
 	}
 	d.copyHeaders(response)
@@ -451,6 +451,11 @@
 func (d *forwarding) continues(response *exchange.Response) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.continuesLocked(response)
+}
+
+// continuesLocked is continues for callers that hold mu.
+func (d *forwarding) continuesLocked(response *exchange.Response) bool {
 	return !d.headSent || response.StatusCode == d.status && mediaType(response) == d.mediaType
 }
 
@@ -475,7 +480,4 @@
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -145,9 +145,8 @@
 // outcome says unless it has a response.
 func (d *forwarding) settleHedge(h *hedge, o outcome, giveUp func()) {
 	defer close(h.settled)
-	usable := h.response != nil && d.continues(h.response)
 	d.mu.Lock()
-	h.won = usable && !h.dropped && h.ctx.Err() == nil
+	h.won = h.response != nil && d.continuesLocked(h.response) && !h.dropped && h.ctx.Err() == nil
 	if !h.won && d.hedge == h {
 		d.hedge = nil
 	}
@@ -217,21 +216,35 @@
 	return forward, err
 }
 
-// claim reports whether the present attempt's response may be sent to the caller; its
-// hedge ends then.
-func (d *forwarding) claim() bool { return d.dropHedge() }
+// claim reports whether the present attempt's response, which is no stream, may be sent to
+// the caller; its hedge ends then.
+func (d *forwarding) claim(response *exchange.Response) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.dropHedgeLocked() {
+		return false
+	}
+	d.setHead(response)
+	return true
+}
 
-// claimHead reports whether the present attempt may begin the caller's stream. From then
-// on no upstream of another release may go on with it.
-func (d *forwarding) claimHead() bool {
+// claimHead reports whether the present attempt's response may begin the caller's stream.
+// From then on no upstream of another release, and no other kind of response, may go on
+// with it. That is one step, as a hedge may begin or win at any moment.
+func (d *forwarding) claimHead(response *exchange.Response) bool {
 	d.mu.Lock()
-	h := d.hedge
-	otherRelease := h != nil && h.grant.Upstream.Release != d.release
-	d.mu.Unlock()
-	if otherRelease {
-		return d.dropHedge()
+	defer d.mu.Unlock()
+	if d.hedge != nil && (d.hedge.won || d.hedge.grant.Upstream.Release != d.release) && !d.dropHedgeLocked() {
+		return false
 	}
-	return !d.replaced()
+	d.bind()
+	d.setHead(response)
+	return true
+}
+
+// setHead records the head that goes to the caller. The caller holds mu.
+func (d *forwarding) setHead(response *exchange.Response) {
+	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
 
 // adoptHedge waits for the hedge of an attempt that failed, and makes it the present
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -1,12 +1,92 @@
 package ingress
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"github.com/hyssopladder/hyssopladder/call"
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/control"
+	"github.com/hyssopladder/hyssopladder/exchange"
+	"github.com/hyssopladder/hyssopladder/fleet"
+	"github.com/hyssopladder/hyssopladder/link"
+	"github.com/hyssopladder/hyssopladder/origin"
+	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/upstream"
+	"github.com/hyssopladder/hyssopladder/usage"
 )
 
+// hookedWriter calls hook at the first use of the header.
+type hookedWriter struct {
+	*httptest.ResponseRecorder
+	once sync.Once
+	hook func()
+}
+
+func (w *hookedWriter) Header() http.Header {
+	w.once.Do(w.hook)
+	return w.ResponseRecorder.Header()
+}
+
+// silentForwarding is a resumable stream at its first upstream, which has been silent for
+// longer than stallTimeout. The second upstream, which answers with the text, is of
+// the release v2, the first one of v1.
+func silentForwarding(t *testing.T, w http.ResponseWriter, second string) (d *forwarding, other fleet.Grant) {
+	t.Helper()
+	var now atomic.Int64
+	now.Store(int64(time.Hour))
+	read := func() clock.Instant { return clock.Instant(now.Load()) }
+	upstreamClient := exchange.New(func() {})
+	in := &Ingress{
+		options:        Options{Clock: read, Settings: settings.Ingress{UsageWindow: time.Second}},
+		dispatcher:     newDispatcher(t.Context(), read, fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1}), upstreamClient.Refuses),
+		upstreamClient: upstreamClient,
+		link:           link.New(t.Context(), link.Options{Clock: read, PeerClient: peer.NewClient(), BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} }}),
+		meters:         newMeters(metrics.NewRegistry()),
+		usage:          usage.NewMeter(),
+		origins:        origin.New(),
+		unreadable:     rate.NewLimiter(rate.Inf, 1),
+	}
+	addresses := []netip.AddrPort{
+		startUpstream(t, func(c net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }),
+		startUpstream(t, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, second) }),
+	}
+	var members []upstream.Member
+	for i, release := range []string{"v1", "v2"} {
+		members = append(members, upstream.Member{Announcement: upstream.Announcement{
+			ID: release, Incarnation: 1, Sequence: 1, Address: addresses[i], Zone: []string{"a", "b"}[i], Release: release, Slots: 8, Services: []string{"s"}, Lease: time.Minute,
+		}})
+	}
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Merge(now, members) })
+	route := resumable
+	route.Attempts = 3
+	d = &forwarding{in: in, w: w, r: &request{
+		Request: call.Request{ID: requestID}, arrived: read(), deadline: read() + time.Minute, method: http.MethodGet, target: "/", host: "h", header: http.Header{}, route: &route, service: "s",
+	}}
+	d.ticket, d.actions = in.dispatcher.submit(d.r.ticket())
+	grant, ok := (<-d.actions).(fleet.Grant)
+	if !ok || grant.Upstream.ID != "v1" {
+		t.Fatalf("granted %v", grant.Upstream)
+	}
+	d.release = grant.Upstream.Release
+	now.Add(int64(2 * stallTimeout))
+	return d, fleet.Grant{Upstream: members[1].Announcement}
+}
+
 // TestEventsAreClaimedBeforeTheyAreSent guards against a stream that is joined of two runs: an
 // event of the silent upstream was sent when its hedge had begun after the event before,
 // and the hedge's events followed without that one.
@@ -22,3 +102,34 @@
 	_, hasLast := d.events.position()
 	g.Expect(hasLast).To(gomega.BeFalse())
 }
+
+// TestHeadIsClaimedInOneStep guards against a hedge that wins with another kind of response
+// while the head of the silent upstream's stream goes out: its body followed that head.
+func TestHeadIsClaimedInOneStep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := &hookedWriter{ResponseRecorder: httptest.NewRecorder()}
+	const plain = answerHead + "Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody"
+	d, other := silentForwarding(t, w, plain)
+	other.Upstream.Release = d.release
+	h := &hedge{ticket: other.Ticket, grant: other, startedAt: d.in.options.Clock(), settled: make(chan struct{})}
+	h.ctx, h.cancel = context.WithCancel(t.Context())
+	response, _, o := d.open(h.ctx, h.ticket, other)
+	g.Expect(o.cause).NotTo(gomega.HaveOccurred())
+	h.response, d.hedge = response, h
+	w.hook = func() { d.settleHedge(h, outcome{}, func() {}) }
+	stream := &exchange.Response{Response: &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader(event(1))), ContentLength: int64(len(event(1))),
+	}}
+	g.Expect(d.relayStream(stream).done).To(gomega.BeTrue())
+	g.Expect(h.won).To(gomega.BeFalse())
+	g.Expect(w.Body.String()).To(gomega.Equal(event(1)))
+}
+
+// TestStreamsAreBoundWithTheirHead guards against a stream whose head is of one release and whose
+// events are of another one: a hedge began between the head and the binding.
+func TestStreamsAreBoundWithTheirHead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, _ := silentForwarding(t, httptest.NewRecorder(), chunkedHead+chunk(event(1)))
+	g.Expect(d.claimHead(&exchange.Response{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}})).To(gomega.BeTrue())
+	g.Expect(d.startHedge(t.Context(), t.Context(), d.ticket)).To(gomega.BeNil(), "the second upstream is of another release")
+}
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -89,8 +89,8 @@
 	return only, source
 }
 
-// bind binds the stream to the release that has begun it, and tells the keepers, as the
-// caller may take it up at another entry.
+// bind binds the stream to the release that has begun it. Its origin is to be told to the
+// keepers, as the caller may take it up at another entry.
 func (d *forwarding) bind() {
 	var release string
 	var running bool
@@ -102,7 +102,6 @@
 		return
 	}
 	d.origin = &origin.Origin{Service: d.r.service, Release: release}
-	d.tellOrigin()
 }
 
 // tellOrigin records the stream's origin, and tells the keepers.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -93,10 +93,12 @@
 // relayStream relays the events of one attempt's response.
 func (d *forwarding) relayStream(response *exchange.Response) outcome {
 	if !d.headSent {
-		if !d.claimHead() {
+		if !d.claimHead(response) {
 			return outcome{failure: retry.Broken, cause: errReplaced}
 		}
-		d.bind()
+		if d.origin != nil {
+			d.tellOrigin()
+		}
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
 		d.w.Header().Del("Content-Length")
