ingress: Hedge a request with a key only while its configuration is confirmed

Callers saw: a request whose key had been taken away could still begin to run, at its second upstream, at an entry without a path to a majority.

Cause: an attempt looks at the age of the configuration right before it sends; a hedge sent without.

Evidence: TestHedgesNeedAConfirmedConfiguration failed (a hedge was started though the configuration was never confirmed) and passes.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -78,6 +78,10 @@
 	if attemptCtx.Err() != nil || d.headSent && !d.r.isStream() {
 		return nil
 	}
+	if d.r.org != nil && !d.in.configFresh() {
+		// The key may have been revoked since the first attempt.
+		return nil
+	}
 	grant, actions, ok := d.in.dispatcher.hedge(ticket, stallTimeout)
 	if !ok {
 		return nil
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
@@ -133,3 +134,17 @@
 	g.Expect(d.claimHead(&exchange.Response{Response: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}})).To(gomega.BeTrue())
 	g.Expect(d.startHedge(t.Context(), t.Context(), d.ticket)).To(gomega.BeNil(), "the second upstream is of another release")
 }
+
+// TestHedgesNeedAConfirmedConfiguration guards against a request that is sent to a second
+// upstream after its key may have been revoked.
+func TestHedgesNeedAConfirmedConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, _ := silentForwarding(t, httptest.NewRecorder(), chunkedHead)
+	d.r.org = &config.Organisation{Name: "o"}
+	g.Expect(d.in.configFresh()).To(gomega.BeFalse())
+	g.Expect(d.startHedge(t.Context(), t.Context(), d.ticket)).To(gomega.BeNil())
+	d.r.org = nil
+	h := d.startHedge(t.Context(), t.Context(), d.ticket)
+	g.Expect(h).NotTo(gomega.BeNil(), "a request without a key")
+	h.cancel()
+}
