ingress: Let the hedge of a failed attempt become the attempt at once

Callers saw: a stream cut off whose first upstream had broken off and whose second one was silent for a second or so, and would have gone on.

Cause: a hedge whose upstream was silent was given up whenever a third upstream might take the request, also after the first attempt had failed.

Now a hedge becomes the present attempt as soon as the attempt beside it fails, whether it has begun to answer or not, and gets a hedge of its own while its upstream is silent. The first upstream's error response is kept until the hedge has a better one.

Evidence: TestHedgesOutliveShortSilences failed (unexpected EOF after event 2) and passes. TestHedgesOfSilentHedges passed before and guards against a hedge that is left alone, TestErrorsOutliveHedges the error response. ingress and exchange are green under the race detector.

Open: while both upstreams of a request are silent, its hedge is still given up for a third one before that one has begun.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// after is the outcome of an attempt that went on beside an earlier one that has failed. The
+// earlier one's error response is still the best answer if this one has none.
+func (o outcome) after(earlier outcome) outcome {
+	if o.done || o.errorResponse != nil {
+		earlier.close()
+		return o
+	}
+	o.errorResponse, o.cancelResponse = earlier.errorResponse, earlier.cancelResponse
+	return o
+}
+
 // forward sends an accepted request to upstreams, one attempt after the other,
 // until the caller has a response.
 func (in *Ingress) forward(w http.ResponseWriter, httpRequest *http.Request, r *request) {
@@ -122,12 +133,11 @@
 						break
 					}
 					in.meters.attemptFailed(lastOutcome.failure)
-					h := d.adoptHedge(ctx, lastOutcome.failure)
+					h := d.adoptHedge(lastOutcome.failure)
 					if h == nil {
 						break
 					}
-					lastOutcome.close()
-					lastOutcome = d.attemptHedged(ctx, h)
+					lastOutcome = d.attemptHedged(ctx, h).after(lastOutcome)
 				}
 				if lastOutcome.done {
 					return
@@ -217,12 +227,18 @@
 		return d.relay(response)
 	}
 	o.cancelResponse = cancel
-	if o.failure == retry.Errored && o.errorResponse != nil || o.failure == retry.Broken && o.sent && !r.isStream() {
+	d.countFailed(o)
+	return o
+}
+
+// countFailed adds the request of a failed attempt to its organisation's usage, if the
+// upstream began to run it.
+func (d *forwarding) countFailed(o outcome) {
+	if o.failure == retry.Errored && o.errorResponse != nil || o.failure == retry.Broken && o.sent && !d.r.isStream() {
 		// Unlike a stream, a plain request counts as running as soon as the
 		// upstream has it.
 		d.countOnce()
 	}
-	return o
 }
 
 // logAttempt logs an attempt that has ended. limit is the number of requests per second
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -33,13 +33,16 @@
 	startedAt clock.Instant
 	ctx       context.Context
 	cancel    context.CancelFunc
-	// settled is closed when won, dropped, response and limit don't change any more.
+	// settled is closed when won, dropped, response, outcome and limit don't change any more.
 	settled chan struct{}
-	// won says that the hedge's response takes the place of the attempt's, and dropped
-	// that the attempt goes on without it. forwarding.mu guards both.
-	won, dropped bool
-	response     *exchange.Response
-	limit        float64
+	// won says that the hedge's response takes the place of the attempt's, dropped that the
+	// attempt goes on without it, and adopted that the attempt failed, so that the hedge
+	// is the present attempt. forwarding.mu guards them.
+	won, dropped, adopted bool
+	response              *exchange.Response
+	// outcome is how an adopted hedge without a response ended.
+	outcome outcome
+	limit   float64
 }
 
 // errReplaced is the error of an attempt whose hedge has begun to answer first.
@@ -119,11 +122,14 @@
 			d.settleHedge(h, o, giveUp)
 			return
 		case <-t.C:
-			// A third upstream may answer while both are silent.
-			if !silent && d.in.dispatcher.stalled(h.ticket, stallTimeout) {
+			// A third upstream may answer while both are silent. An adopted hedge has a
+			// hedge of its own instead, as nothing else is left of the request.
+			d.mu.Lock()
+			if !silent && !h.adopted && d.in.dispatcher.stalled(h.ticket, stallTimeout) {
 				silent = true
 				h.cancel()
 			}
+			d.mu.Unlock()
 		}
 	}
 }
@@ -150,6 +156,11 @@
 func (d *forwarding) settleHedge(h *hedge, o outcome, giveUp func()) {
 	defer close(h.settled)
 	d.mu.Lock()
+	if h.adopted {
+		h.outcome = o
+		d.mu.Unlock()
+		return
+	}
 	h.won = h.response != nil && d.continuesLocked(h.response) && !h.dropped && h.ctx.Err() == nil
 	if !h.won && d.hedge == h {
 		d.hedge = nil
@@ -251,27 +262,16 @@
 	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
 
-// adoptHedge waits for the hedge of an attempt that failed, and makes it the present
-// attempt if it has begun to answer.
-func (d *forwarding) adoptHedge(ctx context.Context, failure retry.Failure) *hedge {
+// adoptHedge makes the hedge of an attempt that failed the present attempt, whether it has
+// begun to answer or not.
+func (d *forwarding) adoptHedge(failure retry.Failure) *hedge {
 	d.mu.Lock()
 	h := d.hedge
-	d.mu.Unlock()
-	if h == nil {
-		return nil
-	}
-	select {
-	case <-h.settled:
-	case <-ctx.Done():
-		return nil
-	}
-	d.mu.Lock()
-	won := h.won
-	if won {
-		d.hedge = nil
+	if h != nil {
+		h.adopted, d.hedge = true, nil
 	}
 	d.mu.Unlock()
-	if !won {
+	if h == nil {
 		return nil
 	}
 	d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Replace(now, d.ticket, failure) })
@@ -280,10 +280,15 @@
 	return h
 }
 
-// attemptHedged relays the response of a hedge that has become the present attempt.
+// attemptHedged waits for the response of a hedge that has become the present attempt, and
+// relays it.
 func (d *forwarding) attemptHedged(requestCtx context.Context, h *hedge) (o outcome) {
 	defer func() { d.logAttempt(requestCtx, h.grant, h.startedAt, h.limit, o) }()
-	defer h.cancel()
+	defer func() {
+		if o.errorResponse == nil {
+			h.cancel()
+		}
+	}()
 	d.release = h.grant.Upstream.Release
 	stopWatching := d.watchForStall(requestCtx, h.cancel)
 	defer stopWatching()
@@ -292,6 +297,17 @@
 			o.failure = retry.Silent
 		}
 	}()
+	<-h.settled
+	switch {
+	case h.response == nil:
+		o = h.outcome
+		o.cancelResponse = h.cancel
+		d.countFailed(o)
+		return o
+	case !d.continues(h.response):
+		h.response.Close()
+		return outcome{failure: retry.Errored, cause: errors.New("the response doesn't continue the stream")}
+	}
 	return d.relay(h.response)
 }
 
