entry, dispatch: Leave a silent upstream only for a free slot of another one

Callers saw, in the role entry: streams that ended with an error event and 502 for plain calls, since their upstream sent nothing for progressTimeout and would have gone on. Calls that may not be repeated failed the same way, with nothing to gain from it.

Cause: the watchdog closed the connection first; whether another upstream had room, or the call may be repeated at all, was asked afterwards.

Now a request leaves a silent upstream when another one has a free slot and the budget a retry, taken in the same step (Dispatcher.Move). Two seconds later it leaves in any case, as new requests would take all free slots from those of a dead upstream. A call that may not be repeated stays for half of the time of its claim.

Open: the chosen upstream may still refuse or fail; a second attempt beside the first one, as in the role ingress, would cover that.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -448,3 +448,40 @@
 		})
 	})
 }
+
+// TestSilentUpstreamsAreLeftForFreeSlotsOnly guards against requests that are given up since
+// their upstream is silent for a moment: no other one had room, or several left for one slot.
+func TestSilentUpstreamsAreLeftForFreeSlotsOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDispatcher("u1", "u2")
+	at := map[string][]uint64{}
+	for id := uint64(1); id <= 4; id++ {
+		u := granted(g, submit(d, 0, id, true))
+		at[u] = append(at[u], id)
+	}
+	g.Expect(at).To(gomega.HaveLen(2))
+	silent, other := at["u1"], at["u2"]
+	for _, id := range silent {
+		g.Expect(d.Move(time.Second, id)).To(gomega.BeEmpty(), "the other upstream is full")
+	}
+	d.Finish(time.Second, other[0])
+	g.Expect(granted(g, d.Move(time.Second, silent[0]))).To(gomega.Equal("u2"))
+	g.Expect(d.Move(time.Second, silent[1])).To(gomega.BeEmpty(), "the free slot is taken")
+	for _, id := range append(silent, other[1]) {
+		g.Expect(d.Finish(time.Second, id)).To(gomega.BeEmpty())
+	}
+	for _, s := range d.State(time.Second) {
+		for _, u := range s.Upstreams {
+			g.Expect(u.Outstanding).To(gomega.BeZero(), u.ID)
+		}
+	}
+}
+
+// TestCallsThatMayNotBeRepeatedAreNotMoved guards against a second run.
+func TestCallsThatMayNotBeRepeatedAreNotMoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := newDispatcher("u1", "u2")
+	granted(g, submit(d, 0, 1, false))
+	g.Expect(d.Move(time.Minute, 1)).To(gomega.BeEmpty())
+	g.Expect(d.Finish(time.Minute, 1)).To(gomega.BeEmpty())
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -130,7 +130,7 @@
 		e.meters.resumed.Inc(1)
 		e.meters.recomputed.Inc(int64(offset + c.ticket.Query.PromptTokens))
 	}
-	failure, err := c.relayFrom(ctx, u, number, offset)
+	failure, moved, err := c.watchedAttempt(ctx, u, number, offset)
 	switch {
 	case err != nil:
 		return true, err
@@ -142,29 +142,40 @@
 	}
 	klog.V(1).InfoS("attempt failed; requesting another upstream", "instance", e.options.Node.Name, "zone", e.options.Node.Zone,
 		"request", c.job.ticket.ID, "upstream", u.ID, "attempt", number, "offset", c.stream.Offset(), "failure", int(failure))
-	e.dispatch.failed(c.job, failure)
+	if !moved {
+		e.dispatch.failed(c.job, failure)
+	}
 	return false, nil
 }
 
-// relayFrom opens the upstream's stream and relays its tokens to the caller. The
-// error is set if the fault lies with the caller's connection or the request
-// itself; a failure of the upstream is returned as a Failure.
-func (c *chatCall) relayFrom(ctx context.Context, u upstream.Announcement, number, offset int) (retry.Failure, error) {
+// watchedAttempt is relayFrom with a watch on the upstream's silence. moved says that the
+// dispatcher has granted another upstream in its place.
+func (c *chatCall) watchedAttempt(ctx context.Context, u upstream.Announcement, number, offset int) (failure retry.Failure, moved bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	progressTimeout := c.entry.options.Settings.ProgressTimeout
-	watch := newWatchdog(progressTimeout, func() {
+	watch := c.entry.watch(c.job, c.entry.options.Settings.ProgressTimeout, func() {
 		c.entry.upstreams.dropPool(u.Address)
 		cancel()
 	})
-	defer watch.stop()
+	failure, err = c.relayFrom(ctx, cancel, watch, u, number, offset)
+	fired, moved := watch.stop()
+	if fired && failure == retry.Broken {
+		failure = retry.Silent
+	}
+	return failure, moved, err
+}
+
+// relayFrom opens the upstream's stream and relays its tokens to the caller. The
+// error is set if the fault lies with the caller's connection or the request
+// itself; a failure of the upstream is returned as a Failure.
+func (c *chatCall) relayFrom(ctx context.Context, cancel func(), watch *watchdog, u upstream.Announcement, number, offset int) (retry.Failure, error) {
 	r, err := c.upstreamRequest(ctx, u.Address, number, offset)
 	if err != nil {
 		return retry.NotSent, err
 	}
 	trip, err := c.entry.upstreams.do(ctx, u.Address, r, c.call.Repeatable)
 	if err != nil {
-		return sendFailure(trip.connected, watch.expired()), nil
+		return sendFailure(trip.connected), nil
 	}
 	defer func() { _ = trip.response.Body.Close() }()
 	if trip.response.StatusCode != http.StatusOK {
@@ -175,14 +186,10 @@
 	for {
 		chunk, err := events.next(number)
 		if err != nil {
-			switch {
-			case abandoned.Load():
+			if abandoned.Load() {
 				return retry.Reclaimed, nil
-			case watch.expired():
-				return retry.Silent, nil
-			default:
-				return retry.Broken, nil
 			}
+			return retry.Broken, nil
 		}
 		if failure, err := c.accept(chunk, &u); failure != nil || err != nil || c.stream.Ended() {
 			if failure != nil {
--- a/entry/dispatch_actor.go
+++ b/entry/dispatch_actor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,6 +95,10 @@
 		id      uint64
 		failure retry.Failure
 	}
+	move struct {
+		id    uint64
+		reply chan<- bool
+	}
 	recordsChanged gossip.Change
 	stateQuery     struct {
 		reply chan<- []dispatch.ServiceState
@@ -152,6 +157,13 @@
 func (d *dispatchActor) bind(j *job, release string)    { d.ref.Send(bind{j.ticket.ID, release}) }
 func (d *dispatchActor) failed(j *job, f retry.Failure) { d.ref.Send(failed{j.ticket.ID, f}) }
 
+// move asks for another upstream for a job whose own one is silent, and reports whether it is
+// granted one.
+func (d *dispatchActor) move(j *job) bool {
+	moved, _ := actors.Ask(context.Background(), d.ref, func(reply chan<- bool) any { return move{j.ticket.ID, reply} })
+	return moved
+}
+
 func (d *dispatchActor) document(name string) (service.Accepted, bool) {
 	a, ok := (*d.documents.Load())[name]
 	return a, ok
@@ -196,6 +208,13 @@
 		d.dispatcher.Bind(m.id, m.release)
 	case failed:
 		d.perform(d.dispatcher.Failed(now, m.id, m.failure))
+	case move:
+		actions := d.dispatcher.Move(now, m.id)
+		d.perform(actions)
+		m.reply <- slices.ContainsFunc(actions, func(a dispatch.Action) bool {
+			g, ok := a.(dispatch.Grant)
+			return ok && g.Ticket == m.id
+		})
 	case recordsChanged:
 		d.applyChange(now, m)
 	case stateQuery:
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -130,7 +130,7 @@
 					e.meters.accepted.Inc(1)
 				}
 				first = false
-				response, failure, err := p.attempt(ctx, o.upstream)
+				response, failure, moved, err := p.watchedAttempt(ctx, o.upstream)
 				if response != nil || err != nil {
 					e.dispatch.finish(p.job)
 					e.meters.answered.Inc(1)
@@ -139,27 +139,41 @@
 				if failure.MayHaveRun() {
 					ran = result.RanUnknown
 				}
-				e.dispatch.failed(p.job, failure)
+				if !moved {
+					e.dispatch.failed(p.job, failure)
+				}
 			}
 		}
 	}
 }
 
-// attempt sends the call to one upstream. It goes on when the caller disconnects,
-// so that the outcome of a call that has started becomes known.
-func (p *plainCall) attempt(ctx context.Context, u upstream.Announcement) (*plainResponse, retry.Failure, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.timeout)
+// watchedAttempt is attempt with a watch on the upstream's silence. It goes on when the caller
+// disconnects, so that the outcome of a call that has started becomes known. moved says
+// that the dispatcher has granted another upstream in its place.
+func (p *plainCall) watchedAttempt(ctx context.Context, u upstream.Announcement) (response *plainResponse, failure retry.Failure, moved bool, err error) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	watch := p.entry.watch(p.job, p.timeout, func() {
+		p.entry.upstreams.dropPool(u.Address)
+		cancel()
+	})
+	response, failure, err = p.attempt(ctx, u)
+	fired, moved := watch.stop()
+	if fired && failure == retry.Broken {
+		failure = retry.Silent
+	}
+	return response, failure, moved, err
+}
+
+// attempt sends the call to one upstream.
+func (p *plainCall) attempt(ctx context.Context, u upstream.Announcement) (*plainResponse, retry.Failure, error) {
 	r, err := p.upstreamRequest(ctx, u)
 	if err != nil {
 		return nil, retry.NotSent, err
 	}
 	x, err := p.entry.upstreams.do(ctx, u.Address, r, p.call.Repeatable)
 	if err != nil {
-		if ctx.Err() != nil {
-			p.entry.upstreams.dropPool(u.Address)
-		}
-		return nil, sendFailure(x.connected, ctx.Err() != nil), nil
+		return nil, sendFailure(x.connected), nil
 	}
 	defer func() { _ = x.response.Body.Close() }()
 	if x.response.Header.Get(headerRan) == string(result.RanNo) {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hyssopladder/hyssopladder/claim"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 )
@@ -18,36 +20,94 @@
 // rewind it.
 type onceReader struct{ io.Reader }
 
-// watchdog calls a function when there was no progress for the given time.
+// Times of upstreams that are silent for longer than they should be.
+const (
+	// moveInterval is the time between two tries to find another upstream.
+	moveInterval = 100 * time.Millisecond
+	// maxSoundSilence is how long a sound upstream may stand still. A request that may be
+	// repeated leaves its upstream after that time too, for any other one, as it has
+	// precedence there over new requests.
+	maxSoundSilence = 2 * time.Second
+	// unrepeatableTimeout bounds the silence of an upstream that runs a call that may not be
+	// repeated: the call has nothing to gain from an earlier end. It is half of
+	// claim.OwnerTimeout, so that its outcome can be settled.
+	unrepeatableTimeout = claim.OwnerTimeout / 2
+)
+
+// watchdog ends an attempt whose upstream is silent. After the timeout it does so as soon as
+// another upstream takes the request, and without one at the limit.
 type watchdog struct {
-	timeout time.Duration
+	timeout, limit time.Duration
+	// move asks for another upstream and reports whether one takes the request; expired
+	// ends the attempt.
+	move    func() bool
+	expired func()
 	timer   *time.Timer
-	fired   atomic.Bool
+	// progressAt is the time of the last progress.
+	progressAt atomic.Pointer[time.Time]
+
+	mu                    sync.Mutex
+	stopped, fired, moved bool
 }
 
-func newWatchdog(timeout time.Duration, expired func()) *watchdog {
-	w := &watchdog{timeout: timeout}
-	w.timer = time.AfterFunc(timeout, func() {
-		w.fired.Store(true)
-		expired()
-	})
+// watch returns a watchdog of the job's present attempt.
+func (e *Entry) watch(j *job, timeout time.Duration, expired func()) *watchdog {
+	w := &watchdog{timeout: timeout, limit: timeout + maxSoundSilence, expired: expired, move: func() bool { return e.dispatch.move(j) }}
+	if !j.ticket.Repeatable {
+		w.timeout = max(timeout, unrepeatableTimeout)
+		w.limit = w.timeout
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.progressAt.Store(&now)
+	w.timer = time.AfterFunc(w.timeout, w.check)
 	return w
 }
 
-func (w *watchdog) progress()     { w.timer.Reset(w.timeout) }
-func (w *watchdog) stop()         { w.timer.Stop() }
-func (w *watchdog) expired() bool { return w.fired.Load() }
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.fired {
+		return
+	}
+	silent := time.Since(*w.progressAt.Load())
+	switch {
+	case silent < w.timeout:
+		w.timer.Reset(w.timeout - silent)
+		return
+	case silent >= w.limit:
+	case w.move():
+		w.moved = true
+	default:
+		w.timer.Reset(moveInterval)
+		return
+	}
+	w.fired = true
+	w.expired()
+}
+
+func (w *watchdog) progress() {
+	now := time.Now()
+	w.progressAt.Store(&now)
+}
+
+// stop ends the watch. It reports whether it has ended the attempt, and whether another
+// upstream was granted already.
+func (w *watchdog) stop() (fired, moved bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	return w.fired, w.moved
+}
 
 // sendFailure classifies the failure of a request that received no response.
-func sendFailure(connected, silent bool) retry.Failure {
-	switch {
-	case !connected:
+func sendFailure(connected bool) retry.Failure {
+	if !connected {
 		return retry.NotSent
-	case silent:
-		return retry.Silent
-	default:
-		return retry.Broken
 	}
+	return retry.Broken
 }
 
 // fingerprint identifies a request, so that its retries by the caller are
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -61,7 +61,8 @@
 	MaxStreamsPerCaller int
 	// WriteTimeout bounds one write to a slow caller.
 	WriteTimeout time.Duration
-	// ProgressTimeout is how long an upstream may stay silent in mid-answer.
+	// ProgressTimeout is how long an upstream may stay silent before another one is
+	// looked for.
 	ProgressTimeout time.Duration
 }
 
