entry, dispatch: Leave a leaving upstream only if another one may go on

Callers saw, in the role entry: a stream that ended with an error event as its upstream announced that it leaves, though the rest of the answer still came.

Cause: an answer that might not fit into the notice was cancelled at once; whether another upstream of its release may go on was asked afterwards.

Now both are one step (Dispatcher.Leave), tried until another upstream comes or the answer ends. The watch of the attempt decides between that, a move from a silent upstream and the end of the attempt.

Evidence: TestStreamsStayAtLeavingUpstreams failed (error event 3002 after the first token) and passes, also under the race detector.

--- a/dispatch/dispatch__move.go
+++ b/dispatch/dispatch__move.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/route"
+	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // Move grants another upstream to a running ticket whose own one is silent, if one has a
@@ -32,3 +33,20 @@
 	d.schedule(now, p)
 	return d.takeActions()
 }
+
+// Leave takes a running ticket from its upstream, which is leaving, if another one may run it.
+// It reports whether it did; the ticket waits there with precedence. Without another one
+// the rest of the answer may still fit.
+func (d *Dispatcher) Leave(now clock.Instant, id uint64) (left bool, actions []Action) {
+	t, ok := d.tickets[id]
+	if !ok || t.state != running || !retry.Allowed(retry.Reclaimed, t.Repeatable, t.attempts) {
+		return false, d.takeActions()
+	}
+	mayRunIt := func(u *upstream.Upstream) bool {
+		return u.ID != t.upstream && u.Usable(now) && t.Query.Fits(&u.Announcement)
+	}
+	if !slices.ContainsFunc(d.candidates(now, d.pools[t.Service]), mayRunIt) {
+		return false, d.takeActions()
+	}
+	return true, d.Failed(now, id, retry.Reclaimed)
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -149,7 +149,7 @@
 }
 
 // watchedAttempt is relayFrom with a watch on the upstream's silence. moved says that the
-// dispatcher has granted another upstream in its place.
+// dispatcher has taken the request from the upstream already.
 func (c *chatCall) watchedAttempt(ctx context.Context, u upstream.Announcement, number, offset int) (failure retry.Failure, moved bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -157,7 +157,7 @@
 		c.entry.upstreams.dropPool(u.Address)
 		cancel()
 	})
-	failure, err = c.relayFrom(ctx, cancel, watch, u, number, offset)
+	failure, err = c.relayFrom(ctx, watch, u, number, offset)
 	fired, moved := watch.stop()
 	if fired && failure == retry.Broken {
 		failure = retry.Silent
@@ -168,7 +168,7 @@
 // relayFrom opens the upstream's stream and relays its tokens to the caller. The
 // error is set if the fault lies with the caller's connection or the request
 // itself; a failure of the upstream is returned as a Failure.
-func (c *chatCall) relayFrom(ctx context.Context, cancel func(), watch *watchdog, u upstream.Announcement, number, offset int) (retry.Failure, error) {
+func (c *chatCall) relayFrom(ctx context.Context, watch *watchdog, u upstream.Announcement, number, offset int) (retry.Failure, error) {
 	r, err := c.upstreamRequest(ctx, u.Address, number, offset)
 	if err != nil {
 		return retry.NotSent, err
@@ -181,14 +181,11 @@
 	if trip.response.StatusCode != http.StatusOK {
 		return c.classify(trip.response)
 	}
-	abandoned := c.abandonWhenLeaving(ctx, cancel)
+	c.abandonWhenLeaving(ctx, watch)
 	events := newEventReader(trip.response.Body, watch.progress)
 	for {
 		chunk, err := events.next(number)
 		if err != nil {
-			if abandoned.Load() {
-				return retry.Reclaimed, nil
-			}
 			return retry.Broken, nil
 		}
 		if failure, err := c.accept(chunk, &u); failure != nil || err != nil || c.stream.Ended() {
--- a/entry/dispatch_actor.go
+++ b/entry/dispatch_actor.go
@@ -99,6 +99,10 @@
 		id    uint64
 		reply chan<- bool
 	}
+	leave struct {
+		id    uint64
+		reply chan<- bool
+	}
 	recordsChanged gossip.Change
 	stateQuery     struct {
 		reply chan<- []dispatch.ServiceState
@@ -164,6 +168,13 @@
 	return moved
 }
 
+// leave takes a job from its upstream, which is leaving, if another one may run it, and
+// reports whether it did.
+func (d *dispatchActor) leave(j *job) bool {
+	left, _ := actors.Ask(context.Background(), d.ref, func(reply chan<- bool) any { return leave{j.ticket.ID, reply} })
+	return left
+}
+
 func (d *dispatchActor) document(name string) (service.Accepted, bool) {
 	a, ok := (*d.documents.Load())[name]
 	return a, ok
@@ -215,6 +226,10 @@
 			g, ok := a.(dispatch.Grant)
 			return ok && g.Ticket == m.id
 		})
+	case leave:
+		left, actions := d.dispatcher.Leave(now, m.id)
+		d.perform(actions)
+		m.reply <- left
 	case recordsChanged:
 		d.applyChange(now, m)
 	case stateQuery:
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -19,6 +19,8 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/route"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/settings"
@@ -181,3 +183,36 @@
 		})
 	}
 }
+
+// TestStreamsStayAtLeavingUpstreams guards against a stream that is given up since its upstream
+// says that it leaves, while no other one may go on with it: the rest might still fit.
+func TestStreamsStayAtLeavingUpstreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var e *Entry
+	address := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n")
+		w.(http.Flusher).Flush()
+		// At this pace a hundred tokens don't fit.
+		<-time.After(testProgressTimeout / 4)
+		leaving := upstream.Announcement{
+			ID: "u0", Incarnation: 1, Sequence: 2, Zone: "a", Class: "small", Kind: service.Model, Models: []string{"m"}, Services: []string{"s"},
+			Address: r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr).AddrPort(), Lease: upstream.MaxLease, Slots: 1, Leaving: true, Notice: testSilence,
+		}
+		e.dispatch.ref.Send(recordsChanged(gossip.Change{Changed: []member.Record{leaving.Record()}}))
+		select {
+		case <-time.After(testProgressTimeout / 2):
+			_, _ = io.WriteString(w, "id: 1\ndata: [DONE]\n\n")
+		case <-r.Context().Done():
+		}
+	})
+	e = newTestEntry(t, testDocument(true), address)
+	w := httptest.NewRecorder()
+	body := `{"model":"m","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"x"}]}`
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	r.Header.Set(headerCall, "ask")
+	g.Expect(e.chat(patience(t), w, r, callerRequest{caller: "c", body: []byte(body)})).To(gomega.Succeed())
+	g.Expect(w.Body.String()).To(gomega.ContainSubstring("[DONE]"))
+	g.Expect(w.Body.String()).NotTo(gomega.ContainSubstring("event: error"))
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -92,8 +92,23 @@
 	w.progressAt.Store(&now)
 }
 
-// stop ends the watch. It reports whether it has ended the attempt, and whether another
-// upstream was granted already.
+// endIf ends the attempt if moved reports that the dispatcher has taken the request from its
+// upstream. It returns true if the attempt has ended, for whatever reason.
+func (w *watchdog) endIf(moved func() bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.fired {
+		return true
+	}
+	if moved() {
+		w.fired, w.moved = true, true
+		w.expired()
+	}
+	return w.fired
+}
+
+// stop ends the watch. It reports whether it has ended the attempt, and whether the
+// dispatcher knows already.
 func (w *watchdog) stop() (fired, moved bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,11 +138,13 @@
 // upstream is gone) up to which an answer is left to complete there.
 const maxNoticeFraction = 0.7
 
-// abandonWhenLeaving cancels the attempt when its upstream announces that it is
-// leaving, unless the call isn't repeatable or the rest of the answer fits into
-// the notice. The result is set once the attempt is cancelled.
-func (c *chatCall) abandonWhenLeaving(ctx context.Context, cancel func()) *atomic.Bool {
-	var abandoned atomic.Bool
+// abandonWhenLeaving ends the attempt when its upstream announces that it is leaving and
+// another one may go on, unless the call isn't repeatable or the rest of the answer fits
+// into the notice.
+func (c *chatCall) abandonWhenLeaving(ctx context.Context, watch *watchdog) {
+	if !c.call.Repeatable {
+		return
+	}
 	leaving := c.job.upstreamLeaving()
 	began, offset := time.Now(), c.stream.Offset()
 	go func() {
@@ -136,13 +153,14 @@
 		case <-ctx.Done():
 			return
 		}
-		if !c.call.Repeatable || c.fitsInNotice(began, offset) {
-			return
+		for !c.fitsInNotice(began, offset) && !watch.endIf(func() bool { return c.entry.dispatch.leave(c.job) }) {
+			select {
+			case <-time.After(moveInterval):
+			case <-ctx.Done():
+				return
+			}
 		}
-		abandoned.Store(true)
-		cancel()
 	}()
-	return &abandoned
 }
 
 // maxProblemBytes limits the body of an upstream's error response.
