ingress: Count pipelined requests when a stopping entry closes connections

Callers saw: a connection that ended at the end of the drain without the answer to its second request, if both had been sent at once.

Cause: net/http reports a connection as idle after each answer, and no new state for a request that was read together with the one before. The connection counted as idle while that one was served.

Now the handler reports each request to the listener, and doesn't serve one whose connection was closed meanwhile.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -131,7 +131,7 @@
 		}
 		if s.server == callerServer {
 			in.listener = newTrackingListener(l)
-			callerServer.ConnState = in.listener.stateChanged
+			in.listener.track(callerServer)
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -31,6 +32,33 @@
 	return &trackingListener{Listener: l, open: map[*trackedConn]bool{}}
 }
 
+// connKey is the key of a request's trackedConn in its context.
+type connKey struct{}
+
+// track makes the server report to the listener when requests begin and end. net/http
+// reports no new state for a request that was read together with the one before, so that
+// the handler reports each one.
+func (l *trackingListener) track(s *http.Server) {
+	s.ConnState = l.stateChanged
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*trackedConn); ok && !c.begin() {
+			// The request crossed the end of the connection; it isn't served.
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// begin marks the connection as busy, and reports whether it is still open.
+func (c *trackedConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	return !c.closed
+}
+
 // Accept implements net.Listener.
 func (l *trackingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
--- a/ingress/listener_test.go
+++ b/ingress/listener_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -49,3 +50,41 @@
 	_, err = c.Read(buffer)
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// TestStopKeepsPipelinedRequests guards against a connection that is closed while its second
+// request is served: both requests were read at once, and net/http reports no state for
+// the second one.
+func TestStopKeepsPipelinedRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l := newTrackingListener(inner)
+	serving, goOn := make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/2" {
+				close(serving)
+				<-goOn
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}),
+	}
+	l.track(server)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", inner.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	<-serving
+	g.Expect(l.closeIdle()).To(gomega.Equal(1), "a request is served")
+	close(goOn)
+	answers := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2"} {
+		response, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(body)).To(gomega.Equal(want))
+	}
+}
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -34,7 +34,7 @@
 		"fails": func(c net.Conn, _ *http.Request) {
 			_, _ = io.WriteString(c, "HTTP/1.1 500 Broken\r\nX-Request-Id: "+requestID+"\r\nContent-Length: 0\r\n\r\n")
 		},
-		"breaks off without an answer": func(c net.Conn, _ *http.Request) {},
+		"breaks off without an answer": func(net.Conn, *http.Request) {},
 		"breaks off after its head":    func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, chunkedHead) },
 		"breaks off within an event": func(c net.Conn, _ *http.Request) {
 			_, _ = io.WriteString(c, chunkedHead+chunk("id: 3\nda"))
