ingress: Fuzz streams of upstreams that fall silent, break off and refuse

Each answer has its events in order and once; in the end no ticket, slot or goroutine is left, also where callers leave.

--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -71,11 +71,18 @@
 // startEntry serves one route by the upstreams, the first of which is preferred,
 // and returns the entry's URL.
 func startEntry(t *testing.T, route config.Route, timeout time.Duration, upstreams ...netip.AddrPort) string {
+	t.Helper()
+	_, url := startIngress(t, route, timeout, upstreams...)
+	return url
+}
+
+// startIngress is startEntry, and returns the entry too.
+func startIngress(t *testing.T, route config.Route, timeout time.Duration, upstreams ...netip.AddrPort) (in *Ingress, url string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	upstreamClient := exchange.New(func() {})
-	in := &Ingress{
+	in = &Ingress{
 		options:        Options{Clock: clock.System(), Settings: settings.Ingress{UsageWindow: time.Second}},
 		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1, DrainWithin: time.Second}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
@@ -108,7 +115,7 @@
 		})
 	}))
 	t.Cleanup(server.Close)
-	return server.URL
+	return in, server.URL
 }
 
 // get sends the request and reads the answer.
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -1,9 +1,17 @@
 package ingress
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,3 +139,87 @@
 	g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
 	g.Expect(body).To(gomega.Equal("why"))
 }
+
+// TestHedgedStreamsStayWholeAndLeaveNothing fuzzes upstreams that fall silent, break off and
+// refuse, and callers that leave: each answer has the events in order, none twice, and in
+// the end no ticket, slot or goroutine is left.
+func TestHedgedStreamsStayWholeAndLeaveNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const upstreams, requests, seed = 3, 60, 39
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	behave := func(c net.Conn, r *http.Request) {
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		id := r.Header.Get("X-Request-Id")
+		write := func(text string) bool {
+			_, err := io.WriteString(c, strings.ReplaceAll(text, "X-Request-Id: "+requestID, "X-Request-Id: "+id))
+			return err == nil
+		}
+		pause := func() {
+			<-time.After(time.Duration([]int{0, 0, 0, 20, 900, 1100, 1300, 1500}[draw(8)]) * time.Millisecond)
+		}
+		pause()
+		if draw(8) == 0 {
+			write("HTTP/1.1 503 Full\r\nX-Request-Id: " + requestID + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		write(chunkedHead)
+		for n := last + 1; n <= 4; n++ {
+			pause()
+			if draw(16) == 0 || !write(chunk(event(n))) {
+				return
+			}
+		}
+		write(lastChunk)
+	}
+	addresses := make([]netip.AddrPort, upstreams)
+	for i := range addresses {
+		addresses[i] = startUpstream(t, behave)
+	}
+	before := runtime.NumGoroutine()
+	in, url := startIngress(t, resumable, 12*time.Second, addresses...)
+	var wg sync.WaitGroup
+	whole := atomic.Int32{}
+	for i := range requests {
+		leaves := time.Duration(draw(4)*1100) * time.Millisecond
+		wg.Go(func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if leaves > 0 {
+				ctx, cancel = context.WithTimeout(ctx, leaves)
+				defer cancel()
+			}
+			request, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+			request.Header.Set("X-Request-Id", fmt.Sprint("r", i))
+			response, err := http.DefaultClient.Do(request)
+			if err != nil || response.StatusCode != http.StatusOK {
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			all := event(1) + event(2) + event(3) + event(4)
+			if !strings.HasPrefix(all, string(body)) || err == nil && string(body) != all {
+				t.Errorf("request %d: %q, %v", i, body, err)
+			}
+			if err == nil {
+				whole.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	http.DefaultClient.CloseIdleConnections()
+	g.Expect(whole.Load()).To(gomega.BeNumerically(">", 0))
+	g.Eventually(func() (open int) {
+		in.dispatcher.mu.Lock()
+		defer in.dispatcher.mu.Unlock()
+		return in.dispatcher.fleet.Open() + len(in.dispatcher.waiters) + len(in.dispatcher.fleet.Work())
+	}, 10*time.Second).Should(gomega.BeZero())
+	const ownGoroutines = 20 // of the entry, its link and the test server
+	g.Eventually(runtime.NumGoroutine, 10*time.Second).Should(gomega.BeNumerically("<=", before+ownGoroutines))
+}
