ingress: Keep a stream at two upstreams for 300 ms at most

Callers saw nothing; a replica went on with a stream while the one before worked on it for longer than the 400 ms that the platform allows.

Cause: a hedge ran beside its attempt until it had sent its first event.

Now a hedge that goes on after an event is decided on after 300 ms: the second upstream has the stream if it has accepted it (the head of a response that continues it), the first one otherwise. Requests without an event yet run anew and keep the longer time.

Evidence: TestResumedStreamsAreBrieflyAtTwoUpstreams failed in both cases (0.9 s and 2.0 s beside each other) and passes; the tests of silences are green under the race detector.

Open: an upstream that is lost without a reset, beside one that sends its head with a first event later than 300 ms, keeps the stream.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 const (
 	stallTimeout       = time.Second
 	stallCheckInterval = 100 * time.Millisecond
+	// maxOverlap is how long a stream that goes on after an event may be at two upstreams:
+	// the platform allows 400 ms, and the close of a connection takes a moment.
+	maxOverlap = 300 * time.Millisecond
 )
 
 // hedge is a second attempt that runs beside one whose upstream is silent. The attempt
@@ -35,12 +39,15 @@
 	cancel    context.CancelFunc
 	// settled is closed when won, dropped, response, outcome and limit don't change any more.
 	settled chan struct{}
-	// won says that the hedge's response takes the place of the attempt's, dropped that the
-	// attempt goes on without it, and adopted that the attempt failed, so that the hedge
-	// is the present attempt. forwarding.mu guards them.
+	// resumes says that the hedge goes on after an event of the attempt, and accepted that
+	// its upstream has sent the head of a response that does.
+	resumes  bool
+	accepted atomic.Bool
+	// won says that the hedge takes the place of the attempt, dropped that the attempt goes on
+	// without it, and adopted that it is the present attempt. forwarding.mu guards them.
 	won, dropped, adopted bool
 	response              *exchange.Response
-	// outcome is how an adopted hedge without a response ended.
+	// outcome is how a hedge without a response ended that has won or is adopted.
 	outcome outcome
 	limit   float64
 }
@@ -91,6 +98,7 @@
 	}
 	h := &hedge{ticket: grant.Ticket, actions: actions, grant: grant, startedAt: d.in.options.Clock(), settled: make(chan struct{})}
 	h.ctx, h.cancel = context.WithCancel(requestCtx)
+	_, h.resumes = d.events.position()
 	d.hedge = h
 	d.in.meters.hedged.Inc(1)
 	klog.InfoS("upstream is silent; asking another one too", "request", d.r.ID, "route", d.r.routeName(), "events", d.events.forwarded, "upstream", grant.Upstream.ID, "number", grant.Attempt)
@@ -103,6 +111,7 @@
 	go func() {
 		response, limit, o := d.open(h.ctx, h.ticket, h.grant)
 		if response != nil {
+			h.accepted.Store(true)
 			if err := d.awaitBeginning(response); err != nil {
 				response.Close()
 				response, o = nil, outcome{failure: retry.Broken, cause: err}
@@ -113,6 +122,10 @@
 	}()
 	t := time.NewTicker(stallCheckInterval)
 	defer t.Stop()
+	var overlap <-chan time.Time
+	if h.resumes {
+		overlap = time.After(maxOverlap)
+	}
 	for silent := false; ; {
 		select {
 		case o := <-opened:
@@ -121,11 +134,13 @@
 			}
 			d.settleHedge(h, o, giveUp)
 			return
+		case <-overlap:
+			d.endOverlap(h, giveUp)
 		case <-t.C:
 			// A third upstream may answer while both are silent. An adopted hedge has a
 			// hedge of its own instead, as nothing else is left of the request.
 			d.mu.Lock()
-			if !silent && !h.adopted && d.in.dispatcher.stalled(h.ticket, stallTimeout) {
+			if !silent && !h.adopted && !h.won && d.in.dispatcher.stalled(h.ticket, stallTimeout) {
 				silent = true
 				h.cancel()
 			}
@@ -134,6 +149,25 @@
 	}
 }
 
+// endOverlap ends the attempt if the hedge's upstream has accepted the stream, and the hedge
+// otherwise.
+func (d *forwarding) endOverlap(h *hedge, giveUp func()) {
+	d.mu.Lock()
+	if h.adopted || d.hedge != h || h.ctx.Err() != nil {
+		d.mu.Unlock()
+		return
+	}
+	if h.won = h.accepted.Load(); !h.won {
+		d.dropHedgeLocked()
+	}
+	won := h.won
+	d.mu.Unlock()
+	if won {
+		d.in.meters.hedgesUsed.Inc(1)
+		giveUp()
+	}
+}
+
 // awaitBeginning waits for as much of the response as can be relayed at once: the first
 // event of a stream, the whole of another response up to maxBufferedBytes.
 func (d *forwarding) awaitBeginning(response *exchange.Response) error {
@@ -156,7 +190,7 @@
 func (d *forwarding) settleHedge(h *hedge, o outcome, giveUp func()) {
 	defer close(h.settled)
 	d.mu.Lock()
-	if h.adopted {
+	if h.adopted || h.won {
 		h.outcome = o
 		d.mu.Unlock()
 		return
@@ -320,7 +354,12 @@
 	h := d.hedge
 	d.hedge = nil
 	d.mu.Unlock()
-	h.response.Close()
 	h.cancel()
+	<-h.settled
+	if h.response != nil {
+		h.response.Close()
+	}
+	h.outcome.cancelResponse = h.cancel
+	h.outcome.close()
 	d.in.dispatcher.withdraw(h.ticket)
 }
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -223,3 +223,51 @@
 	const ownGoroutines = 20 // of the entry, its link and the test server
 	g.Eventually(runtime.NumGoroutine, 10*time.Second).Should(gomega.BeNumerically("<=", before+ownGoroutines))
 }
+
+// untilClosed returns how long the caller keeps the connection open from now on.
+func untilClosed(c net.Conn) time.Duration {
+	began := time.Now()
+	_, _ = io.Copy(io.Discard, c)
+	return time.Since(began)
+}
+
+// TestResumedStreamsAreBrieflyAtTwoUpstreams guards against a stream that goes on at a second
+// upstream while the first one works on it for more than 400 ms longer.
+func TestResumedStreamsAreBrieflyAtTwoUpstreams(t *testing.T) {
+	const maxShared = 400 * time.Millisecond
+	begin := chunkedHead + chunk(event(1)+event(2))
+	for name, accepts := range map[string]bool{"the second one accepts it": true, "the second one sends nothing": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			firstClosed, secondBegan, shared := make(chan time.Time, 1), make(chan time.Time, 8), make(chan time.Duration, 8)
+			first := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, begin)
+				if !accepts {
+					<-time.After(3 * time.Second)
+					_, _ = io.WriteString(c, chunk(event(3)+event(4))+lastChunk)
+					return
+				}
+				untilClosed(c)
+				firstClosed <- time.Now()
+			})
+			second := startUpstream(t, func(c net.Conn, r *http.Request) {
+				secondBegan <- time.Now()
+				if !accepts {
+					shared <- untilClosed(c)
+					return
+				}
+				_, _ = io.WriteString(c, chunkedHead)
+				<-time.After(900 * time.Millisecond)
+				_, _ = io.WriteString(c, rest(r)[len(chunkedHead):])
+			})
+			_, body, err := get(startEntry(t, resumable, 8*time.Second, first, second))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(event(1) + event(2) + event(3) + event(4)))
+			if accepts {
+				shared <- (<-firstClosed).Sub(<-secondBegan)
+			}
+			g.Expect(<-shared).To(gomega.BeNumerically("<", maxShared))
+		})
+	}
+}
