fleet, ingress: Don't hedge twice at an upstream that doesn't answer

Callers saw: a stream that ended at its deadline beside a sound upstream, as its hedges had both gone to one that answers nothing, and no run was left.

Cause: a hedge that wasn't accepted within 300 ms was dropped without a mark against its upstream for this request, so that the next one went there again.

Now the request avoids that upstream (Fleet.HedgeUnanswered).

The tests of ingress also get a client of their own: the end of any httptest.Server closes idle connections of the library's default client, by which one case of TestErrorAnswersAreWhole failed once ("http: CloseIdleConnections called").

--- a/fleet/fleet__hedge.go
+++ b/fleet/fleet__hedge.go
@@ -57,6 +57,16 @@
 	return f.takeActions()
 }
 
+// HedgeUnanswered ends a hedge that its upstream hasn't accepted in time. Its ticket goes on
+// without it, and isn't sent there again.
+func (f *Fleet) HedgeUnanswered(now clock.Instant, hedgeID uint64) []Action {
+	h, ok := f.tickets[hedgeID]
+	if ok && h.state == running && h.hedgeOf != nil {
+		h.hedgeOf.failedOn = append(h.hedgeOf.failedOn, h.upstream.ID)
+	}
+	return f.Withdraw(now, hedgeID)
+}
+
 // dropHedge ends a hedge that may have run, while its ticket goes on.
 func (h *ticket) dropHedge() {
 	if t := h.hedgeOf; t != nil {
--- a/fleet/hedge_test.go
+++ b/fleet/hedge_test.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// TestUnansweredHedgesGoElsewhere guards against a request that spends all its runs on one
+// second upstream that answers nothing.
+func TestUnansweredHedgesGoElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1))
+	ticket := newTicket(1)
+	ticket.MaxRuns = 3
+	g.Expect(destination(f.Submit(0, ticket))).To(gomega.Equal("u1"))
+	g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+	g.Expect(f.HedgeUnanswered(2*second, 2)).To(gomega.BeEmpty())
+	g.Expect(destination(f.Hedge(2*second, 1, 3, second))).To(gomega.Equal("u3"))
+}
+
 func leaving(m upstream.Member) upstream.Member {
 	m.Leaving, m.Sequence = true, m.Sequence+1
 	return m
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -118,6 +118,10 @@
 	return in, server.URL
 }
 
+// callers is the client of these tests. The end of any httptest.Server closes connections of
+// the library's default client, also those that another test is about to use.
+var callers = &http.Client{Transport: &http.Transport{}}
+
 // get sends the request and reads the answer.
 func get(url string) (status int, body string, err error) { return getAs(url, requestID) }
 
@@ -395,7 +399,7 @@
 		return 0, "", err
 	}
 	request.Header.Set("X-Request-Id", id)
-	response, err := http.DefaultClient.Do(request)
+	response, err := callers.Do(request)
 	if err != nil {
 		return 0, "", err
 	}
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -45,8 +45,10 @@
 	accepted atomic.Bool
 	// won says that the hedge takes the place of the attempt, dropped that the attempt goes on
 	// without it, and adopted that it is the present attempt. forwarding.mu guards them.
-	won, dropped, adopted bool
-	response              *exchange.Response
+	// unanswered says of a dropped hedge that its upstream hadn't accepted it in time.
+	won, dropped, adopted, unanswered bool
+
+	response *exchange.Response
 	// outcome is how a hedge without a response ended that has won or is adopted.
 	outcome outcome
 	limit   float64
@@ -158,6 +160,7 @@
 		return
 	}
 	if h.won = h.accepted.Load(); !h.won {
+		h.unanswered = true
 		d.dropHedgeLocked()
 	}
 	won := h.won
@@ -199,7 +202,7 @@
 	if !h.won && d.hedge == h {
 		d.hedge = nil
 	}
-	won, dropped := h.won, h.dropped || h.ctx.Err() != nil && o.failure != retry.Silent
+	won, unanswered, dropped := h.won, h.unanswered, h.dropped || h.ctx.Err() != nil && o.failure != retry.Silent
 	d.mu.Unlock()
 	if won {
 		d.in.meters.hedgesUsed.Inc(1)
@@ -214,8 +217,11 @@
 	o.close()
 	h.cancel()
 	klog.InfoS("second upstream not used", "request", d.r.ID, "upstream", h.grant.Upstream.ID, "number", h.grant.Attempt,
-		"took", d.in.options.Clock()-h.startedAt, "dropped", dropped, "failure", o.failure.String(), "limit", h.limit, "err", o.cause)
-	if !dropped {
+		"took", d.in.options.Clock()-h.startedAt, "dropped", dropped, "unanswered", unanswered, "failure", o.failure.String(), "limit", h.limit, "err", o.cause)
+	switch {
+	case unanswered:
+		d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.HedgeUnanswered(now, h.ticket) })
+	case !dropped:
 		d.in.meters.attemptFailed(o.failure)
 		d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.HedgeFailed(now, h.ticket, o.failure) })
 	}
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -197,7 +197,7 @@
 			}
 			request, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 			request.Header.Set("X-Request-Id", fmt.Sprint("r", i))
-			response, err := http.DefaultClient.Do(request)
+			response, err := callers.Do(request)
 			if err != nil || response.StatusCode != http.StatusOK {
 				return
 			}
@@ -213,7 +213,7 @@
 		})
 	}
 	wg.Wait()
-	http.DefaultClient.CloseIdleConnections()
+	callers.CloseIdleConnections()
 	g.Expect(whole.Load()).To(gomega.BeNumerically(">", 0))
 	g.Eventually(func() (open int) {
 		in.dispatcher.mu.Lock()
