--- a/ingress/tunnel.go
+++ b/ingress/tunnel.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/platform"
@@ -175,11 +176,12 @@
 	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 	head := headWatcher{notify: func(n fleet.Notice) { t.told(upstream, n) }}
 	buffer := make([]byte, tunnelCopyBytes)
+	fromUpstream := tcpconn.Conn{Conn: toUpstream}
 	for {
 		if err := out.Flush(); err != nil {
 			return
 		}
-		n, err := toUpstream.Read(buffer)
+		n, err := fromUpstream.Read(buffer)
 		if n > 0 {
 			head.write(buffer[:n])
 			_, _ = fmt.Fprintf(out, "%x\r\n", n)
--- a/ingress/tunnel_test.go
+++ b/ingress/tunnel_test.go
@@ -207,3 +207,37 @@
 		})
 	}
 }
+
+// TestResetWhileSendingIsNoEndOfATunnel guards against an answer that looks complete although
+// its upstream reset the connection while the request's body was still passing the helper:
+// the kernel reports the reset once, to the helper's writer.
+func TestResetWhileSendingIsNoEndOfATunnel(t *testing.T) {
+	g := gomega.NewWithT(t)
+	headRead := make(chan struct{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answerHead+"\r\nhalf")
+		<-headRead
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}()
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	_, helper := startHelper(t, address)
+	client := exchange.NewWithDial(func(ctx context.Context, a netip.AddrPort) (net.Conn, error) { return dialTunnel(ctx, helper, a) }, func() {})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	response, err := client.Do(ctx, address, &exchange.Request{
+		Method: http.MethodPost, Target: "/", Host: "h", HasBody: true, Body: make([]byte, 32<<20), Matches: func(*http.Response, bool) bool { return true },
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Close()
+	close(headRead)
+	body, err := io.ReadAll(response)
+	g.Expect(err).To(gomega.HaveOccurred(), "%q looks complete", body)
+}
