--- a/detour/table.go
+++ b/detour/table.go
@@ -21,6 +21,9 @@
 	downTime = time.Second
 	// helperRest is how long a helper that failed comes after the others.
 	helperRest = time.Second
+	// minUnreached is the number of upstreams that can't be dialled, with none that was
+	// reached in between, from which on helpers are asked.
+	minUnreached = 2
 	// isolationFaults is the number of upstreams with a broken path, with none that was
 	// reached directly in between, from which on the entry counts as isolated.
 	isolationFaults = 3
@@ -52,9 +55,11 @@
 	turn int
 	// restUntil is when helpers that failed may come first again.
 	restUntil map[netip.AddrPort]clock.Instant
-	// faults counts the paths that broke since an upstream was last reached directly.
-	faults   int
-	isolated bool
+	// unreached are the upstreams that couldn't be dialled since one was last reached
+	// directly, and faults counts the paths that broke since then.
+	unreached map[netip.AddrPort]bool
+	faults    int
+	isolated  bool
 	// nextProbe is when the next direct dial of an isolated entry is due, and nextCheck
 	// when upstreams that are silent together may be checked again.
 	nextProbe, nextCheck clock.Instant
@@ -74,7 +79,7 @@
 
 // New returns an empty table: all upstreams are reached directly.
 func New() *Table {
-	return &Table{upstreams: map[netip.AddrPort]*path{}, restUntil: map[netip.AddrPort]clock.Instant{}}
+	return &Table{upstreams: map[netip.AddrPort]*path{}, restUntil: map[netip.AddrPort]clock.Instant{}, unreached: map[netip.AddrPort]bool{}}
 }
 
 // SetHelpers replaces the list of helpers, the preferred ones first.
@@ -187,9 +192,23 @@
 	p.broken, p.downUntil = false, 0
 	wasIsolated = t.isolated
 	t.faults, t.isolated = 0, false
+	clear(t.unreached)
 	return wasIsolated
 }
 
+// Answered records an answer on a direct connection. It says nothing of new connections,
+// as those that are open may live on, but others are reached.
+func (t *Table) Answered() { clear(t.unreached) }
+
+// Unreached records that the upstream couldn't be dialled directly, and reports whether to
+// ask helpers for it. One upstream alone is probably down, and all entries would ask.
+func (t *Table) Unreached(upstream netip.AddrPort) bool {
+	if len(t.unreached) < minUnreached {
+		t.unreached[upstream] = true
+	}
+	return len(t.unreached) >= minUnreached || t.Broken() > 0
+}
+
 // Helped records that a helper reached the upstream after this entry had failed to. It
 // reports whether the entry counts as isolated from now on.
 func (t *Table) Helped(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
--- a/detour/table_test.go
+++ b/detour/table_test.go
@@ -172,3 +172,40 @@
 		Choose(Asker{Name: "e", Zone: "z1"}, candidates)
 	}
 }
+
+// TestCrashedUpstreamsAskNoHelpers guards against entries that all ask others for upstreams
+// that have crashed: with hundreds of entries that is more work than the requests.
+func TestCrashedUpstreamsAskNoHelpers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		upstreams, crashed = 160, 24
+		requests           = 2000
+		// maxAsked is the fraction of the failed dials: those that follow another one.
+		maxAsked = 0.2
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	table, failed, asked := tableWithHelpers(), 0, 0
+	for range requests {
+		for {
+			n := random.IntN(upstreams)
+			if n >= crashed {
+				// Most requests find an open connection.
+				if random.IntN(4) == 0 {
+					table.Reached(0, address(n))
+				} else {
+					table.Answered()
+				}
+				break
+			}
+			failed++
+			if table.Unreached(address(n)) {
+				asked++
+				table.Down(0, address(n))
+			}
+		}
+	}
+	g.Expect(float64(asked)).To(gomega.BeNumerically("<", maxAsked*float64(failed)), "%d of %d", asked, failed)
+	for n := range minUnreached {
+		g.Expect(table.Unreached(address(n))).To(gomega.Equal(n == minUnreached-1), "nothing is reached in between")
+	}
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -388,6 +388,12 @@
 // through another node.
 func (r *Response) Peer() net.Addr { return r.conn.RemoteAddr() }
 
+// Direct reports whether the connection leads to the upstream itself.
+func (r *Response) Direct() bool {
+	_, tcp := r.conn.Conn.(*net.TCPConn)
+	return tcp
+}
+
 // Await reads the body ahead until enough says that the bytes so far suffice, or the body
 // ends. Read returns them again. The error is that of a body that broke off.
 func (r *Response) Await(enough func(ahead []byte) bool) error {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -322,6 +322,9 @@
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
 		return nil, 0, o
 	}
+	if response.Direct() {
+		in.paths.Answered()
+	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
 	if answer.Limited {
 		in.meters.limited.Inc(1)
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -52,7 +52,9 @@
 	now.Store(int64(time.Hour))
 	read := func() clock.Instant { return clock.Instant(now.Load()) }
 	upstreamClient := exchange.New(func() {})
+	m := newMeters(metrics.NewRegistry())
 	in := &Ingress{
+		paths:          newPathDialer(t.Context(), read, exchange.DialDirect, &m, func(bool) {}),
 		options:        Options{Clock: read, Settings: settings.Ingress{UsageWindow: time.Second}},
 		dispatcher:     newDispatcher(t.Context(), read, fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
--- a/ingress/path.go
+++ b/ingress/path.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -98,9 +97,9 @@
 	return p.table.Broken()
 }
 
-// Dial connects to an upstream. An upstream that refuses the connection is tried through
-// other entries at once, and so is one that doesn't answer while other paths are broken. Else
-// that one is looked for in the background, as the request has other upstreams.
+// Dial connects to an upstream, through another entry if the path to it seems broken. An
+// upstream that is down alone isn't looked for through others: all entries would do that at
+// once when upstreams crash.
 func (p *pathDialer) Dial(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
 	p.mu.Lock()
 	direct := p.table.Direct(p.clock(), upstream)
@@ -108,36 +107,19 @@
 	if !direct {
 		return p.dialThrough(ctx, upstream)
 	}
-	conn, err := p.direct(ctx, upstream)
-	switch {
-	case err == nil:
-		p.reached(upstream)
-		return conn, nil
-	case errors.Is(err, unix.ECONNREFUSED) || p.Broken() > 0:
-		if conn, throughErr := p.dialThrough(ctx, upstream); throughErr == nil {
-			return conn, nil
-		}
-	case ctx.Err() == nil:
-		p.inBackground(upstream, func() (net.Conn, error) { return p.dialThrough(context.WithoutCancel(ctx), upstream) })
-	}
-	return nil, err
+	return p.probe(ctx, upstream)
 }
 
-// check finds out in the background whether the path to an upstream is broken.
-func (p *pathDialer) check(ctx context.Context, upstream netip.AddrPort) {
-	p.inBackground(upstream, func() (net.Conn, error) {
-		conn, err := p.direct(ctx, upstream)
-		if err == nil {
-			p.reached(upstream)
-			return conn, nil
-		}
-		return p.dialThrough(ctx, upstream)
-	})
+// Answered records an answer on a direct connection.
+func (p *pathDialer) Answered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Answered()
 }
 
-// inBackground dials an upstream only to learn how it is reached, unless that is under
-// way.
-func (p *pathDialer) inBackground(upstream netip.AddrPort, dial func() (net.Conn, error)) {
+// check dials an upstream in the background to learn how it is reached, unless that is
+// under way.
+func (p *pathDialer) check(ctx context.Context, upstream netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.checked[upstream] {
@@ -145,7 +127,7 @@
 	}
 	p.checked[upstream] = true
 	go func() {
-		if conn, err := dial(); err == nil {
+		if conn, err := p.probe(ctx, upstream); err == nil {
 			_ = conn.Close()
 		}
 		p.mu.Lock()
@@ -154,6 +136,27 @@
 	}()
 }
 
+// probe dials an upstream directly, and then through other entries if there is reason to.
+func (p *pathDialer) probe(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
+	conn, err := p.direct(ctx, upstream)
+	switch {
+	case err == nil:
+		p.reached(upstream)
+		return conn, nil
+	case ctx.Err() != nil:
+		return nil, err
+	}
+	p.mu.Lock()
+	suspicious := p.table.Unreached(upstream)
+	p.mu.Unlock()
+	if suspicious {
+		if conn, throughErr := p.dialThrough(ctx, upstream); throughErr == nil {
+			return conn, nil
+		}
+	}
+	return nil, err
+}
+
 // reached records that an upstream was reached directly.
 func (p *pathDialer) reached(upstream netip.AddrPort) {
 	p.mu.Lock()
