ingress, fleet: Keep a silent hedge when a third upstream is asked

Callers got a cut stream, or an error instead of an answer, though an upstream that had their request was about to answer: while the upstreams of an attempt and of its hedge were both silent, the hedge was given up for a third upstream. That one might be full, and the first one might break off; then nothing was left of the request, though the second upstream would have gone on.

Now the third upstream is asked beside both. Hedges form a chain, in package fleet as in ingress; whichever begins to answer first takes the request over, and the others are dropped. Attempts and runs are counted as before, so that no request runs at more upstreams than its route allows.

Before, with the first upstream breaking off after 2.6 s, the second one silent for 1.9 s and the third one full:

--- FAIL: TestSilentHedgesAreKept/stream (2.60s) unexpected EOF --- FAIL: TestSilentHedgesAreKept/plain (2.61s) Expected <int>: 502 to equal <int>: 200

The fuzz of hedges in fleet draws hedges of hedges too; a hedge of a hedge is bound to the release that begins the stream, since it copies its ticket from the hedge.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,8 +112,8 @@
 	sound   bool
 	// traits are what the request may have in common with others.
 	traits []suspect.Trait
-	// hedge is the second attempt that runs beside this one, and hedgeOf the ticket
-	// beside which this one runs; nil if there is none.
+	// hedge is the next attempt that runs beside this one, and hedgeOf the ticket
+	// beside which this one was begun; nil if there is none.
 	hedge, hedgeOf *ticket
 	// prefillTokens is the part of the prompt that the upstream had not cached
 	// when the ticket was sent, tokensAhead the upstream's prefill backlog at
@@ -427,8 +427,8 @@
 	s.prefillRate += weight * (rate - s.prefillRate)
 }
 
-// Bind binds a running ticket to the release of its upstream, which has begun the
-// caller's stream, and returns the release. From now on no other may run the ticket,
+// Bind binds a running ticket and its hedges to the release of its upstream, which has begun
+// the caller's stream, and returns the release. From now on no other may run the ticket,
 // as answers of two releases don't fit together.
 func (f *Fleet) Bind(id uint64) (release string, running bool) {
 	t, ok := f.tickets[id]
@@ -436,6 +436,9 @@
 		return "", false
 	}
 	t.Binding = upstream.BoundTo(t.upstream.Release)
+	for h := t.hedge; h != nil; h = h.hedge {
+		h.Binding = t.Binding
+	}
 	return t.Release, true
 }
 
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -76,11 +76,13 @@
 	})
 }
 
-// mayRunOn reports whether the upstream hasn't failed the ticket, doesn't run its hedge, and
+// mayRunOn reports whether the upstream hasn't failed the ticket, doesn't run a hedge of it, and
 // is of the release that the ticket is bound to.
 func (t *ticket) mayRunOn(u *upstreamView) bool {
-	if t.hedge != nil && t.hedge.upstream == u {
-		return false
+	for h := t.hedge; h != nil; h = h.hedge {
+		if h.upstream == u {
+			return false
+		}
 	}
 	return !slices.Contains(t.failedOn, u.ID) && t.Fits(&u.Announcement)
 }
--- a/fleet/fleet__hedge.go
+++ b/fleet/fleet__hedge.go
@@ -12,7 +12,7 @@
 // one has stalled and another one has room at once. The ticket stays where it is: an
 // upstream that is silent for a moment may go on. Without another upstream, or without a
 // retry in the budget, nothing changes. One of HedgeFailed, Replace and Withdraw ends the
-// hedge.
+// hedge. A hedge may have a hedge itself.
 func (f *Fleet) Hedge(now clock.Instant, id, hedgeID uint64, timeout time.Duration) []Action {
 	t, ok := f.tickets[id]
 	if !ok || t.hedge != nil || !f.Stalled(now, id, timeout) || !retry.Allowed(retry.Silent, t.Repeatable, t.attempts) || f.suspects.Refusal(now, t.traits) != nil {
@@ -32,11 +32,13 @@
 	f.tickets[hedgeID] = h
 	f.grant(now, s, h, u, e)
 	// The request may fail while its hedge still ends.
-	t.attempts, t.runs = h.attempts, h.runs
+	for other := t; other != nil; other = other.hedgeOf {
+		other.attempts, other.runs = h.attempts, h.runs
+	}
 	return f.takeActions()
 }
 
-// HedgeFailed ends a hedge whose attempt failed; its ticket goes on without it.
+// HedgeFailed ends a hedge whose attempt failed; the other attempts go on without it.
 func (f *Fleet) HedgeFailed(now clock.Instant, hedgeID uint64, failure retry.Failure) []Action {
 	h, ok := f.tickets[hedgeID]
 	if !ok || h.state != running {
@@ -45,26 +47,48 @@
 	u := h.upstream
 	f.recordFailure(now, h, failure)
 	f.removeTicket(f.service(h.Service), h)
-	if t := h.hedgeOf; t != nil {
-		t.hedge = nil
+	for t := h.hedgeOf; t != nil; t = t.hedgeOf {
 		t.failedOn = append(t.failedOn, u.ID)
 		t.mayHaveRun = t.mayHaveRun || failure.MayHaveRun()
-		if !failure.MayHaveRun() {
-			t.runs--
-		}
 	}
+	if !failure.MayHaveRun() {
+		h.uncount()
+	}
+	h.unlink()
 	f.schedule(now, f.service(h.Service))
 	return f.takeActions()
 }
 
-// dropHedge ends a hedge that may have run, while its ticket goes on.
-func (h *ticket) dropHedge() {
-	if t := h.hedgeOf; t != nil {
-		t.hedge, t.mayHaveRun = nil, true
+// uncount takes an attempt that can't have run out of the runs of those beside it.
+func (t *ticket) uncount() {
+	for other := t.hedgeOf; other != nil; other = other.hedgeOf {
+		other.runs--
+	}
+	for other := t.hedge; other != nil; other = other.hedge {
+		other.runs--
+	}
+}
+
+// unlink takes a ticket out of those that run beside each other.
+func (t *ticket) unlink() {
+	if t.hedge != nil {
+		t.hedge.hedgeOf = t.hedgeOf
+	}
+	if t.hedgeOf != nil {
+		t.hedgeOf.hedge = t.hedge
+	}
+	t.hedge, t.hedgeOf = nil, nil
+}
+
+// dropHedge ends a hedge that may have run, while the attempts beside it go on.
+func (t *ticket) dropHedge() {
+	for other := t.hedgeOf; other != nil; other = other.hedgeOf {
+		other.mayHaveRun = true
 	}
+	t.unlink()
 }
 
-// Replace ends a ticket whose attempt failed while its hedge goes on in its place.
+// Replace ends a ticket whose attempt failed while its hedges go on in its place.
 func (f *Fleet) Replace(now clock.Instant, id uint64, failure retry.Failure) []Action {
 	t, ok := f.tickets[id]
 	if !ok || t.state != running || t.hedge == nil {
@@ -72,10 +96,9 @@
 	}
 	f.recordFailure(now, t, failure)
 	if !failure.MayHaveRun() {
-		t.hedge.runs--
+		t.uncount()
 	}
-	t.hedge.hedgeOf = nil
-	t.hedge.Binding = t.Binding
+	t.unlink()
 	f.removeTicket(f.service(t.Service), t)
 	f.schedule(now, f.service(t.Service))
 	return f.takeActions()
--- a/fleet/hedge_test.go
+++ b/fleet/hedge_test.go
@@ -95,15 +95,6 @@
 			}
 			return rapid.SampledFrom(ids).Draw(rt, "id"), true
 		}
-		endHedgesOf := func(id uint64) {
-			for h, of := range hedgeOf {
-				if of == id {
-					apply(f.Withdraw(now, h))
-					delete(running, h)
-					delete(hedgeOf, h)
-				}
-			}
-		}
 		hasHedge := func(id uint64) (uint64, bool) {
 			for h, of := range hedgeOf {
 				if of == id {
@@ -112,6 +103,23 @@
 			}
 			return 0, false
 		}
+		// unlink takes an attempt out of those that run beside each other.
+		unlink := func(id uint64) {
+			of, isHedge := hedgeOf[id]
+			delete(hedgeOf, id)
+			if h, hedged := hasHedge(id); hedged && isHedge {
+				hedgeOf[h] = of
+			} else if hedged {
+				delete(hedgeOf, h)
+			}
+		}
+		endHedgesOf := func(id uint64) {
+			for h, hedged := hasHedge(id); hedged; h, hedged = hasHedge(id) {
+				apply(f.Withdraw(now, h))
+				delete(running, h)
+				unlink(h)
+			}
+		}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
 			now += time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond
 			if rapid.IntRange(0, 3).Draw(rt, "submit") == 0 {
@@ -127,14 +135,11 @@
 			}
 			failure := rapid.SampledFrom(failures).Draw(rt, "failure")
 			_, isHedge := hedgeOf[id]
-			h, hedged := hasHedge(id)
+			_, hedged := hasHedge(id)
 			switch rapid.IntRange(0, 5).Draw(rt, "step") {
 			case 0:
 				apply(f.Progress(now, id))
 			case 1:
-				if isHedge {
-					continue
-				}
 				actions := f.Hedge(now, id, lastID+1, second)
 				grants := granted(actions)
 				if hedged && len(grants) > 0 {
@@ -148,13 +153,13 @@
 			case 2:
 				if isHedge {
 					delete(running, id)
-					delete(hedgeOf, id)
+					unlink(id)
 					apply(f.HedgeFailed(now, id, failure))
 				}
 			case 3:
-				if hedged {
+				if hedged && !isHedge {
 					delete(running, id)
-					delete(hedgeOf, h)
+					unlink(id)
 					apply(f.Replace(now, id, failure))
 				} else if !isHedge {
 					delete(running, id)
@@ -168,9 +173,12 @@
 				}
 			default:
 				delete(running, id)
-				delete(hedgeOf, id)
 				apply(f.Withdraw(now, id))
-				endHedgesOf(id)
+				if isHedge {
+					unlink(id)
+				} else {
+					endHedgesOf(id)
+				}
 			}
 		}
 		for id := uint64(1); id <= lastID; id++ {
@@ -243,6 +251,51 @@
 	g.Expect(destination(f.Hedge(2*second, 1, 3, second))).To(gomega.Equal("u3"))
 }
 
+// TestHedgesOfHedgesGoOn guards against an attempt that is forgotten, or runs at an upstream that
+// has the request already, as one of the attempts between it and the first one ends.
+func TestHedgesOfHedgesGoOn(t *testing.T) {
+	for name, end := range map[string]func(f *Fleet){
+		"fails":       func(f *Fleet) { f.HedgeFailed(4*second, 2, retry.Broken) },
+		"isn't run":   func(f *Fleet) { f.HedgeFailed(4*second, 2, retry.Refused) },
+		"was dropped": func(f *Fleet) { f.Withdraw(4*second, 2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1), member("u4", 4, 1))
+			ticket := newTicket(1)
+			ticket.MaxRuns = 4
+			g.Expect(destination(f.Submit(0, ticket))).To(gomega.Equal("u1"))
+			g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+			g.Expect(destination(f.Hedge(4*second, 2, 3, second))).To(gomega.Equal("u3"))
+			end(f)
+			g.Expect(granted(f.Hedge(4*second, 1, 4, second))).To(gomega.BeEmpty(), "there is a hedge")
+			f.Replace(4*second, 1, retry.Broken)
+			f.Merge(4*second, []upstream.Member{leaving(member("u4", 4, 1))})
+			g.Expect(granted(f.Hedge(6*second, 3, 5, second))).To(gomega.BeEmpty(), "all others have had the request")
+			g.Expect(f.Open()).To(gomega.Equal(1))
+			f.Finish(6*second, 3, true, true)
+			g.Expect(f.Open()).To(gomega.BeZero())
+			g.Expect(f.Work()).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// TestHedgesOfHedgesAreBound guards against a stream that goes on at a third upstream of another
+// release than the one that has begun it.
+func TestHedgesOfHedgesAreBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	other := member("u3", 3, 1)
+	other.Release = "v2"
+	f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), other)
+	ticket := newTicket(1)
+	ticket.MaxRuns = 3
+	g.Expect(destination(f.Submit(0, ticket))).To(gomega.Equal("u1"))
+	g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+	_, running := f.Bind(1)
+	g.Expect(running).To(gomega.BeTrue())
+	g.Expect(f.Hedge(4*second, 2, 3, second)).To(gomega.BeEmpty())
+}
+
 func leaving(m upstream.Member) upstream.Member {
 	m.Leaving, m.Sequence = true, m.Sequence+1
 	return m
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -50,10 +50,13 @@
 	originToldAt clock.Instant
 	// release is that of the upstream of the present attempt.
 	release string
-	// mu guards hedge, and for the goroutine of the hedge also events, headSent, status
-	// and mediaType, which only the request's own goroutine changes.
-	mu    sync.Mutex
-	hedge *hedge
+	// mu guards hedges and giveUp, and for the goroutines of the hedges also events, headSent,
+	// status and mediaType, which only the request's own goroutine changes.
+	mu sync.Mutex
+	// hedges are the attempts beside the present one, in the order in which they began, and
+	// giveUp ends the present one.
+	hedges []*hedge
+	giveUp func()
 }
 
 // Limits of what is read of an upstream's response.
@@ -122,7 +125,7 @@
 	d.events.start(r.LastEvent, r.Resumes)
 	d.ticket, d.actions = in.dispatcher.submit(r.ticket())
 	defer func() { in.dispatcher.withdraw(d.ticket) }()
-	defer d.endHedge()
+	defer d.endHedges()
 	var lastOutcome outcome
 	for {
 		select {
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,9 +28,9 @@
 	maxOverlap = 300 * time.Millisecond
 )
 
-// hedge is a second attempt that runs beside one whose upstream is silent. The attempt
-// whose upstream is the first to send something goes on, and the other one is dropped: a
-// silent upstream may be sound, and the second one may not take the request.
+// hedge is a further attempt that runs beside one whose upstream is silent. The attempt
+// whose upstream is the first to send something goes on, and the others are dropped: a
+// silent upstream may be sound, and another one may not take the request.
 type hedge struct {
 	ticket    uint64
 	actions   <-chan fleet.Action
@@ -56,13 +57,16 @@
 // errReplaced is the error of an attempt whose hedge has begun to answer first.
 var errReplaced = errors.New("a second upstream has begun to answer")
 
-// watchForStall hedges the present attempt while its upstream has stalled, if the request
-// may be repeated, until the returned function is called. It calls giveUp once a hedge
-// has begun to answer.
+// watchForStall hedges the present attempt while its upstream and those of its hedges have
+// stalled, if the request may be repeated, until the returned function is called. giveUp is
+// called once a hedge has begun to answer.
 func (d *forwarding) watchForStall(requestCtx context.Context, giveUp func()) (stop func()) {
 	if !d.r.route.Repeatable() {
 		return func() {}
 	}
+	d.mu.Lock()
+	d.giveUp = giveUp
+	d.mu.Unlock()
 	ctx, stop := context.WithCancel(requestCtx)
 	ticket := d.ticket
 	go func() {
@@ -73,13 +77,14 @@
 			case <-ctx.Done():
 				return
 			case <-t.C:
-				if !d.in.dispatcher.stalled(ticket, stallTimeout) {
+				last := d.lastTicket(ticket)
+				if !d.in.dispatcher.stalled(last, stallTimeout) {
 					continue
 				}
 				// After a stand-still of this entry, upstreams may be of other releases.
 				d.in.link.AwaitDirectory(ctx)
-				if h := d.startHedge(requestCtx, ctx, ticket); h != nil {
-					d.runHedge(h, giveUp)
+				if h := d.startHedge(requestCtx, ctx, last); h != nil {
+					go d.runHedge(h)
 				}
 			}
 		}
@@ -87,11 +92,22 @@
 	return stop
 }
 
-// startHedge asks for a second upstream for the ticket. attemptCtx ends with the attempt.
+// lastTicket is the ticket of the attempt that began last: the one with the ticket, or one of
+// its hedges.
+func (d *forwarding) lastTicket(ticket uint64) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.hedges) > 0 {
+		return d.hedges[len(d.hedges)-1].ticket
+	}
+	return ticket
+}
+
+// startHedge asks for an upstream beside that of the ticket. attemptCtx ends with the attempt.
 func (d *forwarding) startHedge(requestCtx, attemptCtx context.Context, ticket uint64) *hedge {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if attemptCtx.Err() != nil || d.headSent && !d.r.isStream() {
+	if attemptCtx.Err() != nil || d.headSent && !d.r.isStream() || d.winner() != nil {
 		return nil
 	}
 	if d.r.org != nil && !d.in.configFresh() {
@@ -105,14 +121,14 @@
 	h := &hedge{ticket: grant.Ticket, actions: actions, grant: grant, startedAt: d.in.options.Clock(), settled: make(chan struct{}), accepted: make(chan struct{})}
 	h.ctx, h.cancel = context.WithCancel(requestCtx)
 	_, h.resumes = d.events.position()
-	d.hedge = h
+	d.hedges = append(d.hedges, h)
 	d.in.meters.hedged.Inc(1)
 	klog.InfoS("upstream is silent; asking another one too", "request", d.r.ID, "route", d.r.routeName(), "events", d.events.forwarded, "upstream", grant.Upstream.ID, "number", grant.Attempt)
 	return h
 }
 
-// runHedge makes the second attempt, until it has begun to answer, failed or was dropped.
-func (d *forwarding) runHedge(h *hedge, giveUp func()) {
+// runHedge makes the attempt of a hedge, until it has begun to answer, failed or was dropped.
+func (d *forwarding) runHedge(h *hedge) {
 	opened := make(chan outcome, 1)
 	go func() {
 		response, limit, o := d.open(h.ctx, h.ticket, h.grant)
@@ -126,17 +142,12 @@
 		h.response, h.limit = response, limit
 		opened <- o
 	}()
-	t := time.NewTicker(stallCheckInterval)
-	defer t.Stop()
 	var overlap <-chan time.Time
 	accepted := h.accepted
-	for silent := false; ; {
+	for {
 		select {
 		case o := <-opened:
-			if silent {
-				o.failure = retry.Silent
-			}
-			d.settleHedge(h, o, giveUp)
+			d.settleHedge(h, o)
 			return
 		case <-accepted:
 			accepted = nil
@@ -144,31 +155,54 @@
 				overlap = time.After(maxOverlap)
 			}
 		case <-overlap:
-			d.endOverlap(h, giveUp)
-		case <-t.C:
-			// A third upstream may answer while both are silent. An adopted hedge has a
-			// hedge of its own instead, as nothing else is left of the request.
-			d.mu.Lock()
-			if !silent && !h.adopted && !h.won && d.in.dispatcher.stalled(h.ticket, stallTimeout) {
-				silent = true
-				h.cancel()
-			}
-			d.mu.Unlock()
+			d.endOverlap(h)
 		}
 	}
 }
 
-// endOverlap ends the attempt beside which the hedge's upstream has accepted the stream.
-func (d *forwarding) endOverlap(h *hedge, giveUp func()) {
+// endOverlap ends the other attempts beside which the hedge's upstream has accepted the stream.
+func (d *forwarding) endOverlap(h *hedge) {
 	d.mu.Lock()
-	if h.adopted || h.won || d.hedge != h || h.ctx.Err() != nil {
-		d.mu.Unlock()
+	defer d.mu.Unlock()
+	if !slices.Contains(d.hedges, h) || d.winner() != nil || h.ctx.Err() != nil {
 		return
 	}
+	d.winLocked(h)
+}
+
+// winLocked lets the hedge take the place of the present attempt. The caller holds mu.
+func (d *forwarding) winLocked(h *hedge) {
 	h.won = true
-	d.mu.Unlock()
+	for _, other := range d.hedges {
+		if other != h {
+			other.drop()
+		}
+	}
+	d.hedges = []*hedge{h}
 	d.in.meters.hedgesUsed.Inc(1)
-	giveUp()
+	d.giveUp()
+}
+
+// drop ends a hedge that isn't needed. The caller holds forwarding.mu.
+func (h *hedge) drop() {
+	h.dropped = true
+	h.cancel()
+}
+
+// winner is the hedge that takes the place of the present attempt, nil if there is none. The
+// caller holds mu.
+func (d *forwarding) winner() *hedge {
+	for _, h := range d.hedges {
+		if h.won {
+			return h
+		}
+	}
+	return nil
+}
+
+// remove takes a hedge out of the list. The caller holds mu.
+func (d *forwarding) remove(h *hedge) {
+	d.hedges = slices.DeleteFunc(d.hedges, func(other *hedge) bool { return other == h })
 }
 
 // awaitBeginning waits for as much of the response as can be relayed at once: the first
@@ -190,7 +224,7 @@
 
 // settleHedge decides between the attempt and its hedge, whose attempt ended as the
 // outcome says unless it has a response.
-func (d *forwarding) settleHedge(h *hedge, o outcome, giveUp func()) {
+func (d *forwarding) settleHedge(h *hedge, o outcome) {
 	defer close(h.settled)
 	d.mu.Lock()
 	if h.adopted || h.won {
@@ -198,17 +232,14 @@
 		d.mu.Unlock()
 		return
 	}
-	h.won = h.response != nil && d.continuesLocked(h.response) && !h.dropped && h.ctx.Err() == nil
-	if !h.won && d.hedge == h {
-		d.hedge = nil
-	}
-	won, dropped := h.won, h.dropped || h.ctx.Err() != nil && o.failure != retry.Silent
-	d.mu.Unlock()
-	if won {
-		d.in.meters.hedgesUsed.Inc(1)
-		giveUp()
+	if h.response != nil && d.continuesLocked(h.response) && !h.dropped && h.ctx.Err() == nil {
+		d.winLocked(h)
+		d.mu.Unlock()
 		return
 	}
+	d.remove(h)
+	dropped := h.dropped || h.ctx.Err() != nil
+	d.mu.Unlock()
 	if h.response != nil {
 		h.response.Close()
 		o.failure = retry.Errored
@@ -229,51 +260,49 @@
 func (d *forwarding) replaced() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.hedge != nil && d.hedge.won
+	return d.winner() != nil
 }
 
-// dropHedge ends the hedge, if there is one that hasn't won: the attempt goes on. It
-// reports whether the attempt does.
-func (d *forwarding) dropHedge() bool {
+// dropHedges ends the hedges, unless one has won: the attempt goes on. It reports whether the
+// attempt does.
+func (d *forwarding) dropHedges() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dropHedgeLocked()
+	return d.dropHedgesLocked()
 }
 
-// dropHedgeLocked is dropHedge for callers that hold mu.
-func (d *forwarding) dropHedgeLocked() bool {
-	h := d.hedge
-	if h == nil {
-		return true
-	}
-	if h.won {
+// dropHedgesLocked is dropHedges for callers that hold mu.
+func (d *forwarding) dropHedgesLocked() bool {
+	if d.winner() != nil {
 		return false
 	}
-	h.dropped, d.hedge = true, nil
-	h.cancel()
+	for _, h := range d.hedges {
+		h.drop()
+	}
+	d.hedges = nil
 	return true
 }
 
 // acceptEvent reports whether to send the present attempt's next event to the caller, and
-// ends the hedge before: its events go on where this one was still to come.
+// ends the hedges before: their events go on where this one was still to come.
 func (d *forwarding) acceptEvent(event []byte) (forward bool, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.hedge != nil && d.hedge.won {
+	if d.winner() != nil {
 		return false, errReplaced
 	}
 	if forward, err = d.events.accept(event); err == nil {
-		d.dropHedgeLocked()
+		d.dropHedgesLocked()
 	}
 	return forward, err
 }
 
 // claim reports whether the present attempt's response, which is no stream, may be sent to
-// the caller; its hedge ends then.
+// the caller; its hedges end then.
 func (d *forwarding) claim(response *exchange.Response) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.dropHedgeLocked() {
+	if !d.dropHedgesLocked() {
 		return false
 	}
 	d.setHead(response)
@@ -286,9 +315,16 @@
 func (d *forwarding) claimHead(response *exchange.Response) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.hedge != nil && (d.hedge.won || d.hedge.grant.Upstream.Release != d.release) && !d.dropHedgeLocked() {
+	if d.winner() != nil {
 		return false
 	}
+	d.hedges = slices.DeleteFunc(d.hedges, func(h *hedge) bool {
+		other := h.grant.Upstream.Release != d.release
+		if other {
+			h.drop()
+		}
+		return other
+	})
 	d.bind()
 	d.setHead(response)
 	return true
@@ -299,13 +335,17 @@
 	d.headSent, d.status, d.mediaType = true, response.StatusCode, mediaType(response)
 }
 
-// adoptHedge makes the hedge of an attempt that failed the present attempt, whether it has
-// begun to answer or not.
+// adoptHedge makes a hedge of an attempt that failed the present attempt, whether it has
+// begun to answer or not: the one that has won, or the first.
 func (d *forwarding) adoptHedge(failure retry.Failure) *hedge {
 	d.mu.Lock()
-	h := d.hedge
+	h := d.winner()
+	if h == nil && len(d.hedges) > 0 {
+		h = d.hedges[0]
+	}
 	if h != nil {
-		h.adopted, d.hedge = true, nil
+		h.adopted = true
+		d.remove(h)
 	}
 	d.mu.Unlock()
 	if h == nil {
@@ -348,14 +388,14 @@
 	return d.relay(h.response)
 }
 
-// endHedge ends the hedge of a request that has ended.
-func (d *forwarding) endHedge() {
-	if d.dropHedge() {
+// endHedges ends the hedges of a request that has ended.
+func (d *forwarding) endHedges() {
+	if d.dropHedges() {
 		return
 	}
 	d.mu.Lock()
-	h := d.hedge
-	d.hedge = nil
+	h := d.winner()
+	d.hedges = nil
 	d.mu.Unlock()
 	h.cancel()
 	<-h.settled
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -96,7 +96,7 @@
 func TestEventsAreClaimedBeforeTheyAreSent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	w := httptest.NewRecorder()
-	d := &forwarding{w: w, hedge: &hedge{won: true}}
+	d := &forwarding{w: w, hedges: []*hedge{{won: true}}}
 	rest, wrote, err := d.writeEvents([]byte(event(1)))
 	g.Expect(err).To(gomega.MatchError(errReplaced))
 	g.Expect(wrote).To(gomega.BeFalse())
@@ -118,8 +118,8 @@
 	h.ctx, h.cancel = context.WithCancel(t.Context())
 	response, _, o := d.open(h.ctx, h.ticket, other)
 	g.Expect(o.cause).NotTo(gomega.HaveOccurred())
-	h.response, d.hedge = response, h
-	w.hook = func() { d.settleHedge(h, outcome{}, func() {}) }
+	h.response, d.hedges, d.giveUp = response, []*hedge{h}, func() {}
+	w.hook = func() { d.settleHedge(h, outcome{}) }
 	stream := &exchange.Response{Response: &http.Response{
 		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader(event(1))), ContentLength: int64(len(event(1))),
 	}}
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -106,6 +106,37 @@
 	g.Expect(body).To(gomega.Equal(event(1) + event(2) + event(3) + event(4)))
 }
 
+// TestSilentHedgesAreKept guards against a stream that is cut off since its second upstream was
+// given up for a third one, which was full, before the first one broke off.
+func TestSilentHedgesAreKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		route               config.Route
+		begin, answer, want string
+	}{
+		"stream": {resumable, chunkedHead + chunk(event(1)+event(2)), chunkedHead + chunk(event(3)+event(4)) + lastChunk, event(1) + event(2) + event(3) + event(4)},
+		"plain":  {config.Route{Kind: config.Idempotent}, answerHead, answerHead + "Content-Length: 5\r\n\r\nwhole", "whole"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			broken := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				writeEvery(c, 2600*time.Millisecond, func(n int) string { return map[int]string{0: tc.begin}[n] })
+			})
+			silent := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				<-time.After(1900 * time.Millisecond)
+				_, _ = io.WriteString(c, tc.answer)
+			})
+			full := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Request-Id: "+requestID+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			})
+			status, body, err := get(startEntry(t, tc.route, 8*time.Second, broken, silent, full))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(body).To(gomega.Equal(tc.want))
+		})
+	}
+}
+
 // TestHedgesOfSilentHedges guards against an attempt that is left alone with an upstream that
 // answers nothing: after the first upstream broke off, its hedge was never hedged itself.
 func TestHedgesOfSilentHedges(t *testing.T) {
