fleet: Give a request back to an upstream that was only silent

A caller's stream was cut off when the upstream that had taken it over broke off and no third one was left, though the first upstream had only been silent for a moment. It had counted as failed since, and was never asked again.

Now an upstream that was left for its silence alone may get the request once more, within the route's attempts, and after all that haven't had it. Its backoff doesn't hold then, as nothing else is left of the request.

Before, with two upstreams:

--- FAIL: TestStreamsReturnToSilentUpstreams/after_an_event (1.11s) unexpected EOF --- FAIL: TestSilentUpstreamsGetARequestBack Expected <string>: upstreamUnknown to equal <string>: u1

To keep the first connection open until the second upstream is done isn't possible: the platform allows a stream at two upstreams for 400 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,12 +98,13 @@
 	state     ticketState
 	upstream  *upstreamView
 	// runs counts the upstreams that may have run the request, attempts those
-	// that it was sent to. failedOn are the IDs of those that failed it.
-	runs, attempts int
-	mayHaveRun     bool
-	failedOn       []string
-	sentAt         clock.Instant
-	answerBegan    bool
+	// that it was sent to. failedOn are the IDs of those that failed it, and silentOn of those
+	// among them that only fell silent until another one answered.
+	runs, attempts     int
+	mayHaveRun         bool
+	failedOn, silentOn []string
+	sentAt             clock.Instant
+	answerBegan        bool
 	// trial says that it was sent to an upstream that is being used again.
 	trial bool
 	// beganAt is when the answer began, and sound says that it has gone on for
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -62,7 +62,7 @@
 	if f.suspects.Refusal(now, t.traits) != nil || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
 		return false
 	}
-	if t.runs >= t.MaxRuns || !s.hasUntried(now, t) {
+	if t.runs >= t.MaxRuns || !s.hasUntried(now, t) && !s.hasSilent(now, t) {
 		return false
 	}
 	return failure == retry.NotSent || s.retryBudget.Spend(now)
@@ -76,6 +76,17 @@
 	})
 }
 
+// hasSilent reports whether there is an upstream that the ticket may be sent to again.
+func (s *service) hasSilent(now clock.Instant, t *ticket) bool {
+	return slices.ContainsFunc(s.upstreams, func(u *upstreamView) bool { return t.mayReturnTo(now, u) })
+}
+
+// mayReturnTo reports whether the upstream only fell silent during the ticket, and would get
+// it again. It isn't in backoff for the ticket: nothing else may be left of the request.
+func (t *ticket) mayReturnTo(now clock.Instant, u *upstreamView) bool {
+	return slices.Contains(t.silentOn, u.ID) && u.serves() && !u.closed(now) && t.Fits(&u.Announcement)
+}
+
 // mayRunOn reports whether the upstream hasn't failed the ticket, doesn't run a hedge of it, and
 // is of the release that the ticket is bound to.
 func (t *ticket) mayRunOn(u *upstreamView) bool {
--- a/fleet/fleet__hedge.go
+++ b/fleet/fleet__hedge.go
@@ -20,7 +20,7 @@
 	}
 	h := &ticket{
 		Ticket: t.Ticket, arrivedAt: t.arrivedAt, runs: t.runs, attempts: t.attempts, mayHaveRun: true,
-		failedOn: append(slices.Clone(t.failedOn), t.upstream.ID), traits: t.traits, hedgeOf: t,
+		failedOn: append(slices.Clone(t.failedOn), t.upstream.ID), silentOn: slices.Clone(t.silentOn), traits: t.traits, hedgeOf: t,
 	}
 	h.ID = hedgeID
 	s := f.service(t.Service)
@@ -80,8 +80,19 @@
 	t.hedge, t.hedgeOf = nil, nil
 }
 
+// wasSilent notes that the upstream of an attempt that has ended did nothing but fall silent
+// before a hedge of the attempt answered.
+func (t *ticket) wasSilent(u *upstreamView) {
+	for h := t.hedge; h != nil; h = h.hedge {
+		h.silentOn = append(h.silentOn, u.ID)
+	}
+}
+
 // dropHedge ends a hedge that may have run, while the attempts beside it go on.
 func (t *ticket) dropHedge() {
+	if t.state == running {
+		t.wasSilent(t.upstream)
+	}
 	for other := t.hedgeOf; other != nil; other = other.hedgeOf {
 		other.mayHaveRun = true
 	}
@@ -94,10 +105,14 @@
 	if !ok || t.state != running || t.hedge == nil {
 		return nil
 	}
+	u := t.upstream
 	f.recordFailure(now, t, failure)
 	if !failure.MayHaveRun() {
 		t.uncount()
 	}
+	if failure == retry.Silent {
+		t.wasSilent(u)
+	}
 	t.unlink()
 	f.removeTicket(f.service(t.Service), t)
 	f.schedule(now, f.service(t.Service))
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -89,7 +89,11 @@
 	f.refuseQuarantined(now, s)
 	remaining := s.queue[:0]
 	for _, t := range s.queue {
-		if u, e := f.choose(now, s, t); u != nil && s.meetsTarget(now, t, e) {
+		u, e := f.choose(now, s, t)
+		if u == nil {
+			u, e = f.chooseSilent(now, s, t)
+		}
+		if u != nil && s.meetsTarget(now, t, e) {
 			f.grant(now, s, t, u, e)
 			continue
 		}
--- a/fleet/hedge_test.go
+++ b/fleet/hedge_test.go
@@ -296,6 +296,29 @@
 	g.Expect(f.Hedge(4*second, 2, 3, second)).To(gomega.BeEmpty())
 }
 
+// TestSilentUpstreamsGetARequestBack guards against a request that fails as the upstream which
+// took it over broke off, though the one before only was silent for a moment. Upstreams
+// that haven't had it go first, and one that fell silent gets it back once.
+func TestSilentUpstreamsGetARequestBack(t *testing.T) {
+	for _, third := range []string{"u1", "u3"} {
+		g := gomega.NewWithT(t)
+		f := plainFleet(member("u1", 1, 1), member("u2", 2, 1))
+		ticket := newTicket(1)
+		ticket.MaxRuns = 4
+		g.Expect(destination(f.Submit(0, ticket))).To(gomega.Equal("u1"))
+		g.Expect(destination(f.Hedge(2*second, 1, 2, second))).To(gomega.Equal("u2"))
+		f.Replace(2*second, 1, retry.Silent)
+		if third == "u3" {
+			f.Merge(2*second, []upstream.Member{member("u3", 3, 1)})
+		}
+		g.Expect(destination(f.Failed(2*second, 2, retry.Broken))).To(gomega.Equal(third))
+		if third == "u3" {
+			g.Expect(destination(f.Failed(2*second, 2, retry.Broken))).To(gomega.Equal("u1"))
+		}
+		g.Expect(granted(f.Failed(2*second, 2, retry.Broken))).To(gomega.BeEmpty())
+	}
+}
+
 func leaving(m upstream.Member) upstream.Member {
 	m.Leaving, m.Sequence = true, m.Sequence+1
 	return m
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -302,6 +303,26 @@
 	return best, bestEstimate
 }
 
+// chooseSilent returns the upstream with room that has the lowest ranking among those that
+// the ticket may be sent to again, or nil.
+func (f *Fleet) chooseSilent(now clock.Instant, s *service, t *ticket) (best *upstreamView, bestEstimate estimate) {
+	if len(t.silentOn) == 0 {
+		return nil, estimate{}
+	}
+	for _, u := range s.upstreams {
+		if !t.mayReturnTo(now, u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
+			continue
+		}
+		if e := s.estimate(now, f.options.Zone, u, t); best == nil || e.ranking < bestEstimate.ranking {
+			best, bestEstimate = u, e
+		}
+	}
+	if best != nil {
+		t.silentOn = slices.DeleteFunc(t.silentOn, func(id string) bool { return id == best.ID })
+	}
+	return best, bestEstimate
+}
+
 // preferred returns the upstream that rendezvous hashing assigns to the shared
 // parts of the prompt, the same at every entry, and the tokens of these parts.
 func (s *service) preferred(now clock.Instant, t *ticket) (*upstreamView, int) {
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -137,6 +137,37 @@
 	}
 }
 
+// TestStreamsReturnToSilentUpstreams guards against a stream that is cut off since the upstream
+// that took it over broke off, though the first one, which only was silent, goes on.
+func TestStreamsReturnToSilentUpstreams(t *testing.T) {
+	for name, second := range map[string]answer{
+		"after an event": func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, chunkedHead+chunk(event(3))) },
+		"within an event": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, chunkedHead+chunk(event(3)+"id: 4\nda"))
+		},
+		"as the first one has been closed": func(c net.Conn, _ *http.Request) {
+			writeEvery(c, 2*maxOverlap, func(n int) string { return map[int]string{0: chunkedHead}[n] })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			first := startUpstream(t, func(c net.Conn, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") != "" {
+					_, _ = io.WriteString(c, rest(r))
+					return
+				}
+				writeEvery(c, 1900*time.Millisecond, func(n int) string {
+					return map[int]string{0: chunkedHead + chunk(event(1)+event(2)), 1: chunk(event(3)+event(4)) + lastChunk}[n]
+				})
+			})
+			_, body, err := get(startEntry(t, resumable, 8*time.Second, first, startUpstream(t, second)))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(body).To(gomega.Equal(event(1) + event(2) + event(3) + event(4)))
+		})
+	}
+}
+
 // TestHedgesOfSilentHedges guards against an attempt that is left alone with an upstream that
 // answers nothing: after the first upstream broke off, its hedge was never hedged itself.
 func TestHedgesOfSilentHedges(t *testing.T) {
