ingress: Let a hedge that is dropped leave its upstream at once

A caller's stream could be cut off as its upstream broke off just after a whole event: the hedge that ended with the event kept its ticket until its goroutine had seen the end of its connection. Until then its upstream counted as trying the request, and wasn't asked when no other one was left.

Now the ticket ends in the same step in which the hedge is dropped.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -175,7 +175,7 @@
 	h.won = true
 	for _, other := range d.hedges {
 		if other != h {
-			other.drop()
+			d.drop(other)
 		}
 	}
 	d.hedges = []*hedge{h}
@@ -183,10 +183,12 @@
 	d.giveUp()
 }
 
-// drop ends a hedge that isn't needed. The caller holds forwarding.mu.
-func (h *hedge) drop() {
+// drop ends a hedge that isn't needed. Its upstream may get the request again at once, if the
+// attempt fails. The caller holds mu.
+func (d *forwarding) drop(h *hedge) {
 	h.dropped = true
 	h.cancel()
+	d.in.dispatcher.withdraw(h.ticket)
 }
 
 // winner is the hedge that takes the place of the present attempt, nil if there is none. The
@@ -277,7 +279,7 @@
 		return false
 	}
 	for _, h := range d.hedges {
-		h.drop()
+		d.drop(h)
 	}
 	d.hedges = nil
 	return true
@@ -321,7 +323,7 @@
 	d.hedges = slices.DeleteFunc(d.hedges, func(h *hedge) bool {
 		other := h.grant.Upstream.Release != d.release
 		if other {
-			h.drop()
+			d.drop(h)
 		}
 		return other
 	})
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -26,6 +26,7 @@
 	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -150,3 +151,19 @@
 	g.Expect(h).NotTo(gomega.BeNil(), "a request without a key")
 	h.cancel()
 }
+
+// TestDroppedHedgesLeaveTheirUpstream guards against a stream that is cut off as its upstream
+// breaks off just after a whole event: the upstream of the hedge that ended with the event
+// still counted as trying, and no other one was left.
+func TestDroppedHedgesLeaveTheirUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, other := silentForwarding(t, httptest.NewRecorder(), chunkedHead)
+	g.Expect(d.startHedge(t.Context(), t.Context(), d.ticket)).NotTo(gomega.BeNil())
+	forward, err := d.acceptEvent([]byte(event(1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(forward).To(gomega.BeTrue())
+	d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.Failed(now, d.ticket, retry.Broken) })
+	grant, ok := (<-d.actions).(fleet.Grant)
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(grant.Upstream.ID).To(gomega.Equal(other.Upstream.ID))
+}
