fleet: Refuse waiting requests at once when their last upstream is gone

A request that waited when the last upstream of its service ended, left or lost its address was refused as if it stood in a queue: with a time to come back of 20 s and more, which is that of a queue without slots, and only at its target's end if the target was longer than that. Submit refuses such requests as noUpstream, to be sent again after a second; Tick now does the same.

--- FAIL: TestRequestsWithoutAnyUpstreamAreRefused/it_has_ended (0.00s) Expected <[]fleet.Action | len:0, cap:0>: nil to have length 1

--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -110,11 +110,16 @@
 }
 
 // Tick grants upstreams to waiting tickets and refuses those that would miss
-// their target or have passed their deadline.
+// their target, have passed their deadline, or whose last upstream is gone.
 func (f *Fleet) Tick(now clock.Instant) []Action {
 	for _, s := range f.services {
 		f.schedule(now, s)
 		for _, t := range append([]*ticket(nil), s.queue...) {
+			if !f.anyAccepting(s, t) {
+				f.dequeue(s, t)
+				f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
+				continue
+			}
 			if wait, late := s.missesTarget(now, t); late || now >= t.Deadline {
 				f.dequeue(s, t)
 				f.refuse(t, f.saturatedError(s, t, wait))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -435,3 +435,39 @@
 	g.Expect(len(f.idByAddress)).To(gomega.BeNumerically("<=", kept))
 	g.Expect(len(f.service("s").upstreams)).To(gomega.BeNumerically("<=", kept))
 }
+
+// TestRequestsWithoutAnyUpstreamAreRefused guards against a request that waits for an upstream
+// after the last one is gone, or is told to come back as late as a long queue would ask for.
+func TestRequestsWithoutAnyUpstreamAreRefused(t *testing.T) {
+	ended := member("u1", 1, 1)
+	ended.Ended = true
+	replaced := member("u2", 2, 1)
+	replaced.Address, replaced.Services = ended.Address, []string{"other"}
+	for name, m := range map[string]upstream.Member{"it has ended": ended, "it leaves": leaving(member("u1", 1, 1)), "its address is another one's": replaced} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := plainFleet(member("u1", 1, 1))
+			// The running ones go on.
+			last := uint64(0)
+			for waits := false; !waits; {
+				last++
+				ticket := newTicket(last)
+				ticket.Target, ticket.Deadline = time.Hour, time.Hour
+				waits = len(f.Submit(0, ticket)) == 0
+			}
+			g.Expect(f.Merge(0, []upstream.Member{m})).To(gomega.BeEmpty())
+			actions := f.Tick(0)
+			g.Expect(actions).To(gomega.HaveLen(1))
+			refusal, ok := actions[0].(Refuse)
+			g.Expect(ok).To(gomega.BeTrue())
+			g.Expect(refusal.Ticket).To(gomega.Equal(last))
+			g.Expect(refusal.Err.Code).To(gomega.Equal(result.NoUpstream))
+			g.Expect(refusal.Err.Ran).To(gomega.Equal(result.RanNo))
+			g.Expect(refusal.Err.RetryAfter).To(gomega.Equal(time.Second))
+			for id := uint64(1); id < last; id++ {
+				f.Finish(0, id, true, true)
+			}
+			g.Expect(f.Open()).To(gomega.BeZero())
+		})
+	}
+}
