ingress: Bound the writing of refusals

A caller that sends requests and reads no answers kept its connection, and what serves it, for ever: a refusal before the request is forwarded had no write deadline, and forward took its own back before net/http had flushed the end of the answer.

A refusal may now take a second from when it is written, and an answer until a second after the later of its request's deadline and now. net/http takes the deadline back itself at the end of each request. Requests that are whole only after their deadline got their refusal before just because forward took the passed write deadline back; the test of them passes on the code before and guards what replaces that.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -103,17 +103,23 @@
 	return o
 }
 
+// writeMargin is how long an answer may take to write that comes at the deadline of its
+// request or later: a caller that reads nothing ties up the entry for no longer.
+const writeMargin = time.Second
+
+// allowWrites lets writes to the caller take until writeMargin after the deadline, and for
+// writeMargin from now on if it has passed. net/http ends that with the request.
+func (in *Ingress) allowWrites(w http.ResponseWriter, deadline clock.Instant) {
+	remaining := max(deadline-in.options.Clock(), 0)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeMargin))
+}
+
 // forward sends an accepted request to upstreams, one attempt after the other,
 // until the caller has a response.
 func (in *Ingress) forward(w http.ResponseWriter, httpRequest *http.Request, r *request) {
 	ctx, cancel := context.WithTimeout(httpRequest.Context(), r.deadline-in.options.Clock())
 	defer cancel()
-	controller := http.NewResponseController(w)
-	// A caller that reads nothing ties up the entry for no more than a second
-	// past the request's deadline.
-	_ = controller.SetWriteDeadline(time.Now().Add(r.deadline - in.options.Clock() + time.Second))
-	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
-
+	in.allowWrites(w, r.deadline)
 	d := &forwarding{
 		in: in, r: r, w: w, chunks: httpRequest.ProtoAtLeast(1, 1),
 		stop: in.stop.Open(r.deadline, r.answerTime(), cancel),
--- /dev/null
+++ b/ingress/late_answer_test.go
@@ -0,0 +1,53 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/config"
+)
+
+// TestRequestsThatAreWholeAfterTheirDeadlineAreRefused guards against a request that is read
+// or waits until after its deadline, and whose connection is closed without an answer.
+func TestRequestsThatAreWholeAfterTheirDeadlineAreRefused(t *testing.T) {
+	for name, route := range map[string]config.Route{"plain": {Kind: config.NonIdempotent}, "stream": {Kind: config.Streaming}} {
+		for _, late := range []time.Duration{0, 2 * time.Second} {
+			t.Run(name+" "+late.String(), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				upstream := startUpstream(t, func(net.Conn, *http.Request) { t.Error("the request was sent after its deadline") })
+				status, body, err := get(startEntry(t, route, -late, upstream))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.BeNumerically(">=", http.StatusInternalServerError), body)
+			})
+		}
+	}
+}
+
+// TestRefusalsThatNobodyReadsEndTheirConnection guards against a caller that sends requests
+// without reading the refusals, and whose connection stays for ever.
+func TestRefusalsThatNobodyReadsEndTheirConnection(t *testing.T) {
+	t.Parallel()
+	s := startStopCase(t)
+	caller := s.dial()
+	// The answers exceed what the kernel holds of them.
+	const requests = 40_000
+	go func() {
+		_, _ = io.WriteString(caller, strings.Repeat("GET /nowhere HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n", requests))
+	}()
+	// Whether a request is under way changes all the time while requests are refused.
+	served := func() int64 { return s.in.meters.requests.Count() }
+	last := int64(-1)
+	s.g.Eventually(func() bool {
+		before := last
+		last = served()
+		return last > 0 && last == before
+	}, stopLimit, 200*time.Millisecond).Should(gomega.BeTrue())
+	s.g.Expect(last).To(gomega.BeNumerically("<", requests), "the answers fit into the kernel's buffers")
+	s.g.Eventually(s.in.listener.Busy, 2*writeMargin).Should(gomega.BeZero())
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -96,6 +96,7 @@
 	if e.RetryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
+	in.allowWrites(w, in.options.Clock())
 	problem.Write(w, e)
 }
 
