ingress: Deliver a ready answer after a stand-still

An answer that was whole when the entry stood still until more than a second after the request's deadline wasn't written: the write deadline had passed, and the caller's connection was closed without a byte. The write deadline is set anew when the answer is whole.

Before: --- FAIL: TestReadyAnswersAreDeliveredLate (0.01s) Get "http://127.0.0.1:39601": EOF

--- a/ingress/forward__relay.go
+++ b/ingress/forward__relay.go
@@ -56,6 +56,8 @@
 	if !d.claim(response) {
 		return errReplaced
 	}
+	// The entry may have stood still since the deadline.
+	d.in.allowWrites(d.w, d.r.deadline)
 	d.copyHeaders(response)
 	if len(body) <= maxBufferedBytes {
 		d.w.Header().Set("Content-Length", itoa(len(body)))
