ingress: Log and count every end without a whole answer

A caller that read too slowly, or whose connection was reset, left no trace: the write failed and the handler panicked without a line. Where the flush of an event failed, the request was logged as "caller gone"; where the last flush failed, which net/http does after the handler has returned, it counted as answered.

Each end now has one line with its cause and one count in ingress.ended.CAUSE: callerGone, cutOff and writeFailed. The listener tells the entry of writes that fail after the handler has returned.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,9 @@
 // http.Server.Shutdown may close a connection whose request it has just read.
 type Listener struct {
 	net.Listener
+	// Unwritten, if set, is told of a request whose handler has returned, and of whose
+	// answer the rest can't be written.
+	Unwritten func(request string, err error)
 
 	mu   sync.Mutex
 	open map[*trackedConn]bool
@@ -29,6 +33,9 @@
 	busy    bool
 	reading bool
 	closed  bool
+	// returned is the request whose handler has returned, while the rest of its answer
+	// is written.
+	returned string
 }
 
 // NewListener tracks the connections that l accepts.
@@ -68,6 +75,21 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		request := c.returned
+		c.returned = ""
+		c.mu.Unlock()
+		if request != "" && c.listener.Unwritten != nil {
+			c.listener.Unwritten(request, err)
+		}
+	}
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.listener.mu.Lock()
@@ -95,7 +117,25 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = s == http.StateActive
+	conn.busy, conn.returned = s == http.StateActive, ""
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext is the http.Server's hook that lets Returned find a request's connection.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// Returned says that the handler of the request with this context returns, and that the
+// server has yet to write the rest of the answer.
+func Returned(ctx context.Context, request string) {
+	if c, ok := ctx.Value(connKey{}).(*trackedConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.returned = request
+	}
 }
 
 // CloseIdle closes the connections that wait for a request and returns the number
--- a/ingress/abort.go
+++ b/ingress/abort.go
@@ -19,6 +19,18 @@
 	panic(http.ErrAbortHandler)
 }
 
+// abortUnwritten ends an answer that the caller's connection didn't take.
+func (d *forwarding) abortUnwritten(err error) {
+	d.in.notWritten(d.r.ID, err)
+	panic(http.ErrAbortHandler)
+}
+
+// notWritten records that an answer, or its end, didn't reach the caller's connection.
+func (in *Ingress) notWritten(request string, err error) {
+	in.meters.ended(endUnwritten)
+	klog.InfoS("answer not written; closing the connection", "request", request, "cause", endUnwritten, "err", err)
+}
+
 // lingerer is a connection whose Close can be made a reset.
 type lingerer interface{ SetLinger(seconds int) error }
 
--- a/ingress/forward__relay.go
+++ b/ingress/forward__relay.go
@@ -64,7 +64,7 @@
 	}
 	d.w.WriteHeader(response.StatusCode)
 	if _, err := d.w.Write(body); err != nil {
-		panic(http.ErrAbortHandler)
+		d.abortUnwritten(err)
 	}
 	if len(body) > maxBufferedBytes {
 		d.relayRest(response, maxResponseBytes-len(body))
@@ -76,15 +76,35 @@
 // off or is longer than limit, in bytes, the caller's connection is closed, since
 // the answer must not look complete.
 func (d *forwarding) relayRest(response *exchange.Response, limit int) {
-	n, err := io.CopyN(d.w, response, int64(limit)+1)
+	to := &callerWriter{Writer: d.w}
+	n, err := io.CopyN(to, response, int64(limit)+1)
+	if to.err != nil {
+		d.abortUnwritten(to.err)
+	}
 	if errors.Is(err, io.EOF) && n <= int64(limit) {
 		return
 	}
-	klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "bytes", n, "limit", limit, "err", err)
+	d.in.meters.ended(endCutOff)
+	klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "cause", endCutOff, "bytes", n, "limit", limit, "err", err)
 	d.finish(false, false)
 	d.abort()
 }
 
+// callerWriter remembers the error of a failed write, to tell it from an upstream's.
+type callerWriter struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *callerWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if err != nil {
+		w.err = err
+	}
+	return n, err
+}
+
 // copyErrorResponse sends the upstream's error response to the caller.
 func (d *forwarding) copyErrorResponse(response *exchange.Response) error {
 	err := d.copyResponse(response)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -149,7 +149,8 @@
 		}
 		if s.server == callerServer {
 			in.listener = drain.NewListener(l)
-			callerServer.ConnState = in.listener.StateChanged
+			in.listener.Unwritten = in.notWritten
+			callerServer.ConnState, callerServer.ConnContext = in.listener.StateChanged, in.listener.ConnContext
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -96,6 +96,23 @@
 	metrics.GetOrRegisterCounter("ingress.attemptFailed."+failure.String(), m.registry).Inc(1)
 }
 
+// endCause is why a caller's connection ends without a whole answer.
+type endCause string
+
+const (
+	// endGone means that the caller has closed its connection, or its sending side.
+	endGone endCause = "callerGone"
+	// endCutOff means that an answer that has begun can't be completed.
+	endCutOff endCause = "cutOff"
+	// endUnwritten means that the caller's connection takes no more, or reads nothing.
+	endUnwritten endCause = "writeFailed"
+)
+
+// ended counts a caller's connection that ends without a whole answer.
+func (m *meters) ended(c endCause) {
+	metrics.GetOrRegisterCounter("ingress.ended."+string(c), m.registry).Inc(1)
+}
+
 func (m *meters) refused(code string) {
 	metrics.GetOrRegisterCounter("ingress.refused."+code, m.registry).Inc(1)
 }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -71,9 +71,10 @@
 	r, err := in.accept(w, httpRequest)
 	if err != nil {
 		in.refuse(w, r, err)
-		return
+	} else {
+		in.forward(w, httpRequest, r)
 	}
-	in.forward(w, httpRequest, r)
+	drain.Returned(httpRequest.Context(), r.ID)
 }
 
 // refuse responds with the error and refunds the cost if the request hasn't run.
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -37,14 +37,16 @@
 )
 
 // stopConfig has a route for plain requests, one for streams, both of which may take
-// longer than a stop, one for requests that end in time, and one whose upstream runs one
-// request at a time.
+// longer than a stop, one for requests that end in time, two for
+// streams that end badly, and one whose upstream runs one request at a time.
 var stopConfig = fmt.Sprintf(`{"version":1,"routes":[
 	{"name":"once","host":"h","pathPrefix":"/once/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
 	{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
 	{"name":"short","host":"h","pathPrefix":"/short/","kind":"non_idempotent","attempts":1,"timeoutMs":1000,"sloMs":1000,"service":"s"},
+	{"name":"broken","host":"h","pathPrefix":"/broken/","kind":"streaming","attempts":1,"timeoutMs":%[2]d,"sloMs":%[2]d,"service":"s"},
+	{"name":"endless","host":"h","pathPrefix":"/endless/","kind":"streaming","attempts":1,"timeoutMs":%[2]d,"sloMs":%[2]d,"service":"s"},
 	{"name":"full","host":"h","pathPrefix":"/full/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":%[1]d,"service":"full"}],
-	"services":[{"name":"s"},{"name":"full"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds())
+	"services":[{"name":"s"},{"name":"full"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds(), shortTimeout.Milliseconds())
 
 // stopCase is an entry that is about to stop, with its upstreams.
 type stopCase struct {
@@ -88,6 +90,9 @@
 	s.reached = append(s.reached, r.URL.Path)
 	s.mu.Unlock()
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Replica-Seal: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
+	if endsBadly(c, r, head) {
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(c, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(event(1)))
 		<-s.end(r.URL.Path)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -107,7 +107,7 @@
 		d.w.Header().Del("Content-Length")
 		d.w.WriteHeader(response.StatusCode)
 	}
-	flusher, _ := d.w.(http.Flusher)
+	controller := http.NewResponseController(d.w)
 	inTime, began := true, false
 	var pending []byte
 	chunk := make([]byte, copyBufferBytes)
@@ -125,8 +125,10 @@
 			d.keepOrigin()
 		}
 		pending = append(pending[:0], rest...)
-		if wrote && flusher != nil {
-			flusher.Flush()
+		if wrote {
+			if err := controller.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+				d.abortUnwritten(err)
+			}
 		}
 		if d.events.forwarded == 1 && wrote {
 			inTime = d.in.options.Clock()-d.r.arrived <= d.r.route.Target
@@ -163,7 +165,7 @@
 		}
 		if forward {
 			if _, err := d.w.Write(b[:n]); err != nil {
-				panic(http.ErrAbortHandler)
+				d.abortUnwritten(err)
 			}
 			wrote = true
 		}
