ingress: Answer requests whose handler panics

A panic in the handler closed the caller's connection without an answer, and net/http wrote the only trace to the standard logger, without the request's ID. A panic while the entry's lock was held would have stopped the entry.

A panic is now logged with the request's ID and counted (ingress.panics). It is answered by 500 (9001), which says "not run" only if nothing was sent; if an answer has begun, the connection ends as that of any answer that breaks off, with the cause "panicked". http.ErrAbortHandler keeps its meaning. What the handler calls under the entry's lock is released by defers; the dispatcher's lock was already. What net/http's servers log goes through klog, ten lines a second at most. A panic in another goroutine (the dispatcher's ticks, a second attempt) still ends the process.

No panic of this kind is known.

--- a/ingress/abort.go
+++ b/ingress/abort.go
@@ -7,13 +7,16 @@
 	"k8s.io/klog/v2"
 )
 
-// abort ends an answer that has begun and broken off, by an end of the caller's connection
-// that doesn't look like that of a whole answer.
-func (d *forwarding) abort() {
-	if !d.chunks {
+// abort ends an answer that has begun and broken off.
+func (d *forwarding) abort() { abort(d.w, d.chunks, d.r) }
+
+// abort ends the answer to r by an end of the caller's connection that doesn't look like
+// that of a whole answer. chunks says that the caller knows chunks.
+func abort(w http.ResponseWriter, chunks bool, r *request) {
+	if !chunks {
 		// A close would end the body.
-		if err := reset(d.w); err != nil {
-			klog.InfoS("caller's connection can't be reset, and is closed", "request", d.r.ID, "route", d.r.routeName(), "err", err)
+		if err := reset(w); err != nil {
+			klog.InfoS("caller's connection can't be reset, and is closed", "request", r.ID, "route", r.routeName(), "err", err)
 		}
 	}
 	panic(http.ErrAbortHandler)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -142,6 +142,7 @@
 				if !d.stop.Send(in.options.Clock()) {
 					break
 				}
+				r.sent = true
 				lastOutcome = d.attempt(ctx, a)
 				for !lastOutcome.done {
 					d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
--- a/ingress/forward__relay.go
+++ b/ingress/forward__relay.go
@@ -62,7 +62,7 @@
 	if len(body) <= maxBufferedBytes {
 		d.w.Header().Set("Content-Length", itoa(len(body)))
 	}
-	d.w.WriteHeader(response.StatusCode)
+	d.writeHead(response.StatusCode)
 	if _, err := d.w.Write(body); err != nil {
 		d.abortUnwritten(err)
 	}
@@ -112,6 +112,12 @@
 	return err
 }
 
+// writeHead sends the head of the answer to the caller.
+func (d *forwarding) writeHead(status int) {
+	d.w.WriteHeader(status)
+	d.r.headSent = true
+}
+
 // continues reports whether the response can go on with the stream whose head the caller
 // has, if it has one.
 func (d *forwarding) continues(response *exchange.Response) bool {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -136,9 +136,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ErrorLog:          nil,
+		ErrorLog:          newServerLog(),
 	}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog()}
 	for _, s := range []struct {
 		server *http.Server
 		listen string
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -28,6 +28,9 @@
 	// tunnelsServed those that others had through this one.
 	tunnels, tunnelsServed metrics.Counter
 
+	// panics counts requests whose handler panicked.
+	panics metrics.Counter
+
 	firstByte metrics.Timer
 }
 
@@ -48,6 +51,7 @@
 		tunnelsServed: metrics.GetOrRegisterCounter("ingress.tunnelsServed", r),
 
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
+		panics:     metrics.GetOrRegisterCounter("ingress.panics", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
 }
@@ -106,6 +110,8 @@
 	endCutOff endCause = "cutOff"
 	// endUnwritten means that the caller's connection takes no more, or reads nothing.
 	endUnwritten endCause = "writeFailed"
+	// endPanicked means that the handler panicked after an answer had begun.
+	endPanicked endCause = "panicked"
 )
 
 // ended counts a caller's connection that ends without a whole answer.
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -60,10 +60,7 @@
 // originOf finds out what began the stream that the request resumes.
 func (in *Ingress) originOf(ctx context.Context, r *request) (origin.Origin, originSource) {
 	if r.ResumedID != "" {
-		in.mu.Lock()
-		o, ok := in.origins.Find(in.options.Clock(), r.streamID())
-		in.mu.Unlock()
-		if ok {
+		if o, ok := in.ownOrigin(r.streamID()); ok {
 			return o, originOwn
 		}
 	}
@@ -111,12 +108,23 @@
 func (d *forwarding) tellOrigin() {
 	now, s := d.in.options.Clock(), d.r.streamID()
 	d.originToldAt = now
-	d.in.mu.Lock()
-	d.in.origins.Record(now, s, *d.origin)
-	d.in.mu.Unlock()
+	d.in.recordOrigin(now, s, *d.origin)
 	d.in.link.StreamBegan(s, *d.origin)
 }
 
+// ownOrigin finds the origin of a stream that this entry has begun.
+func (in *Ingress) ownOrigin(s origin.Stream) (origin.Origin, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.origins.Find(in.options.Clock(), s)
+}
+
+func (in *Ingress) recordOrigin(now clock.Instant, s origin.Stream, o origin.Origin) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.origins.Record(now, s, o)
+}
+
 // keepOrigin tells the origin of a long stream again before it is forgotten.
 func (d *forwarding) keepOrigin() {
 	if d.origin != nil && d.in.options.Clock()-d.originToldAt >= origin.Retention/2 {
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -290,8 +290,8 @@
 				httpRequest.Header.Set("Last-Event-Id", "1")
 				httpRequest.Header.Set("Resumes", "r1")
 			}
-			r, err := in.accept(httptest.NewRecorder(), httpRequest)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
+			r := in.newRequest(httpRequest)
+			g.Expect(in.accept(httptest.NewRecorder(), httpRequest, r)).To(gomega.Succeed())
 			_, actions := in.dispatcher.submit(r.ticket())
 			release, id := r.binding.Release, ""
 			if grant, ok := (<-actions).(fleet.Grant); ok {
@@ -360,7 +360,8 @@
 			httpRequest.Header.Set("X-Request-Id", "r2")
 			httpRequest.Header.Set("Last-Event-Id", "1")
 			httpRequest.Header.Set("Resumes", "r1")
-			r, err := in.accept(httptest.NewRecorder(), httpRequest)
+			r := in.newRequest(httpRequest)
+			err := in.accept(httptest.NewRecorder(), httpRequest, r)
 			if c.want != 0 {
 				g.Expect(err).To(gomega.HaveOccurred())
 				g.Expect(result.From(err).Code).To(gomega.Equal(c.want))
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -46,6 +46,9 @@
 	binding  upstream.Binding
 	rank     int
 	revision uint64
+	// sent says that an upstream may have the request, headSent that the head of an answer
+	// went to the caller.
+	sent, headSent bool
 	// charged is the cost that was taken from the organisation's quota at
 	// chargedAt, in quota units; 0 if none was.
 	charged   float64
@@ -68,8 +71,9 @@
 		// A new connection of the caller leads to another entry.
 		w.Header().Set("Connection", "close")
 	}
-	r, err := in.accept(w, httpRequest)
-	if err != nil {
+	r := in.newRequest(httpRequest)
+	defer in.answerPanic(w, httpRequest, r)
+	if err := in.accept(w, httpRequest, r); err != nil {
 		in.refuse(w, r, err)
 	} else {
 		in.forward(w, httpRequest, r)
@@ -77,6 +81,13 @@
 	drain.Returned(httpRequest.Context(), r.ID)
 }
 
+// newRequest is a request that arrives now.
+func (in *Ingress) newRequest(httpRequest *http.Request) *request {
+	return &request{
+		arrived: in.options.Clock(), method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header,
+	}
+}
+
 // refuse responds with the error and refunds the cost if the request hasn't run.
 func (in *Ingress) refuse(w http.ResponseWriter, r *request, cause error) {
 	e := result.From(cause)
@@ -98,6 +109,7 @@
 		platform.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
 	in.allowWrites(w, in.options.Clock())
+	r.headSent = true
 	problem.Write(w, e)
 }
 
@@ -108,32 +120,28 @@
 	return r.route.Name
 }
 
-// accept reads a request and checks whether it may be served. The returned
-// request is never nil, as refuse needs it.
-func (in *Ingress) accept(w http.ResponseWriter, httpRequest *http.Request) (*request, error) {
-	r := &request{
-		arrived: in.options.Clock(), method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header,
-	}
+// accept reads a request and checks whether it may be served.
+func (in *Ingress) accept(w http.ResponseWriter, httpRequest *http.Request, r *request) error {
 	decoded, err := platform.DecodeRequest(httpRequest.Header)
 	r.Request = decoded
 	if err != nil {
-		return r, result.New(result.BadRequest, result.RanNo, "%v", err)
+		return result.New(result.BadRequest, result.RanNo, "%v", err)
 	}
 	if !strings.HasPrefix(r.target, "/") {
-		return r, result.New(result.BadRequest, result.RanNo, "the request target does not begin with a slash")
+		return result.New(result.BadRequest, result.RanNo, "the request target does not begin with a slash")
 	}
 	in.link.AwaitDirectory(httpRequest.Context())
 	table := in.link.Table()
 	if table == nil {
-		return r, result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(notReadyRetryAfter)
+		return result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(notReadyRetryAfter)
 	}
 	r.revision = table.Revision.Number
 	path, _, _ := strings.Cut(r.target, "?")
 	if r.route = table.Route(r.host, path); r.route == nil {
-		return r, result.New(result.NoRoute, result.RanNo, "no route for %s%s", r.host, path)
+		return result.New(result.NoRoute, result.RanNo, "no route for %s%s", r.host, path)
 	}
 	if err := in.identify(r, table); err != nil {
-		return r, err
+		return err
 	}
 	timeout := r.route.Timeout
 	if r.Patience > 0 {
@@ -141,20 +149,20 @@
 	}
 	r.deadline = r.arrived + timeout
 	if in.stop.TooLate(r.arrived, r.deadline) {
-		return r, drain.Error(false)
+		return drain.Error(false)
 	}
 	if err := r.read(w, httpRequest, table.Revision.Limits, &in.stop); err != nil {
-		return r, err
+		return err
 	}
 	if in.stop.TooLate(in.options.Clock(), r.deadline) {
-		return r, drain.Error(false)
+		return drain.Error(false)
 	}
 	r.service = r.route.Pick(hashFraction(r.ID))
 	r.rank = rank(r.route, r.org)
 	if err := in.findOrigin(httpRequest.Context(), r); err != nil {
-		return r, err
+		return err
 	}
-	return r, in.charge(httpRequest.Context(), r)
+	return in.charge(httpRequest.Context(), r)
 }
 
 // routeRanks is the number of route ranks within each rank of organisations;
@@ -259,23 +267,14 @@
 		}
 	}
 	now := in.options.Clock()
-	in.mu.Lock()
-	bucket, ok := in.quotas[r.org.Name]
-	if !ok {
-		bucket = quota.NewLeasedBucket(now)
-		in.quotas[r.org.Name] = bucket
-	}
-	missing := bucket.Acquire(now, cost)
-	in.mu.Unlock()
+	bucket, missing := in.acquire(now, r.org.Name, cost)
 	if missing <= 0 {
 		r.charged, r.chargedAt = cost, now
 		return nil
 	}
 	reply, err := in.link.Reserve(ctx, r.org.Name, missing)
 	if err != nil || !reply.OK {
-		in.mu.Lock()
-		bucket.Release(in.options.Clock(), cost-missing)
-		in.mu.Unlock()
+		in.release(bucket, cost-missing)
 	}
 	switch {
 	case err != nil:
@@ -288,6 +287,25 @@
 	return nil
 }
 
+// acquire takes the cost from this entry's part of the quota. missing is what that lacks.
+func (in *Ingress) acquire(now clock.Instant, organisation string, cost float64) (bucket *quota.LeasedBucket, missing float64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	bucket, ok := in.quotas[organisation]
+	if !ok {
+		bucket = quota.NewLeasedBucket(now)
+		in.quotas[organisation] = bucket
+	}
+	return bucket, bucket.Acquire(now, cost)
+}
+
+// release returns to the bucket what acquire took from it.
+func (in *Ingress) release(bucket *quota.LeasedBucket, cost float64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	bucket.Release(in.options.Clock(), cost)
+}
+
 // refund returns the cost of a request that hasn't run to its organisation's
 // quota.
 func (in *Ingress) refund(r *request) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -105,7 +105,7 @@
 		d.copyHeaders(response)
 		// The length changes if the stream resumes at another upstream.
 		d.w.Header().Del("Content-Length")
-		d.w.WriteHeader(response.StatusCode)
+		d.writeHead(response.StatusCode)
 	}
 	controller := http.NewResponseController(d.w)
 	inTime, began := true, false
