ingress: Refuse by the head without waiting for the body

A caller whose request was refused by its head (no route, unknown key, a header that can't be read) got the refusal only once up to 256 KB of its body had come, and never if it stalled: net/http reads that much before it writes the answer, and no deadline of reading was set. Such a refusal now waits for a second at most. If the body hasn't come by then, the connection is closed after the answer.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -44,6 +44,9 @@
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 10 * time.Second
+	// unreadBodyTimeout is how long the refusal of a request whose body isn't needed may
+	// wait for a small body, after which the connection can be used again.
+	unreadBodyTimeout = time.Second
 	// idleTimeout is longer than any idle timeout in a configuration, as
 	// callers reuse a connection for up to four fifths of the configured time.
 	idleTimeout = 2 * time.Minute
--- a/ingress/late_answer_test.go
+++ b/ingress/late_answer_test.go
@@ -51,3 +51,16 @@
 	s.g.Expect(last).To(gomega.BeNumerically("<", requests), "the answers fit into the kernel's buffers")
 	s.g.Eventually(s.in.listener.Busy, 2*writeMargin).Should(gomega.BeZero())
 }
+
+// TestRefusalsDontWaitForBodies guards against a caller whose request is refused by its head,
+// and that gets the refusal only once it has sent a body that nobody needs.
+func TestRefusalsDontWaitForBodies(t *testing.T) {
+	t.Parallel()
+	s := startStopCase(t)
+	c := s.dial()
+	text := stopRequest("/nowhere")
+	c.send(text[:len(text)-1])
+	s.g.Expect(c.SetReadDeadline(time.Now().Add(2 * unreadBodyTimeout))).To(gomega.Succeed())
+	response, _ := c.receive(true)
+	s.g.Expect(response.StatusCode).To(gomega.Equal(http.StatusNotFound))
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -46,6 +46,8 @@
 	binding  upstream.Binding
 	rank     int
 	revision uint64
+	// unread says that the request has a body of which nothing was read.
+	unread bool
 	// sent says that an upstream may have the request, headSent that the head of an answer
 	// went to the caller.
 	sent, headSent bool
@@ -85,6 +87,7 @@
 func (in *Ingress) newRequest(httpRequest *http.Request) *request {
 	return &request{
 		arrived: in.options.Clock(), method: httpRequest.Method, target: httpRequest.RequestURI, host: httpRequest.Host, header: httpRequest.Header,
+		unread: httpRequest.ContentLength != 0,
 	}
 }
 
@@ -108,7 +111,13 @@
 	if e.RetryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), e.RetryAfter)
 	}
-	in.allowWrites(w, in.options.Clock())
+	writeAt := in.options.Clock()
+	if r.unread {
+		// net/http reads the rest of a body before it answers, without a limit of time.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+		writeAt += unreadBodyTimeout
+	}
+	in.allowWrites(w, writeAt)
 	r.headSent = true
 	problem.Write(w, e)
 }
@@ -228,6 +237,7 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
 	open := stop.Open(r.deadline, r.deadline-r.arrived, func() { _ = controller.SetReadDeadline(time.Now()) })
+	r.unread = false
 	body, err := io.ReadAll(http.MaxBytesReader(w, httpRequest.Body, limit))
 	open.Close()
 	if open.Ended() {
