drain: Close callers' connections in two steps

A caller that writes its whole request, or two in a row, before it reads got "connection reset by peer" in place of an answer that had been written: with an answer that ends the connection (a stop, 401, 404, 413, 400), bytes were still unread when the connection was closed, and the kernel resets a connection then. net/http sends a FIN and waits for half a second in some of these cases, but only on connections that have CloseWrite, which the tracked ones hadn't.

The tracked connection now closes its sending side first, and reads until the caller closes its own, for a second of silence, five seconds, 16 MB or 1,024 connections at most (RFC 9112, 9.6). Connections that have ended, that are reset on purpose, that are idle, or that are closed with the whole server are closed at once. A stop doesn't count lingering connections, but waits for them before it ends early.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,8 @@
 
 	mu   sync.Mutex
 	open map[*trackedConn]bool
+	// lingering is the number of open connections that linger.
+	lingering int
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
@@ -33,6 +36,9 @@
 	busy    bool
 	reading bool
 	closed  bool
+	// lingering says that Close waits for the caller, ended that there is nothing to wait
+	// for: the caller has closed the connection, it has failed, or it is to be reset.
+	lingering, ended bool
 	// returned is the request whose handler has returned, while the rest of its answer
 	// is written.
 	returned string
@@ -66,12 +72,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closed {
+	if c.closed || c.lingering {
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
 		c.busy = true
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = true
+	}
 	return n, err
 }
 
@@ -81,7 +90,7 @@
 	if err != nil {
 		c.mu.Lock()
 		request := c.returned
-		c.returned = ""
+		c.returned, c.ended = "", true
 		c.mu.Unlock()
 		if request != "" && c.listener.Unwritten != nil {
 			c.listener.Unwritten(request, err)
@@ -90,16 +99,27 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It waits for the caller if that may still be sending.
 func (c *trackedConn) Close() error {
+	if c.beginLinger() {
+		c.linger()
+	}
 	c.listener.mu.Lock()
-	delete(c.listener.open, c)
+	if c.listener.open[c] {
+		delete(c.listener.open, c)
+		if c.lingering {
+			c.listener.lingering--
+		}
+	}
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
 // SetLinger sets what Close does with unsent bytes, as for net.TCPConn.
 func (c *trackedConn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return errors.Errorf("%T has no reset", c.Conn)
@@ -139,12 +159,14 @@
 }
 
 // CloseIdle closes the connections that wait for a request and returns the number
-// of those that remain.
+// of those that remain, without those that linger.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
 	for conn := range l.open {
-		conns = append(conns, conn)
+		if !conn.lingering {
+			conns = append(conns, conn)
+		}
 	}
 	l.mu.Unlock()
 	remaining := 0
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -346,7 +346,7 @@
 			_ = in.listener.Close()
 		}
 		if !accepting {
-			if remaining = in.listener.CloseIdle(); remaining == 0 {
+			if remaining = in.listener.CloseIdle(); remaining == 0 && (in.listener.Lingering() == 0 || now >= end-usageMargin) {
 				// All keepers get the last usage, as any may be the next leader.
 				in.link.ReportLastUsage(ctx)
 				in.tunnels.drain(ctx)
