drain: Reset the connection of an old caller when a write fails

A caller of HTTP/1.0 that reads too slowly got an answer that looked complete and wasn't: the close of the connection ends its body, and net/http closes the connection itself when a write fails. Only answers that break off at their upstream were reset. The connection now is reset by the failed write, where the caller knows no chunks.

Before: --- FAIL: TestUnwrittenAnswersAreResetForOldCallers (2.03s) 3993708 bytes look complete

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -42,6 +42,8 @@
 	// returned is the request whose handler has returned, while the rest of its answer
 	// is written.
 	returned string
+	// endsBody says that the close of the connection would end the answer's body.
+	endsBody bool
 }
 
 // NewListener tracks the connections that l accepts.
@@ -89,9 +91,13 @@
 	n, err := c.Conn.Write(p)
 	if err != nil {
 		c.mu.Lock()
-		request := c.returned
+		request, endsBody := c.returned, c.endsBody
 		c.returned, c.ended = "", true
 		c.mu.Unlock()
+		if endsBody {
+			// net/http closes the connection before the handler hears of the error.
+			_ = c.SetLinger(0)
+		}
 		if request != "" && c.listener.Unwritten != nil {
 			c.listener.Unwritten(request, err)
 		}
@@ -137,7 +143,7 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy, conn.returned = s == http.StateActive, ""
+	conn.busy, conn.returned, conn.endsBody = s == http.StateActive, "", false
 }
 
 // connKey is the key of the connection in the context of its requests.
@@ -148,6 +154,16 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// CloseEndsBody says that the caller of the request with this context takes the close of the
+// connection for the end of the answer. The connection is reset if a write fails.
+func CloseEndsBody(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*trackedConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.endsBody = true
+	}
+}
+
 // Returned says that the handler of the request with this context returns, and that the
 // server has yet to write the rest of the answer.
 func Returned(ctx context.Context, request string) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -120,6 +120,9 @@
 	ctx, cancel := context.WithTimeout(httpRequest.Context(), r.deadline-in.options.Clock())
 	defer cancel()
 	in.allowWrites(w, r.deadline)
+	if !httpRequest.ProtoAtLeast(1, 1) {
+		drain.CloseEndsBody(httpRequest.Context())
+	}
 	d := &forwarding{
 		in: in, r: r, w: w, chunks: httpRequest.ProtoAtLeast(1, 1),
 		stop: in.stop.Open(r.deadline, r.answerTime(), cancel),
--- a/ingress/old_caller_test.go
+++ b/ingress/old_caller_test.go
@@ -54,3 +54,16 @@
 		})
 	}
 }
+
+// TestUnwrittenAnswersAreResetForOldCallers guards against an answer that a caller without
+// chunks was too slow to read, and that looks complete.
+func TestUnwrittenAnswersAreResetForOldCallers(t *testing.T) {
+	t.Parallel()
+	s := startStopCase(t)
+	c := s.dial()
+	c.send("GET /endless/stream HTTP/1.0\r\nHost: h\r\nAuthorization: Token k\r\nX-Request-Id: -endless-old\r\n\r\n")
+	s.g.Eventually(func() int64 { return s.ended("writeFailed") }, 2*stopLimit).Should(gomega.BeEquivalentTo(1))
+	text, err := io.ReadAll(tcpconn.Conn{Conn: c.Conn})
+	s.g.Expect(text).NotTo(gomega.BeEmpty())
+	s.g.Expect(err).To(gomega.HaveOccurred(), "%d bytes look complete", len(text))
+}
