drain: Keep connections with unread requests when a stop begins to close them

A request that had reached a stopping entry's kernel, and that the server was about to read, was lost with its connection: CloseIdle took the connection for idle, since no byte had been read. It now asks the kernel. What is on its way at that moment is still lost, as on any connection that is closed while idle; and the role entry's connections can't be asked behind its limit of connections.

Before: --- FAIL: TestStopKeepsConnectionsWithUnreadRequests/request Expected <int>: 0 to equal <int>: 1

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Listener tracks the callers' connections, so that a stopping entry
@@ -211,10 +213,28 @@
 	return n
 }
 
+// hasUnread reports whether bytes have come that the server hasn't read yet.
+func (c *trackedConn) hasUnread() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 func (c *trackedConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.reading {
+	if c.busy || !c.reading || c.hasUnread() {
 		return false
 	}
 	c.closed = true
