exchange: Take the answer to HEAD for whole at its head

A caller that sent HEAD to a route of streams got no answer at all, only the close of its connection, if the upstream named neither a length nor chunks: the answer to HEAD has no body, but the end of its body was taken for that of a connection which broke off before the first event, after the head had been claimed.

Before: --- FAIL: TestUnusualAnswersAreWhole/HEAD_of_a_stream no answer: unexpected EOF

The other cases of that test (no content, not modified, answers of the size of the buffer, callers of HTTP/1.0 with and without kept connections) passed before.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -427,11 +427,13 @@
 	return n, err
 }
 
-// Framed reports whether the body ends by its length or chunks, rather than with
-// the connection.
+// Framed reports whether the body ends by its length or chunks, or is that of an answer to
+// HEAD, rather than with the connection.
 func (r *Response) Framed() bool { return framed(r.Response) }
 
-func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+func framed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
+}
 
 // Skip closes a response whose body isn't needed. The connection is used again
 // if the body ends soon.
