ingress: Pass on the length that the answer to HEAD names

The answer to HEAD said Content-Length: 0 whatever the upstream named: the entry set the length of the body that it had read, and an answer to HEAD has none.

Before: --- FAIL: TestUnusualAnswersAreWhole/HEAD_with_a_length Expected <int64>: 0 to equal <int64>: 100

--- a/ingress/forward__relay.go
+++ b/ingress/forward__relay.go
@@ -59,7 +59,7 @@
 	// The entry may have stood still since the deadline.
 	d.in.allowWrites(d.w, d.r.deadline)
 	d.copyHeaders(response)
-	if len(body) <= maxBufferedBytes {
+	if len(body) <= maxBufferedBytes && d.r.method != http.MethodHead {
 		d.w.Header().Set("Content-Length", itoa(len(body)))
 	}
 	d.writeHead(response.StatusCode)
