--- a/ingress/raw_caller_test.go
+++ b/ingress/raw_caller_test.go
@@ -20,8 +20,12 @@
 // buffer, or to callers of an older protocol, that end without their end.
 func TestUnusualAnswersAreWhole(t *testing.T) {
 	atMost, above := strings.Repeat("x", maxBufferedBytes), strings.Repeat("x", maxBufferedBytes+1)
-	withLength := func(body string) string { return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", answerHead, len(body), body) }
-	status := func(line, headers string) string { return strings.Replace(answerHead, "200 OK", line, 1) + headers + "\r\n" }
+	withLength := func(body string) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", answerHead, len(body), body)
+	}
+	status := func(line, headers string) string {
+		return strings.Replace(answerHead, "200 OK", line, 1) + headers + "\r\n"
+	}
 	plain, stream := config.Route{Kind: config.NonIdempotent}, config.Route{Kind: config.Streaming}
 	for name, tc := range map[string]struct {
 		route         config.Route
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -58,6 +58,8 @@
 	mu      sync.Mutex
 	reached []string
 	ends    map[string]chan struct{}
+	// config is the configuration in force.
+	config *config.Put
 	// usage is the number of requests in the newest report that held the usage only.
 	usage uint64
 	// drained is closed when Drain has returned.
@@ -66,6 +68,15 @@
 	endProcess func()
 }
 
+// setConfig brings a configuration into force.
+func (s *stopCase) setConfig(number uint64, text string) {
+	packed, err := pack.Deflate([]byte(text))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = &config.Put{Number: number, Packed: packed}
+}
+
 func (s *stopCase) end(path string) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,8 +118,7 @@
 func startStopCase(t *testing.T) *stopCase {
 	t.Helper()
 	s := &stopCase{t: t, g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
-	packed, err := pack.Deflate([]byte(stopConfig))
-	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.setConfig(1, stopConfig)
 	start := func(id, name string, slots int) upstream.Member {
 		return upstream.Member{Announcement: upstream.Announcement{
 			ID: id, Kind: service.Plain, Incarnation: 1, Sequence: 1, Address: startUpstream(t, s.answer), Zone: "a", Slots: slots, Services: []string{name}, Lease: time.Minute,
@@ -123,17 +133,22 @@
 			return nil, err
 		}
 		reply := &control.SyncReply{
-			Source: 1, Generation: 1, ConfirmedConfig: 1, Quorum: control.QuorumConfirmed, Leader: keeper.Address, Term: 1, Wall: time.Now(),
+			Source: 1, Generation: 1, Quorum: control.QuorumConfirmed, Leader: keeper.Address, Term: 1, Wall: time.Now(),
 			Peers: []control.Peer{{Address: keeper.Address, Zone: "a"}},
 		}
-		if request.Source != 1 {
-			reply.Config = &config.Put{Number: 1, Packed: packed}
+		if request.Source == 1 {
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		} else {
 			reply.Members = members
-			return reply, nil
 		}
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		reply.ConfirmedConfig = s.config.Number
+		if request.Config < s.config.Number {
+			reply.Config = s.config
 		}
 		return reply, nil
 	})
