entry: Refuse without waiting for the body

Such refusals now wait for a second at most, and their writing is bounded by writeTimeout.

A body that is too slow (15 s) has no test.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 15 * time.Second
+	// unreadBodyTimeout is how long the refusal of a request whose body isn't needed may
+	// wait for a small body, after which the connection can be used again.
+	unreadBodyTimeout = time.Second
 	idleTimeout       = 2 * time.Minute
 	// drainDelay is how long a draining entry keeps accepting requests, so
 	// that the load balancer first sees that it isn't ready.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -41,6 +41,8 @@
 	caller string
 	key    string
 	body   []byte
+	// unread says that the request has a body of which nothing was read.
+	unread bool
 }
 
 // requestHandler serves one request. An error that it returns is written as
@@ -67,7 +69,7 @@
 }
 
 func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (callerRequest, error) {
-	in := callerRequest{caller: r.Header.Get(headerCaller), key: r.Header.Get(headerKey)}
+	in := callerRequest{caller: r.Header.Get(headerCaller), key: r.Header.Get(headerKey), unread: r.ContentLength != 0}
 	if in.caller == "" {
 		in.caller = anonymous
 	}
@@ -81,6 +83,7 @@
 	if e.stop.TooLate(e.dispatch.clock(), drain.Never) {
 		return in, drain.Error(false)
 	}
+	in.unread = false
 	body, err := e.readBody(w, r)
 	if err != nil {
 		return in, err
@@ -104,7 +107,12 @@
 	if open.Ended() {
 		return nil, drain.Error(false)
 	}
-	_ = control.SetReadDeadline(noDeadline)
+	if err != nil {
+		// The read deadline stays, so that net/http doesn't wait for the rest of the body.
+		w.Header().Set("Connection", "close")
+	} else {
+		_ = control.SetReadDeadline(noDeadline)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, result.New(result.BodyTooLarge, result.RanNo, "the request body is larger than %d bytes", tooLarge.Limit)
@@ -127,6 +135,13 @@
 		e.meters.failed.Inc(1)
 	}
 	klog.V(1).InfoS("request failed", "instance", e.options.Node.Name, "caller", in.caller, "code", int(p.Code), "ran", p.Ran, "detail", p.Detail)
+	control, writeTimeout := http.NewResponseController(w), e.options.Settings.WriteTimeout
+	if in.unread {
+		// net/http reads the rest of a body before it answers, without a limit of time.
+		_ = control.SetReadDeadline(deadline(unreadBodyTimeout))
+		writeTimeout += unreadBodyTimeout
+	}
+	_ = control.SetWriteDeadline(deadline(writeTimeout))
 	problem.Write(w, p)
 }
 
