drain, entry: Limit connections without hiding what they can do

A caller of the role entry that writes all of a request before it reads got a reset, as callers of the role ingress did before connections lingered: the limit of connections (golang.org/x/net/netutil) wraps each connection, and has neither CloseWrite nor SetLinger nor the descriptor, so that the close wasn't in two steps and a stop couldn't see unread requests. The tracked listener has the limit itself now.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -25,6 +25,12 @@
 	open map[*trackedConn]bool
 	// lingering is the number of open connections that linger.
 	lingering int
+
+	// slots has one for each connection that may be open; nil if there is no limit. ended is
+	// closed with the listener.
+	slots chan struct{}
+	ended chan struct{}
+	end   func()
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
@@ -50,13 +56,53 @@
 
 // NewListener tracks the connections that l accepts.
 func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, open: map[*trackedConn]bool{}}
+	return newListener(l, nil)
+}
+
+// NewLimitedListener is NewListener for maxConnections at once. A limit around or within the
+// Listener would hide what connections can do besides reading and writing.
+func NewLimitedListener(l net.Listener, maxConnections int) *Listener {
+	return newListener(l, make(chan struct{}, maxConnections))
+}
+
+func newListener(l net.Listener, slots chan struct{}) *Listener {
+	ended := make(chan struct{})
+	return &Listener{Listener: l, open: map[*trackedConn]bool{}, slots: slots, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	defer l.end()
+	return l.Listener.Close()
+}
+
+// acquire waits for a slot. It reports whether the listener is open.
+func (l *Listener) acquire() bool {
+	if l.slots == nil {
+		return true
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+func (l *Listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	if !l.acquire() {
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.release()
 		return nil, err
 	}
 	conn := &trackedConn{Conn: c, listener: l}
@@ -115,6 +161,7 @@
 	c.listener.mu.Lock()
 	if c.listener.open[c] {
 		delete(c.listener.open, c)
+		defer c.listener.release()
 		if c.lingering {
 			c.listener.lingering--
 		}
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -96,3 +96,38 @@
 		g.Expect(string(body)).To(gomega.Equal(want))
 	}
 }
+
+// TestLimitOfConnections guards against a limit that connections keep after their end, or that
+// holds up the end of the listener.
+func TestLimitOfConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	l := NewLimitedListener(inner, 1)
+	accepted := make(chan net.Conn)
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 2 {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = caller.Close() }()
+	}
+	var first net.Conn
+	g.Eventually(accepted).Should(gomega.Receive(&first))
+	g.Consistently(accepted).ShouldNot(gomega.Receive())
+	g.Expect(first.(*trackedConn).SetLinger(0)).To(gomega.Succeed())
+	g.Expect(first.Close()).To(gomega.Succeed())
+	_ = first.Close()
+	g.Eventually(accepted).Should(gomega.Receive())
+	g.Expect(l.Close()).To(gomega.Succeed())
+	g.Eventually(ended).Should(gomega.Receive(gomega.HaveOccurred()))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
@@ -113,7 +112,7 @@
 	e := &Entry{
 		Address:      l.Addr().(*net.TCPAddr).AddrPort(),
 		options:      o,
-		listener:     drain.NewListener(netutil.LimitListener(l, o.Settings.MaxConnections)),
+		listener:     drain.NewLimitedListener(l, o.Settings.MaxConnections),
 		dispatch:     h,
 		upstreams:    newUpstreamClient(),
 		openRequests: openRequests{perCallerLimit: o.Settings.MaxStreamsPerCaller, byCaller: map[string]int{}},
@@ -195,13 +194,16 @@
 			_ = e.listener.Close()
 		}
 		if !accepting {
-			if remaining = e.listener.CloseIdle(); remaining == 0 {
+			if remaining = e.listener.CloseIdle(); remaining == 0 && e.listener.Lingering() == 0 {
 				return nil
 			}
 		}
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
+			if !accepting && remaining == 0 {
+				return nil
+			}
 			return errors.Errorf("%d connections were still in use at the end of the drain", remaining)
 		}
 	}
