--- a/ingress/ended_test.go
+++ b/ingress/ended_test.go
@@ -70,7 +70,7 @@
 		path string
 		act  func(s *stopCase, c *stopCaller)
 	}{
-		"callerGone": {"/once/gone", func(s *stopCase, c *stopCaller) {
+		"callerGone": {"/once/gone", func(_ *stopCase, c *stopCaller) {
 			c.sendAndReach("/once/gone")
 			_ = c.Close()
 		}},
