--- a/drain/listener.go
+++ b/drain/listener.go
@@ -1,11 +1,15 @@
 package drain
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Listener tracks the callers' connections, so that a stopping entry
@@ -13,9 +17,20 @@
 // http.Server.Shutdown may close a connection whose request it has just read.
 type Listener struct {
 	net.Listener
+	// Unwritten, if set, is told of a request whose handler has returned, and of whose
+	// answer the rest can't be written.
+	Unwritten func(request string, err error)
 
 	mu   sync.Mutex
 	open map[*trackedConn]bool
+	// lingering is the number of open connections that linger.
+	lingering int
+
+	// slots has one for each connection that may be open; nil if there is no limit. ended is
+	// closed with the listener.
+	slots chan struct{}
+	ended chan struct{}
+	end   func()
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
@@ -29,17 +44,65 @@
 	busy    bool
 	reading bool
 	closed  bool
+	// lingering says that Close waits for the caller, ended that there is nothing to wait
+	// for: the caller has closed the connection, it has failed, or it is to be reset.
+	lingering, ended bool
+	// returned is the request whose handler has returned, while the rest of its answer
+	// is written.
+	returned string
+	// endsBody says that the close of the connection would end the answer's body.
+	endsBody bool
 }
 
 // NewListener tracks the connections that l accepts.
 func NewListener(l net.Listener) *Listener {
-	return &Listener{Listener: l, open: map[*trackedConn]bool{}}
+	return newListener(l, nil)
+}
+
+// NewLimitedListener is NewListener for maxConnections at once. A limit around or within the
+// Listener would hide what connections can do besides reading and writing.
+func NewLimitedListener(l net.Listener, maxConnections int) *Listener {
+	return newListener(l, make(chan struct{}, maxConnections))
+}
+
+func newListener(l net.Listener, slots chan struct{}) *Listener {
+	ended := make(chan struct{})
+	return &Listener{Listener: l, open: map[*trackedConn]bool{}, slots: slots, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	defer l.end()
+	return l.Listener.Close()
+}
+
+// acquire waits for a slot. It reports whether the listener is open.
+func (l *Listener) acquire() bool {
+	if l.slots == nil {
+		return true
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+func (l *Listener) release() {
+	if l.slots != nil {
+		<-l.slots
+	}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
+	if !l.acquire() {
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.release()
 		return nil, err
 	}
 	conn := &trackedConn{Conn: c, listener: l}
@@ -59,25 +122,59 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closed {
+	if c.closed || c.lingering {
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
 		c.busy = true
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.ended = true
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		request, endsBody := c.returned, c.endsBody
+		c.returned, c.ended = "", true
+		c.mu.Unlock()
+		if endsBody {
+			// net/http closes the connection before the handler hears of the error.
+			_ = c.SetLinger(0)
+		}
+		if request != "" && c.listener.Unwritten != nil {
+			c.listener.Unwritten(request, err)
+		}
+	}
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It waits for the caller if that may still be sending.
 func (c *trackedConn) Close() error {
+	if c.beginLinger() {
+		c.linger()
+	}
 	c.listener.mu.Lock()
-	delete(c.listener.open, c)
+	if c.listener.open[c] {
+		delete(c.listener.open, c)
+		defer c.listener.release()
+		if c.lingering {
+			c.listener.lingering--
+		}
+	}
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
 // SetLinger sets what Close does with unsent bytes, as for net.TCPConn.
 func (c *trackedConn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
 	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
 		return errors.Errorf("%T has no reset", c.Conn)
@@ -95,16 +192,46 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = s == http.StateActive
+	conn.busy, conn.returned, conn.endsBody = s == http.StateActive, "", false
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// ConnContext is the http.Server's hook that lets Returned find a request's connection.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// CloseEndsBody says that the caller of the request with this context takes the close of the
+// connection for the end of the answer. The connection is reset if a write fails.
+func CloseEndsBody(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*trackedConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.endsBody = true
+	}
+}
+
+// Returned says that the handler of the request with this context returns, and that the
+// server has yet to write the rest of the answer.
+func Returned(ctx context.Context, request string) {
+	if c, ok := ctx.Value(connKey{}).(*trackedConn); ok {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.returned = request
+	}
 }
 
 // CloseIdle closes the connections that wait for a request and returns the number
-// of those that remain.
+// of those that remain, without those that linger.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
 	for conn := range l.open {
-		conns = append(conns, conn)
+		if !conn.lingering {
+			conns = append(conns, conn)
+		}
 	}
 	l.mu.Unlock()
 	remaining := 0
@@ -133,10 +260,28 @@
 	return n
 }
 
+// hasUnread reports whether bytes have come that the server hasn't read yet.
+func (c *trackedConn) hasUnread() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
 func (c *trackedConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.reading {
+	if c.busy || !c.reading || c.hasUnread() {
 		return false
 	}
 	c.closed = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
@@ -33,6 +32,9 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 15 * time.Second
+	// unreadBodyTimeout is how long the refusal of a request whose body isn't needed may
+	// wait for a small body, after which the connection can be used again.
+	unreadBodyTimeout = time.Second
 	idleTimeout       = 2 * time.Minute
 	// drainDelay is how long a draining entry keeps accepting requests, so
 	// that the load balancer first sees that it isn't ready.
@@ -110,7 +112,7 @@
 	e := &Entry{
 		Address:      l.Addr().(*net.TCPAddr).AddrPort(),
 		options:      o,
-		listener:     drain.NewListener(netutil.LimitListener(l, o.Settings.MaxConnections)),
+		listener:     drain.NewLimitedListener(l, o.Settings.MaxConnections),
 		dispatch:     h,
 		upstreams:    newUpstreamClient(),
 		openRequests: openRequests{perCallerLimit: o.Settings.MaxStreamsPerCaller, byCaller: map[string]int{}},
@@ -192,13 +194,16 @@
 			_ = e.listener.Close()
 		}
 		if !accepting {
-			if remaining = e.listener.CloseIdle(); remaining == 0 {
+			if remaining = e.listener.CloseIdle(); remaining == 0 && e.listener.Lingering() == 0 {
 				return nil
 			}
 		}
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
+			if !accepting && remaining == 0 {
+				return nil
+			}
 			return errors.Errorf("%d connections were still in use at the end of the drain", remaining)
 		}
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
@@ -106,17 +107,26 @@
 	return o
 }
 
+// writeMargin is how long an answer may take to write that comes at the deadline of its
+// request or later: a caller that reads nothing ties up the entry for no longer.
+const writeMargin = time.Second
+
+// allowWrites lets writes to the caller take until writeMargin after the deadline, and for
+// writeMargin from now on if it has passed. net/http ends that with the request.
+func (in *Ingress) allowWrites(w http.ResponseWriter, deadline clock.Instant) {
+	remaining := max(deadline-in.options.Clock(), 0)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining + writeMargin))
+}
+
 // forward sends an accepted request to upstreams, one attempt after the other,
 // until the caller has a response.
 func (in *Ingress) forward(w http.ResponseWriter, httpRequest *http.Request, r *request) {
 	ctx, cancel := context.WithTimeout(httpRequest.Context(), r.deadline-in.options.Clock())
 	defer cancel()
-	controller := http.NewResponseController(w)
-	// A caller that reads nothing ties up the entry for no more than a second
-	// past the request's deadline.
-	_ = controller.SetWriteDeadline(time.Now().Add(r.deadline - in.options.Clock() + time.Second))
-	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
-
+	in.allowWrites(w, r.deadline)
+	if !httpRequest.ProtoAtLeast(1, 1) {
+		drain.CloseEndsBody(httpRequest.Context())
+	}
 	d := &forwarding{
 		in: in, r: r, w: w, chunks: httpRequest.ProtoAtLeast(1, 1),
 		stop: in.stop.Open(r.deadline, r.answerTime(), cancel),
@@ -139,6 +149,7 @@
 				if !d.stop.Send(in.options.Clock()) {
 					break
 				}
+				r.sent = true
 				lastOutcome = d.attempt(ctx, a)
 				for !lastOutcome.done {
 					d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
@@ -178,8 +189,10 @@
 // be answered before the entry stops.
 func (d *forwarding) abandon(callerCtx context.Context) {
 	if callerCtx.Err() != nil {
-		klog.InfoS("caller gone", "request", d.r.ID, "route", d.r.routeName(), "held", d.in.options.Clock()-d.r.arrived)
-		panic(http.ErrAbortHandler)
+		d.in.meters.ended(endGone)
+		klog.InfoS("caller gone", "request", d.r.ID, "route", d.r.routeName(), "cause", endGone, "events", d.events.forwarded, "held", d.in.options.Clock()-d.r.arrived)
+		d.answerGone()
+		return
 	}
 	if d.stop.Ended() {
 		d.answerFailure(outcome{}, drain.Error(d.mayHaveRun))
@@ -188,6 +201,23 @@
 	d.answerFailure(outcome{}, result.New(result.TimedOut, result.RanUnknown, "the deadline of the request has passed"))
 }
 
+// answerGone answers a caller that has closed its sending side, if it has no part of an
+// answer: it may still read.
+func (d *forwarding) answerGone() {
+	if d.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	ran := result.RanNo
+	if d.r.sent {
+		ran = result.RanUnknown
+	}
+	d.r.gone = true
+	d.w.Header().Set("Connection", "close")
+	platform.SetRequestID(d.w.Header(), d.r.ID)
+	d.in.allowWrites(d.w, d.in.options.Clock())
+	problem.Write(d.w, result.New(result.Expired, ran, "the caller closed its side of the connection before the answer"))
+}
+
 // answerFailure responds to a request that no upstream has answered: with the
 // last upstream's error response if there is one, with err otherwise.
 func (d *forwarding) answerFailure(lastOutcome outcome, err *result.Error) {
@@ -202,7 +232,8 @@
 		err = result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream's error response broke off")
 	}
 	if d.headSent {
-		klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "events", d.events.forwarded, "code", int(err.Code), "detail", err.Detail)
+		d.in.meters.ended(endCutOff)
+		klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "cause", endCutOff, "events", d.events.forwarded, "code", int(err.Code), "detail", err.Detail)
 		d.abort()
 	}
 	d.in.refuse(d.w, d.r, err)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -44,6 +44,9 @@
 	maxHeaderBytes    = 32 << 10
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 10 * time.Second
+	// unreadBodyTimeout is how long the refusal of a request whose body isn't needed may
+	// wait for a small body, after which the connection can be used again.
+	unreadBodyTimeout = time.Second
 	// idleTimeout is longer than any idle timeout in a configuration, as
 	// callers reuse a connection for up to four fifths of the configured time.
 	idleTimeout = 2 * time.Minute
@@ -136,9 +139,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ErrorLog:          nil,
+		ErrorLog:          newServerLog(),
 	}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog()}
 	for _, s := range []struct {
 		server *http.Server
 		listen string
@@ -149,7 +152,8 @@
 		}
 		if s.server == callerServer {
 			in.listener = drain.NewListener(l)
-			callerServer.ConnState = in.listener.StateChanged
+			in.listener.Unwritten = in.notWritten
+			callerServer.ConnState, callerServer.ConnContext = in.listener.StateChanged, in.listener.ConnContext
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
@@ -342,7 +346,7 @@
 			_ = in.listener.Close()
 		}
 		if !accepting {
-			if remaining = in.listener.CloseIdle(); remaining == 0 {
+			if remaining = in.listener.CloseIdle(); remaining == 0 && (in.listener.Lingering() == 0 || now >= end-usageMargin) {
 				// All keepers get the last usage, as any may be the next leader.
 				in.link.ReportLastUsage(ctx)
 				in.tunnels.drain(ctx)
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -28,6 +28,9 @@
 	// tunnelsServed those that others had through this one.
 	tunnels, tunnelsServed metrics.Counter
 
+	// panics counts requests whose handler panicked.
+	panics metrics.Counter
+
 	firstByte metrics.Timer
 }
 
@@ -48,6 +51,7 @@
 		tunnelsServed: metrics.GetOrRegisterCounter("ingress.tunnelsServed", r),
 
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
+		panics:     metrics.GetOrRegisterCounter("ingress.panics", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
 }
@@ -96,6 +100,25 @@
 	metrics.GetOrRegisterCounter("ingress.attemptFailed."+failure.String(), m.registry).Inc(1)
 }
 
+// endCause is why a caller's connection ends without a whole answer.
+type endCause string
+
+const (
+	// endGone means that the caller has closed its connection, or its sending side.
+	endGone endCause = "callerGone"
+	// endCutOff means that an answer that has begun can't be completed.
+	endCutOff endCause = "cutOff"
+	// endUnwritten means that the caller's connection takes no more, or reads nothing.
+	endUnwritten endCause = "writeFailed"
+	// endPanicked means that the handler panicked after an answer had begun.
+	endPanicked endCause = "panicked"
+)
+
+// ended counts a caller's connection that ends without a whole answer.
+func (m *meters) ended(c endCause) {
+	metrics.GetOrRegisterCounter("ingress.ended."+string(c), m.registry).Inc(1)
+}
+
 func (m *meters) refused(code string) {
 	metrics.GetOrRegisterCounter("ingress.refused."+code, m.registry).Inc(1)
 }
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -37,14 +37,16 @@
 )
 
 // stopConfig has a route for plain requests, one for streams, both of which may take
-// longer than a stop, one for requests that end in time, and one whose upstream runs one
-// request at a time.
+// longer than a stop, one for requests that end in time, two for
+// streams that end badly, and one whose upstream runs one request at a time.
 var stopConfig = fmt.Sprintf(`{"version":1,"routes":[
 	{"name":"once","host":"h","pathPrefix":"/once/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
 	{"name":"stream","host":"h","pathPrefix":"/stream/","kind":"streaming","attempts":1,"timeoutMs":%[1]d,"sloMs":1000,"service":"s"},
 	{"name":"short","host":"h","pathPrefix":"/short/","kind":"non_idempotent","attempts":1,"timeoutMs":1000,"sloMs":1000,"service":"s"},
+	{"name":"broken","host":"h","pathPrefix":"/broken/","kind":"streaming","attempts":1,"timeoutMs":%[2]d,"sloMs":%[2]d,"service":"s"},
+	{"name":"endless","host":"h","pathPrefix":"/endless/","kind":"streaming","attempts":1,"timeoutMs":%[2]d,"sloMs":%[2]d,"service":"s"},
 	{"name":"full","host":"h","pathPrefix":"/full/","kind":"non_idempotent","attempts":1,"timeoutMs":%[1]d,"sloMs":%[1]d,"service":"full"}],
-	"services":[{"name":"s"},{"name":"full"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds())
+	"services":[{"name":"s"},{"name":"full"}],"tenants":[{"name":"o","apiKeys":["k"]}]}`, longTimeout.Milliseconds(), shortTimeout.Milliseconds())
 
 // stopCase is an entry that is about to stop, with its upstreams.
 type stopCase struct {
@@ -56,6 +58,8 @@
 	mu      sync.Mutex
 	reached []string
 	ends    map[string]chan struct{}
+	// config is the configuration in force.
+	config *config.Put
 	// usage is the number of requests in the newest report that held the usage only.
 	usage uint64
 	// drained is closed when Drain has returned.
@@ -64,6 +68,15 @@
 	endProcess func()
 }
 
+// setConfig brings a configuration into force.
+func (s *stopCase) setConfig(number uint64, text string) {
+	packed, err := pack.Deflate([]byte(text))
+	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config = &config.Put{Number: number, Packed: packed}
+}
+
 func (s *stopCase) end(path string) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,6 +101,9 @@
 	s.reached = append(s.reached, r.URL.Path)
 	s.mu.Unlock()
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Replica-Seal: s\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n"
+	if endsBadly(c, r, head) {
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(c, head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(event(1)))
 		<-s.end(r.URL.Path)
@@ -102,8 +118,7 @@
 func startStopCase(t *testing.T) *stopCase {
 	t.Helper()
 	s := &stopCase{t: t, g: gomega.NewWithT(t), ends: map[string]chan struct{}{}, drained: make(chan struct{})}
-	packed, err := pack.Deflate([]byte(stopConfig))
-	s.g.Expect(err).NotTo(gomega.HaveOccurred())
+	s.setConfig(1, stopConfig)
 	start := func(id, name string, slots int) upstream.Member {
 		return upstream.Member{Announcement: upstream.Announcement{
 			ID: id, Kind: service.Plain, Incarnation: 1, Sequence: 1, Address: startUpstream(t, s.answer), Zone: "a", Slots: slots, Services: []string{name}, Lease: time.Minute,
@@ -118,17 +133,22 @@
 			return nil, err
 		}
 		reply := &control.SyncReply{
-			Source: 1, Generation: 1, ConfirmedConfig: 1, Quorum: control.QuorumConfirmed, Leader: keeper.Address, Term: 1, Wall: time.Now(),
+			Source: 1, Generation: 1, Quorum: control.QuorumConfirmed, Leader: keeper.Address, Term: 1, Wall: time.Now(),
 			Peers: []control.Peer{{Address: keeper.Address, Zone: "a"}},
 		}
-		if request.Source != 1 {
-			reply.Config = &config.Put{Number: 1, Packed: packed}
+		if request.Source == 1 {
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		} else {
 			reply.Members = members
-			return reply, nil
 		}
-		select {
-		case <-time.After(100 * time.Millisecond):
-		case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		reply.ConfirmedConfig = s.config.Number
+		if request.Config < s.config.Number {
+			reply.Config = s.config
 		}
 		return reply, nil
 	})
