wal: Go on after a sync that found no room

Seen by operators of a like system: the disks of counted machines were full for a few seconds each, never two at once, and long after the last had room again changes were refused or unanswered, while all processes ran.

A file system that allocates late reports a full disk at fsync. Only write(2) was taken for it there: a refused sync of the log stopped the keeper for good. When it had happened to a majority, one after the other, nothing was left that could accept a change.

The frame whose sync was refused is now cut off and written again from memory with the next Save. The sync isn't tried again by itself, since it may succeed without having stored anything; what came before the frame had been synced.

--- a/wal/journal.go
+++ b/wal/journal.go
@@ -79,7 +79,8 @@
 	size     int64
 	identity Identity
 	failure  error
-	// hasTornTail says that bytes of a write that failed follow the log's frames.
+	// hasTornTail says that bytes of a write or a sync that failed follow the log's
+	// frames.
 	hasTornTail bool
 }
 
@@ -259,18 +260,23 @@
 		return err
 	}
 	frame := appendFrame(nil, wire.MustEncode(&b))
-	if _, err := j.log.Write(frame); err != nil {
+	operation := "write log"
+	_, err := j.log.Write(frame)
+	if err == nil {
+		operation = "sync log"
+		// After a failed sync the same sync may succeed without having stored
+		// anything: the frame is cut and written again.
+		err = j.log.Sync()
+	}
+	if err != nil {
 		j.hasTornTail = true
 		if !isNoSpace(err) {
-			return errors.Wrap(err, "write log")
+			return errors.Wrap(err, operation)
 		}
 		if err := j.truncateTail(); err != nil && !errors.Is(err, errFull) {
 			return err
 		}
-		return errors.Wrap(errFull, "write log")
-	}
-	if err := j.log.Sync(); err != nil {
-		return errors.Wrap(err, "sync log")
+		return errors.Wrapf(errFull, "%s: %v", operation, err)
 	}
 	j.size += int64(len(frame))
 	return nil
