wal: Go on after a rename or a sync of the folder that found no room

Both may need a new block of the folder, and a quota may refuse it. Either stopped a keeper for good at its next compaction, or when it joined a cluster.

A refused rename leaves everything as it was, and is repeated whole. After a refused sync of the folder a crash may leave the new log or the one before it: nothing is appended to either until the new one's content has been written to another file and that has taken the name.

The tests fail for two shorter ways: going on with the old log loses an entry that was saved, and repeating only the sync of the folder loses a vote.

--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -35,9 +35,11 @@
 	// changes are those that were applied, in order.
 	changes []string
 	applied uint64
-	// saved is the newest term and vote that Save has stored.
-	saved   consensus.HardState
-	pending map[uint64]uint64
+	// saved is the newest term and vote that Save has stored, and savedLast the index
+	// and term of the newest entry.
+	saved     consensus.HardState
+	savedLast consensus.Entry
+	pending   map[uint64]uint64
 	// compactAt is the applied index from which on the log is compacted.
 	compactAt uint64
 	failed    error
@@ -80,6 +82,9 @@
 	if s := stored.State; s.Term < k.saved.Term || (s.Term == k.saved.Term && k.saved.Vote != consensus.None && s.Vote != k.saved.Vote) {
 		c.t.Fatalf("keeper %v has %+v after it has saved %+v", k.id, s, k.saved)
 	}
+	if !holds(stored, k.savedLast) {
+		c.t.Fatalf("keeper %v has lost entry %d, which it has saved", k.id, k.savedLast.Index)
+	}
 	k.journal, k.saved, k.failed = journal, stored.State, nil
 	k.node, err = consensus.New(consensus.Options{
 		ID: k.id, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks, MaxAppendBytes: 200, Random: c.random.IntN,
@@ -92,6 +97,13 @@
 	k.compactAt = k.applied + compactEach
 }
 
+// holds reports whether the entry is stored, or others that have replaced it.
+func holds(s consensus.Stored, e consensus.Entry) bool {
+	return s.Snapshot.Index >= e.Index || slices.ContainsFunc(s.Entries, func(stored consensus.Entry) bool {
+		return stored.Term > e.Term || (stored.Term == e.Term && stored.Index == e.Index)
+	})
+}
+
 func (k *testKeeper) restore(s consensus.Snapshot) {
 	k.changes, k.applied = nil, s.Index
 	if len(s.Data) > 0 {
@@ -123,6 +135,9 @@
 				return
 			}
 			k.saved = r.State
+			if len(r.Entries) > 0 {
+				k.savedLast = r.Entries[len(r.Entries)-1]
+			}
 		}
 		c.underWay = append(c.underWay, r.Messages...)
 		c.apply(k, r)
@@ -158,7 +173,9 @@
 	if err := k.journal.Compact(s, state, k.node.Entries()); err == nil {
 		k.saved = state
 		k.compactAt = k.applied + compactEach
-	} else if !IsFull(err) {
+	} else if IsFull(err) {
+		k.compactAt = k.applied + compactEach/2
+	} else {
 		k.failed = err
 	}
 }
@@ -240,8 +257,8 @@
 // fullOperations are the operations that a full disk may refuse.
 var fullOperations = []string{
 	"write log", "sync log",
-	"create snapshot.tmp", "write snapshot.tmp", "sync snapshot.tmp", "close snapshot.tmp",
-	"create log.tmp", "write log.tmp", "sync log.tmp", "close log.tmp",
+	"create snapshot.tmp", "write snapshot.tmp", "sync snapshot.tmp", "close snapshot.tmp", "rename snapshot", "sync folder after snapshot",
+	"create log.tmp", "write log.tmp", "sync log.tmp", "close log.tmp", "rename log", "sync folder after log",
 }
 
 // refuse has the disk refuse an operation with the error. A cut is only made after a
@@ -341,7 +358,7 @@
 	one := func(index uint64) consensus.Ready {
 		return consensus.Ready{Entries: []consensus.Entry{{Index: index, Term: 1, Data: []byte("payload")}}}
 	}
-	for _, operation := range append(slices.Clone(fullOperations), "create identity.tmp", "write identity.tmp", "sync identity.tmp", "close identity.tmp") {
+	for _, operation := range append(slices.Clone(fullOperations), "create identity.tmp", "write identity.tmp", "sync identity.tmp", "close identity.tmp", "rename identity", "sync folder after identity") {
 		t.Run(operation, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			fs := newMemoryFS()
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -82,6 +82,10 @@
 	// hasTornTail says that bytes of a write or a sync that failed follow the log's
 	// frames.
 	hasTornTail bool
+	// unsettled is the content of a new log of which it isn't known whether a crash
+	// leaves it or the one before, since the folder couldn't be synced; nil if it is.
+	// It is written anew before anything else is saved.
+	unsettled []byte
 }
 
 // IsFull reports whether an error of Save, Compact or Join says that the disk is
@@ -256,7 +260,7 @@
 }
 
 func (j *Journal) appendBatch(b batch) error {
-	if err := j.truncateTail(); err != nil {
+	if err := j.prepareLog(); err != nil {
 		return err
 	}
 	frame := appendFrame(nil, wire.MustEncode(&b))
@@ -270,32 +274,38 @@
 	}
 	if err != nil {
 		j.hasTornTail = true
-		if !isNoSpace(err) {
-			return errors.Wrap(err, operation)
-		}
-		if err := j.truncateTail(); err != nil && !errors.Is(err, errFull) {
-			return err
+		err = wrapFull(err, operation)
+		if errors.Is(err, errFull) {
+			if cutErr := j.truncateTail(); cutErr != nil && !errors.Is(cutErr, errFull) {
+				return cutErr
+			}
 		}
-		return errors.Wrapf(errFull, "%s: %v", operation, err)
+		return err
 	}
 	j.size += int64(len(frame))
 	return nil
 }
 
+// prepareLog makes the log end with its last intact frame, under its name and durably.
+func (j *Journal) prepareLog() error {
+	if j.unsettled != nil {
+		if err := j.replaceLogBy(j.unsettled); err != nil {
+			return err
+		}
+	}
+	return j.truncateTail()
+}
+
 // truncateTail removes what a failed write left behind the log's frames.
 func (j *Journal) truncateTail() error {
 	if !j.hasTornTail {
 		return nil
 	}
-	switch err := j.fs.Truncate(logFile, j.size); {
-	case err == nil:
-		j.hasTornTail = false
-		return nil
-	case isNoSpace(err):
-		return errors.Wrap(errFull, "truncate log")
-	default:
-		return errors.Wrap(err, "truncate log")
+	if err := j.fs.Truncate(logFile, j.size); err != nil {
+		return wrapFull(err, "truncate log")
 	}
+	j.hasTornTail = false
+	return nil
 }
 
 // Compact stores a snapshot and starts a new log with the given state and
@@ -313,16 +323,26 @@
 
 // replaceLog replaces the log file by one with a single batch.
 func (j *Journal) replaceLog(state consensus.HardState, entries []consensus.Entry) error {
-	payload := wire.MustEncode(&batch{State: &state, Entries: entries})
-	if err := j.replaceFile(logFile, payload); err != nil {
+	return j.replaceLogBy(appendFrame(nil, wire.MustEncode(&batch{State: &state, Entries: entries})))
+}
+
+// replaceLogBy replaces the log file by one with the content.
+func (j *Journal) replaceLogBy(content []byte) error {
+	renamed, err := j.replaceContent(logFile, content)
+	if !renamed {
 		return err
 	}
 	if j.log != nil {
 		_ = j.log.Close()
 		j.log = nil
 	}
+	j.unsettled = nil
 	j.hasTornTail = false
-	j.size = int64(frameHeaderBytes + len(payload))
+	j.size = int64(len(content))
+	if err != nil {
+		j.unsettled = content
+		return err
+	}
 	log, err := j.fs.Append(logFile)
 	j.log = log
 	return errors.Wrap(err, "open log")
@@ -330,31 +350,44 @@
 
 // replaceFile durably replaces a file by one with a single frame.
 func (j *Journal) replaceFile(name string, payload []byte) error {
+	_, err := j.replaceContent(name, appendFrame(nil, payload))
+	return err
+}
+
+// replaceContent durably replaces a file by one with the content. After an error renamed
+// says that the new file may be found after a crash; it may be the old one too.
+func (j *Journal) replaceContent(name string, content []byte) (renamed bool, err error) {
+	if err := j.writeTemporary(name, content); err != nil {
+		return false, err
+	}
+	if err := j.fs.Rename(name+temporarySuffix, name); err != nil {
+		return false, wrapFull(err, "rename "+name)
+	}
+	return true, wrapFull(j.fs.SyncFolder(), "sync the folder of "+name)
+}
+
+// writeTemporary writes and syncs the file that is to replace another.
+func (j *Journal) writeTemporary(name string, content []byte) error {
 	f, err := j.fs.Create(name + temporarySuffix)
 	if err != nil {
-		if isNoSpace(err) {
-			err = errFull
-		}
-		return errors.Wrapf(err, "create %s", name)
+		return wrapFull(err, "create "+name)
 	}
-	_, err = f.Write(appendFrame(nil, payload))
+	_, err = f.Write(content)
 	if err == nil {
 		err = f.Sync()
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
+	return wrapFull(err, "replace "+name)
+}
+
+// wrapFull wraps an error, which matches errFull if it says that the disk is full.
+func wrapFull(err error, message string) error {
 	if isNoSpace(err) {
-		// The file that would be replaced is untouched.
-		err = errFull
-	}
-	if err == nil {
-		err = j.fs.Rename(name+temporarySuffix, name)
-	}
-	if err == nil {
-		err = j.fs.SyncFolder()
+		return errors.Wrapf(errFull, "%s: %v", message, err)
 	}
-	return errors.Wrapf(err, "replace %s", name)
+	return errors.Wrap(err, message)
 }
 
 // recordFailure keeps a failure, with its result code, as the answer to later
