wal: Open a folder, and its log, while the disk is full

A keeper that was restarted while its disk was full ended at once: the start cuts the torn tail that the refused write has left, and a full disk may refuse that too, or the opening of the log. The log is also opened anew after each compaction; a refusal there stopped the keeper for good, though the compaction was complete.

The tail is cut and the log opened by the next Save if the start couldn't. A folder that doesn't exist yet can't be begun on a full disk; the error has the code journalFull now, and the next start goes on from what is there.

--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -254,9 +254,11 @@
 	}
 }
 
-// fullOperations are the operations that a full disk may refuse.
+// fullOperations are the operations that a full disk may refuse; the first stands for all
+// of them.
 var fullOperations = []string{
-	"write log", "sync log",
+	"all",
+	"write log", "sync log", "truncate log", "sync the cut of log", "open log",
 	"create snapshot.tmp", "write snapshot.tmp", "sync snapshot.tmp", "close snapshot.tmp", "rename snapshot", "sync folder after snapshot",
 	"create log.tmp", "write log.tmp", "sync log.tmp", "close log.tmp", "rename log", "sync folder after log",
 }
@@ -383,3 +385,30 @@
 		})
 	}
 }
+
+// TestFirstStartOnAFullDisk guards against a folder that can't be used once there is room,
+// since the first start was refused halfway.
+func TestFirstStartOnAFullDisk(t *testing.T) {
+	for _, name := range []string{identityFile, logFile} {
+		for _, operation := range []string{"create %s.tmp", "write %s.tmp", "sync %s.tmp", "close %s.tmp", "rename %s", "sync folder after %s"} {
+			operation = fmt.Sprintf(operation, name)
+			t.Run(operation, func(t *testing.T) {
+				for seed := uint64(1); seed <= 20; seed++ {
+					g := gomega.NewWithT(t)
+					random := rand.New(rand.NewPCG(seed, 3))
+					fs := newMemoryFS()
+					fs.fail = refuse(operation, syscall.ENOSPC)
+					_, _, err := Open(fs, newID)
+					g.Expect(IsFull(err)).To(gomega.BeTrue(), "%v", err)
+					fs.fail = nil
+					fs.crashWith(func(_ string, low, high int) int { return low + random.IntN(high-low+1) })
+					j, _ := mustOpen(t, fs)
+					g.Expect(j.Save(consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}})).To(gomega.Succeed())
+					fs.crashWith(func(_ string, low, _ int) int { return low })
+					_, stored := mustOpen(t, fs)
+					g.Expect(stored.Entries).To(gomega.HaveLen(1))
+				}
+			})
+		}
+	}
+}
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -74,7 +74,8 @@
 // isn't known what is on disk. The exception is a full disk: what it held before
 // is still there, and a later call may succeed (see IsFull).
 type Journal struct {
-	fs       FS
+	fs FS
+	// log is nil until something is appended to it.
 	log      File
 	size     int64
 	identity Identity
@@ -102,20 +103,21 @@
 }
 
 // Open reads a data folder. newID returns the ID for a new folder. A torn tail
-// of the log is truncated; damage before the tail is an error with code
-// JournalDamaged.
+// of the log is truncated, on a full disk by a later Save; damage before the tail is an
+// error with code JournalDamaged. A new folder on a full disk is an error with code
+// JournalFull.
 func Open(fs FS, newID func() consensus.ID) (*Journal, consensus.Stored, error) {
 	j := &Journal{fs: fs}
 	stored := consensus.Stored{}
 	if err := j.loadOrCreateIdentity(newID); err != nil {
-		return nil, stored, err
+		return nil, stored, withCode(err)
 	}
 	if err := j.readSnapshot(&stored); err != nil {
 		return nil, stored, err
 	}
 	data, err := fs.Read(logFile)
 	if errors.Is(err, os.ErrNotExist) && j.identity.Cluster == 0 && stored.Snapshot.Index == 0 {
-		return j, stored, j.replaceLog(stored.State, nil)
+		return j, stored, withCode(j.replaceLog(stored.State, nil))
 	}
 	if err != nil {
 		return nil, stored, damaged("log: %v", err)
@@ -123,8 +125,18 @@
 	if err := j.replay(data, &stored); err != nil {
 		return nil, stored, err
 	}
-	j.log, err = fs.Append(logFile)
-	return j, stored, errors.Wrap(err, "open log")
+	if err := j.prepareLog(); err != nil && !errors.Is(err, errFull) {
+		return nil, stored, err
+	}
+	return j, stored, nil
+}
+
+// withCode gives the error of a full disk its result code.
+func withCode(err error) error {
+	if errors.Is(err, errFull) {
+		return result.New(result.JournalFull, result.RanNo, "%v", err)
+	}
+	return err
 }
 
 func damaged(format string, args ...any) error {
@@ -175,7 +187,7 @@
 	return nil
 }
 
-// replay reads the frames of the log and truncates a torn tail.
+// replay reads the frames of the log up to a torn tail.
 func (j *Journal) replay(data []byte, stored *consensus.Stored) error {
 	for offset := 0; offset < len(data); {
 		payload, length, ok := readFrame(data[offset:])
@@ -183,8 +195,8 @@
 			if hasLaterFrame(data[offset:]) {
 				return damaged("log: the record at byte %d is damaged, and intact records follow it", offset)
 			}
-			j.size = int64(offset)
-			return errors.Wrap(j.fs.Truncate(logFile, int64(offset)), "truncate the torn tail of the log")
+			j.size, j.hasTornTail = int64(offset), true
+			return nil
 		}
 		var b batch
 		if err := wire.Decode(payload, &b); err != nil {
@@ -286,14 +298,26 @@
 	return nil
 }
 
-// prepareLog makes the log end with its last intact frame, under its name and durably.
+// prepareLog makes the log end with its last intact frame, under its name and durably,
+// and opens it.
 func (j *Journal) prepareLog() error {
 	if j.unsettled != nil {
 		if err := j.replaceLogBy(j.unsettled); err != nil {
 			return err
 		}
 	}
-	return j.truncateTail()
+	if err := j.truncateTail(); err != nil {
+		return err
+	}
+	if j.log != nil {
+		return nil
+	}
+	log, err := j.fs.Append(logFile)
+	if err != nil {
+		return wrapFull(err, "open log")
+	}
+	j.log = log
+	return nil
 }
 
 // truncateTail removes what a failed write left behind the log's frames.
@@ -341,11 +365,8 @@
 	j.size = int64(len(content))
 	if err != nil {
 		j.unsettled = content
-		return err
 	}
-	log, err := j.fs.Append(logFile)
-	j.log = log
-	return errors.Wrap(err, "open log")
+	return err
 }
 
 // replaceFile durably replaces a file by one with a single frame.
@@ -397,7 +418,7 @@
 		return nil
 	}
 	if errors.Is(err, errFull) {
-		return result.New(result.JournalFull, result.RanNo, "%v", err)
+		return withCode(err)
 	}
 	j.failure = result.New(result.JournalSyncFailed, result.RanUnknown, "%v", err)
 	return j.failure
