wal, consensus: Rely on nothing that only the process before has seen

A record whose sync was refused can still be read by the next process, from the memory of the machine. A keeper that ends after a failed sync and is started again (restartOnFault) took it for stored, confirmed it, and would have lost it with the power: an entry that counts towards a majority, or a vote.

TestWhatAProcessReadsSurvivesACrash fails in 4 of 4 cases: after a refused sync (ENOSPC, EIO), with room at the next start and without

Open writes the log that it has read to a new file and syncs that. While the disk is full that can't be done: then the node takes its term, vote and entries for not stored yet, says nothing that relies on them, and saves them again when there is room. Likewise an identity file whose first start was refused the sync of the folder is written again, and a folder joins a cluster only with a log that is known to be there. TestFirstStartOnAFullDisk failed in 2 of 12 cases without a crash in between ("the data folder has a log file but no identity file").

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -43,6 +43,9 @@
 	// Entries have consecutive indexes. The first index is at most one above
 	// that of the snapshot.
 	Entries []Entry
+	// Unsettled says that a crash may lose State and Entries, which therefore have to
+	// be stored again before anything relies on them.
+	Unsettled bool
 }
 
 // Ready lists the work for the caller: store State, Snapshot and Entries and
@@ -137,6 +140,9 @@
 		return nil, err
 	}
 	n.log.stable = n.log.last()
+	if s.Unsettled {
+		n.storedState, n.log.stable = HardState{}, n.log.baseIndex
+	}
 	n.commit = s.Snapshot.Index
 	n.applied = s.Snapshot.Index
 	if err := n.useLatestConfig(); err != nil {
--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -209,11 +209,11 @@
 // pick chooses what survives a crash.
 func (c *testCluster) pick(_ string, low, high int) int { return low + c.random.IntN(high-low+1) }
 
-// restart crashes a keeper and starts it again.
+// restart crashes a keeper, with its machine or alone, and starts it again.
 func (c *testCluster) restart(k *testKeeper) {
-	fail := k.fs.fail
-	k.fs.crashWith(c.pick)
-	k.fs.fail = fail
+	if c.random.IntN(2) == 0 {
+		k.fs.crashWith(c.pick)
+	}
 	c.start(k)
 }
 
@@ -242,7 +242,8 @@
 	acknowledged := slices.Clone(c.acknowledged)
 	c.underWay = nil
 	for _, k := range c.keepers {
-		c.restart(k)
+		k.fs.crashWith(c.pick)
+		c.start(k)
 	}
 	c.checkAccepted("after a crash of all")
 	for _, k := range c.keepers {
@@ -386,6 +387,52 @@
 	}
 }
 
+// TestWhatAProcessReadsSurvivesACrash guards against a keeper that relies on a record
+// whose sync was refused: a new process can read it, but a crash of the machine loses it.
+func TestWhatAProcessReadsSurvivesACrash(t *testing.T) {
+	for _, cause := range []syscall.Errno{syscall.ENOSPC, syscall.EIO} {
+		for _, full := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, full at the start: %t", cause, full), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				fs := newMemoryFS()
+				j, _ := mustOpen(t, fs)
+				r := consensus.Ready{StateChanged: true, State: consensus.HardState{Term: 1, Vote: 7}, Entries: []consensus.Entry{{Index: 1, Term: 1}}}
+				g.Expect(j.Save(r)).To(gomega.Succeed())
+				fs.fail = func(operation, name string) error {
+					if operation == "sync" || operation == "truncate" {
+						return cause
+					}
+					return nil
+				}
+				r.State.Term, r.Entries[0] = 2, consensus.Entry{Index: 2, Term: 2}
+				g.Expect(j.Save(r)).NotTo(gomega.Succeed())
+				if fs.fail = nil; full {
+					fs.fail = refuse("all", syscall.ENOSPC)
+				}
+				j, stored := mustOpen(t, fs)
+				g.Expect(stored.State.Term).To(gomega.Equal(uint64(2)))
+				n, err := consensus.New(consensus.Options{ID: 7, ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 100, Random: rand.New(rand.NewPCG(1, 1)).IntN}, stored)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				if full {
+					ready := n.Ready()
+					g.Expect(ready.MustSync()).To(gomega.BeTrue(), "nothing may be confirmed yet")
+					g.Expect(ready.Entries).To(gomega.HaveLen(2))
+					g.Expect(IsFull(j.Save(ready))).To(gomega.BeTrue())
+					fs.fail = nil
+					g.Expect(j.Save(ready)).To(gomega.Succeed())
+				} else {
+					ready := n.Ready()
+					g.Expect(ready.MustSync()).To(gomega.BeFalse())
+				}
+				fs.crashWith(func(_ string, _, high int) int { return high })
+				_, found := mustOpen(t, fs)
+				g.Expect(found.State).To(gomega.Equal(stored.State))
+				g.Expect(found.Entries).To(gomega.HaveLen(2))
+			})
+		}
+	}
+}
+
 // TestFirstStartOnAFullDisk guards against a folder that can't be used once there is room,
 // since the first start was refused halfway.
 func TestFirstStartOnAFullDisk(t *testing.T) {
@@ -401,7 +448,9 @@
 					_, _, err := Open(fs, newID)
 					g.Expect(IsFull(err)).To(gomega.BeTrue(), "%v", err)
 					fs.fail = nil
-					fs.crashWith(func(_ string, low, high int) int { return low + random.IntN(high-low+1) })
+					if seed%2 == 0 {
+						fs.crashWith(func(_ string, low, high int) int { return low + random.IntN(high-low+1) })
+					}
 					j, _ := mustOpen(t, fs)
 					g.Expect(j.Save(consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}})).To(gomega.Succeed())
 					fs.crashWith(func(_ string, low, _ int) int { return low })
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -103,7 +103,7 @@
 }
 
 // Open reads a data folder. newID returns the ID for a new folder. A torn tail
-// of the log is truncated, on a full disk by a later Save; damage before the tail is an
+// of the log is dropped; damage before the tail is an
 // error with code JournalDamaged. A new folder on a full disk is an error with code
 // JournalFull.
 func Open(fs FS, newID func() consensus.ID) (*Journal, consensus.Stored, error) {
@@ -125,7 +125,12 @@
 	if err := j.replay(data, &stored); err != nil {
 		return nil, stored, err
 	}
-	if err := j.prepareLog(); err != nil && !errors.Is(err, errFull) {
+	// The process before may have been refused a sync: what it wrote can be read, and
+	// yet may not be on the disk.
+	j.unsettled = data[:j.size:j.size]
+	err = j.prepareLog()
+	stored.Unsettled = errors.Is(err, errFull)
+	if err != nil && !stored.Unsettled {
 		return nil, stored, err
 	}
 	return j, stored, nil
@@ -164,6 +169,13 @@
 	if err := wire.Decode(payload, &j.identity); err != nil {
 		return damaged("identity: %v", err)
 	}
+	if j.identity.Cluster != 0 {
+		return nil
+	}
+	if _, err := j.fs.Read(logFile); errors.Is(err, os.ErrNotExist) {
+		// The first start wasn't completed, perhaps as the sync of this file was refused.
+		return j.replaceFile(identityFile, payload)
+	}
 	return nil
 }
 
@@ -246,6 +258,10 @@
 	if j.failure != nil {
 		return j.failure
 	}
+	if err := j.prepareLog(); err != nil {
+		// A folder that belongs to a cluster has to have a log.
+		return j.recordFailure(err)
+	}
 	joined := j.identity
 	joined.Cluster = cluster
 	if err := j.replaceFile(identityFile, wire.MustEncode(&joined)); err != nil {
