wal: Give back the room of files that replace no other

The keeper had filled its disk itself.

Such a file is emptied when it can't be completed or take its name, and at the next start.

--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -387,6 +387,46 @@
 	}
 }
 
+// TestRefusedCompactionLeavesItsRoom guards against a disk that the snapshot which didn't
+// fit has filled, so that the log can't be written either.
+func TestRefusedCompactionLeavesItsRoom(t *testing.T) {
+	for _, refused := range []string{"write", "rename snapshot", "rename log"} {
+		t.Run(refused, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			fs := newMemoryFS()
+			j, _ := mustOpen(t, fs)
+			const room = 1000
+			for _, c := range fs.files {
+				fs.capacity += len(c.data)
+			}
+			fs.capacity += room
+			snapshotBytes := 2 * room
+			if refused != "write" {
+				snapshotBytes = room / 3
+				fs.fail = refuse(refused, syscall.ENOSPC)
+			}
+			r := consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}}
+			g.Expect(j.Save(r)).To(gomega.Succeed())
+			s := consensus.Snapshot{Index: 1, Term: 1, Data: make([]byte, snapshotBytes)}
+			g.Expect(IsFull(j.Compact(s, consensus.HardState{}, []consensus.Entry{{Index: 2, Term: 1, Data: make([]byte, room/3)}}))).To(gomega.BeTrue())
+			r.Entries[0] = consensus.Entry{Index: 2, Term: 1, Data: make([]byte, room/2)}
+			g.Expect(j.Save(r)).To(gomega.Succeed())
+		})
+	}
+}
+
+// TestStartGivesBackTheRoomOfUnfinishedFiles guards against a disk that stays full of what
+// a process wrote that ended halfway.
+func TestStartGivesBackTheRoomOfUnfinishedFiles(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fs := newMemoryFS()
+	mustOpen(t, fs)
+	fs.files[snapshotFile+temporarySuffix] = &fileContent{data: make([]byte, 1000)}
+	fs.capacity = 1000
+	j, _ := mustOpen(t, fs)
+	g.Expect(j.Save(consensus.Ready{Entries: []consensus.Entry{{Index: 1, Term: 1}}})).To(gomega.Succeed())
+}
+
 // TestWhatAProcessReadsSurvivesACrash guards against a keeper that relies on a record
 // whose sync was refused: a new process can read it, but a crash of the machine loses it.
 func TestWhatAProcessReadsSurvivesACrash(t *testing.T) {
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -109,6 +109,11 @@
 func Open(fs FS, newID func() consensus.ID) (*Journal, consensus.Stored, error) {
 	j := &Journal{fs: fs}
 	stored := consensus.Stored{}
+	for _, name := range []string{identityFile, snapshotFile, logFile} {
+		if left, err := fs.Read(name + temporarySuffix); err == nil && len(left) > 0 {
+			j.emptyTemporary(name)
+		}
+	}
 	if err := j.loadOrCreateIdentity(newID); err != nil {
 		return nil, stored, withCode(err)
 	}
@@ -398,6 +403,7 @@
 		return false, err
 	}
 	if err := j.fs.Rename(name+temporarySuffix, name); err != nil {
+		j.emptyTemporary(name)
 		return false, wrapFull(err, "rename "+name)
 	}
 	return true, wrapFull(j.fs.SyncFolder(), "sync the folder of "+name)
@@ -416,9 +422,20 @@
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
+	if err != nil {
+		j.emptyTemporary(name)
+	}
 	return wrapFull(err, "replace "+name)
 }
 
+// emptyTemporary gives back the room of a file that replaces no other, or else the rest
+// of a full disk would be lost to the log.
+func (j *Journal) emptyTemporary(name string) {
+	if f, err := j.fs.Create(name + temporarySuffix); err == nil {
+		_ = f.Close()
+	}
+}
+
 // wrapFull wraps an error, which matches errFull if it says that the disk is full.
 func wrapFull(err error, message string) error {
 	if isNoSpace(err) {
