consensus: Give up a transfer of the leadership that nobody takes

A leader with a full disk tries to hand over with each tick. Each try chose the same voter and began the wait anew, so that neither the end of a transfer nor the check for a majority ever came: with one voter dead, or its disk full too, the leadership stayed at the full disk, and changes were refused for as long although a majority could take them; a cut-off one led on, with its proposals pending.

A transfer that is under way isn't begun again. It ends after an election timeout, with the check for a majority, and the next one goes to another voter.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -101,8 +101,8 @@
 	// readRound is the number of the leader's latest read round.
 	readRound uint64
 	// transferTarget is the follower that is about to take over the
-	// leadership.
-	transferTarget ID
+	// leadership, and failedTarget the last one that didn't.
+	transferTarget, failedTarget ID
 
 	// refusals are the votes that this node has refused since they were last taken.
 	refusals []Refusal
--- a/consensus/node__election.go
+++ b/consensus/node__election.go
@@ -45,7 +45,9 @@
 	}
 	if n.electionElapsed >= n.options.ElectionTicks {
 		n.electionElapsed = 0
-		n.transferTarget = None
+		if n.transferTarget != None {
+			n.failedTarget, n.transferTarget = n.transferTarget, None
+		}
 		if !n.quorumActive() {
 			n.becomeFollower(n.hardState.Term, None)
 			return
@@ -122,6 +124,7 @@
 	n.role = Leader
 	n.leader = n.options.ID
 	n.electionElapsed, n.heartbeatElapsed = 0, 0
+	n.failedTarget = None
 	n.progress = map[ID]*progress{}
 	n.trackMembers()
 	n.progress[n.options.ID].match = n.log.stable
@@ -143,15 +146,19 @@
 }
 
 // TransferLeadership hands the leadership to the active voter with the longest
-// log, so that a planned stop of the leader costs no election timeout.
+// log, so that a planned stop of the leader costs no election timeout. A transfer that is
+// under way is given up after an election timeout, and the next call picks another voter.
 func (n *Node) TransferLeadership() {
-	if n.role != Leader {
+	if n.role != Leader || n.transferTarget != None {
 		return
 	}
 	best := None
 	for _, id := range n.config.Voters {
 		p := n.progress[id]
-		if id != n.options.ID && p.recentlyActive && (best == None || p.match > n.progress[best].match) {
+		if id == n.options.ID || !p.recentlyActive {
+			continue
+		}
+		if best == None || best == n.failedTarget || (id != n.failedTarget && p.match > n.progress[best].match) {
 			best = id
 		}
 	}
