keeper: Found a cluster once the disk has room

A keeper that was to found the cluster while its disk was full stopped for good, as the refusal counted as any other failure there; so no cluster came about, with all processes running.

It tries again at the next check. A keeper that can't join logs that once now, rather than with each message.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -328,12 +328,13 @@
 	own := k.options.Journal.Identity().Cluster
 	if own == 0 {
 		if err := k.options.Journal.Join(b.Cluster); wal.IsFull(err) {
-			klog.ErrorS(err, "cluster not joined yet", "instance", k.options.Name, "cluster", b.Cluster)
+			k.noteFull(err)
 			return
 		} else if err != nil {
 			k.fail(err)
 			return
 		}
+		k.noteSaved()
 		k.announceCluster()
 	} else if own != b.Cluster {
 		klog.ErrorS(nil, "dropping messages of another cluster", "instance", k.options.Name, "own", own, "theirs", b.Cluster)
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -54,11 +54,7 @@
 // on following, voting for leaders as far as its log allows, and applying what
 // others have stored. If it leads, it hands that over.
 func (k *Keeper) flushUnsaved(r consensus.Ready, cause error) {
-	if k.fullSince == 0 {
-		k.fullSince = k.options.Clock()
-		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
-	}
-	k.lastFull = k.options.Clock()
+	k.noteFull(cause)
 	k.node.TransferLeadership()
 	k.send(k.node.Unsaved(r))
 	if r.Snapshot != nil {
@@ -72,6 +68,15 @@
 	k.node.AdvanceUnsaved(r)
 }
 
+// noteFull records that the disk is full, and logs it once.
+func (k *Keeper) noteFull(cause error) {
+	k.lastFull = k.options.Clock()
+	if k.fullSince == 0 {
+		k.fullSince = k.lastFull
+		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
+	}
+}
+
 // noteSaved records that the disk has room.
 func (k *Keeper) noteSaved() {
 	if k.fullSince != 0 {
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -75,10 +75,14 @@
 	if voters == nil {
 		return
 	}
-	if err := k.options.Journal.Join(randomID()); err != nil {
+	if err := k.options.Journal.Join(randomID()); wal.IsFull(err) {
+		k.noteFull(err)
+		return
+	} else if err != nil {
 		k.fail(err)
 		return
 	}
+	k.noteSaved()
 	if err := k.node.Bootstrap(voters); err != nil {
 		klog.ErrorS(err, "bootstrap failed", "instance", k.options.Name)
 		return
