keeper: Take changes while there is only no room to compact

Changes are accepted as long as the log has room for them. The next try comes after 5 s, and the line "no room to compact the log" once.

--- a/keeper/fulldisk_test.go
+++ b/keeper/fulldisk_test.go
@@ -189,3 +189,27 @@
 	g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
 	g.Expect(k.failures(t.Context())).To(gomega.BeEmpty())
 }
+
+// TestRefusedCompactionsCostNoChange guards against a keeper that tries after each change to
+// compact a log for which its disk has no room, and refuses changes meanwhile though they
+// fit.
+func TestRefusedCompactionsCostNoChange(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	k := startKeepers(t, 1, "")
+	const changeBytes = 1 << 20
+	for range compactThresholdBytes/changeBytes - 1 {
+		g.Expect(k.put(t.Context(), changeBytes)).To(gomega.Succeed())
+	}
+	k.folders[0].refuse("create snapshot.tmp")
+	g.Expect(k.put(t.Context(), 2*changeBytes)).To(gomega.Succeed())
+	leader := k.keepers[0]
+	for until := time.Now().Add(time.Second); time.Now().Before(until); {
+		k.number++
+		reply := leader.Propose(t.Context(), Command{Put: &config.Put{Number: k.number, Packed: make([]byte, 10)}})
+		g.Expect(reply.NotLeader).To(gomega.BeFalse(), reply.Detail)
+	}
+	g.Expect(k.folders[0].refusalsOf("create snapshot.tmp")).To(gomega.BeNumerically("<=", 2), "compactions that were refused")
+	k.folders[0].refuse("")
+	g.Eventually(func() int64 { return leader.Status(t.Context()).LogBytes }, 2*compactRetryInterval).Should(gomega.BeNumerically("<", compactThresholdBytes))
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -89,6 +89,9 @@
 	// fullSince is when the disk became full, 0 while it isn't, and lastFull when
 	// it last was.
 	fullSince, lastFull clock.Instant
+	// uncompactedSince is when the disk first had no room for a compaction that is due,
+	// 0 if it had, and compactAt the time of the next try.
+	uncompactedSince, compactAt clock.Instant
 	// compactedSize is the size of the log after its last compaction, in bytes.
 	compactedSize int64
 	pendingReads  []readRequest
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -50,6 +50,10 @@
 // It saves what it has with each tick.
 const fullRetryInterval = 500 * time.Millisecond
 
+// compactRetryInterval is the time from a compaction for which the disk had no room to the
+// next try, which writes the whole state.
+const compactRetryInterval = 5 * time.Second
+
 // flushUnsaved does what may be done of r while the disk is full: this keeper goes
 // on following, voting for leaders as far as its log allows, and applying what
 // others have stored. If it leads, it hands that over.
@@ -139,7 +143,7 @@
 		k.hasDocuments = true
 		k.options.Gossip.SetHasDocuments()
 	}
-	if s.Applied > 0 && !k.refusesForFullDisk() && worthCompacting(k.options.Journal.Size(), k.compactedSize) {
+	if s.Applied > 0 && !k.refusesForFullDisk() && k.options.Clock() >= k.compactAt && worthCompacting(k.options.Journal.Size(), k.compactedSize) {
 		k.compact()
 	}
 }
@@ -176,17 +180,20 @@
 		return
 	}
 	if err := k.options.Journal.Compact(s, k.node.State(), k.node.Entries()); wal.IsFull(err) {
-		// The log stays as it is; the next flush after fullRetryInterval tries
-		// again.
-		klog.ErrorS(err, "log not compacted", "instance", k.options.Name)
-		k.lastFull = k.options.Clock()
-		k.fullSince = max(k.fullSince, k.lastFull)
+		// The log stays as it is, and takes changes while there is room for them.
+		now := k.options.Clock()
+		if k.uncompactedSince == 0 {
+			k.uncompactedSince = now
+			klog.ErrorS(err, "no room to compact the log", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size(), "snapshotBytes", len(data))
+		}
+		k.compactAt = now + compactRetryInterval
 		return
 	} else if err != nil {
 		k.fail(err)
 		return
 	}
-	k.compactedSize = k.options.Journal.Size()
+	k.compactedSize, k.uncompactedSince = k.options.Journal.Size(), 0
+	k.noteSaved()
 	klog.InfoS("log compacted", "instance", k.options.Name, "index", s.Index, "snapshotBytes", len(data), "logBytes", k.compactedSize)
 }
 
