keeper: Tell for how long the disk is full, and that a keeper has stopped

A keeper that has stopped for good looked like any other from outside: its process runs, and only one log line told. keeper_stopped is 1 then. keeper_diskFullMs is for how long the disk has had no room for changes or for a compaction, and 0 while it has; the dump has both. The line of a full disk is followed by "disk is still full" each minute.

--- a/keeper/fulldisk_test.go
+++ b/keeper/fulldisk_test.go
@@ -29,6 +29,8 @@
 	mu sync.Mutex
 	// refused is the operation that is refused, "all" for all that need room, or "".
 	refused string
+	// cause is the error of a refusal.
+	cause error
 	// refusals counts them by operation and file.
 	refusals map[string]int
 }
@@ -39,6 +41,12 @@
 	f.refused = operation
 }
 
+func (f *limitedFolder) setCause(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cause = cause
+}
+
 func (f *limitedFolder) refusalsOf(operation string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -50,7 +58,7 @@
 	defer f.mu.Unlock()
 	if operation := kind + " " + name; f.refused == "all" || f.refused == operation {
 		f.refusals[operation]++
-		return syscall.ENOSPC
+		return f.cause
 	}
 	return nil
 }
@@ -116,7 +124,7 @@
 		})
 		fs, err := wal.OpenFolder(t.TempDir())
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		folder := &limitedFolder{FS: fs, refusals: map[string]int{}}
+		folder := &limitedFolder{FS: fs, cause: syscall.ENOSPC, refusals: map[string]int{}}
 		journal, stored, err := wal.Open(folder, func() consensus.ID { return consensus.ID(i + 1) })
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		folder.refuse(refused)
@@ -166,7 +174,9 @@
 				for until := time.Now().Add(time.Second); time.Now().Before(until); {
 					g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed(), "while the disk of keeper %d is full", i)
 				}
+				g.Expect(k.keepers[i].diskFullMs.Value()).To(gomega.BeNumerically(">", 0))
 				folder.refuse("")
+				g.Eventually(k.keepers[i].diskFullMs.Value, 3*time.Second).Should(gomega.BeZero())
 			}
 			began := time.Now()
 			g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
@@ -176,6 +186,23 @@
 	}
 }
 
+// TestStoppedKeeperSaysSo guards against a keeper that has stopped for good while its process
+// runs, and no metric tells.
+func TestStoppedKeeperSaysSo(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	k := startKeepers(t, 1, "")
+	g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
+	g.Expect(k.keepers[0].stopped.Value()).To(gomega.BeZero())
+	k.folders[0].setCause(syscall.EIO)
+	k.folders[0].refuse("sync log")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	g.Expect(k.put(ctx, 10)).NotTo(gomega.Succeed())
+	g.Expect(k.keepers[0].stopped.Value()).To(gomega.Equal(int64(1)))
+	g.Expect(k.failures(t.Context())).To(gomega.ConsistOf(gomega.ContainSubstring("journalSyncFailed")))
+}
+
 // TestClusterIsFoundedOnceDisksHaveRoom guards against a keeper that stops for good since
 // its disk was full when it was to found the cluster, or to join it.
 func TestClusterIsFoundedOnceDisksHaveRoom(t *testing.T) {
@@ -210,6 +237,7 @@
 		g.Expect(reply.NotLeader).To(gomega.BeFalse(), reply.Detail)
 	}
 	g.Expect(k.folders[0].refusalsOf("create snapshot.tmp")).To(gomega.BeNumerically("<=", 2), "compactions that were refused")
+	g.Expect(leader.Status(t.Context()).DiskFullMs).To(gomega.BeNumerically(">", 0))
 	k.folders[0].refuse("")
 	g.Eventually(func() int64 { return leader.Status(t.Context()).LogBytes }, 2*compactRetryInterval).Should(gomega.BeNumerically("<", compactThresholdBytes))
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -89,6 +89,8 @@
 	// fullSince is when the disk became full, 0 while it isn't, and lastFull when
 	// it last was.
 	fullSince, lastFull clock.Instant
+	// fullLoggedAt is when a full disk was last logged.
+	fullLoggedAt clock.Instant
 	// uncompactedSince is when the disk first had no room for a compaction that is due,
 	// 0 if it had, and compactAt the time of the next try.
 	uncompactedSince, compactAt clock.Instant
@@ -118,6 +120,9 @@
 	// one was over slowBound.
 	tickDelays metrics.Timer
 	late       bool
+	// diskFullMs is for how long the disk has been full, and stopped is 1 after a
+	// failure.
+	diskFullMs, stopped metrics.Gauge
 
 	// confirmRequests holds the callers of Confirm that wait for the next read
 	// round.
@@ -150,7 +155,9 @@
 	Cluster  uint64 `json:"cluster"`
 	Claims   int    `json:"claims"`
 	LogBytes int64  `json:"logBytes"`
-	Failed   string `json:"failed,omitempty"`
+	// DiskFullMs is for how long the disk has had no room.
+	DiskFullMs int64  `json:"diskFullMs,omitempty"`
+	Failed     string `json:"failed,omitempty"`
 }
 
 // New starts a keeper from its journal. The keeper ends with ctx.
@@ -162,6 +169,8 @@
 		zones:         map[consensus.ID]string{},
 		syncTimes:     metrics.GetOrRegisterTimer("keeper.sync", o.Metrics),
 		tickDelays:    metrics.GetOrRegisterTimer("keeper.tickDelay", o.Metrics),
+		diskFullMs:    metrics.GetOrRegisterGauge("keeper.diskFullMs", o.Metrics),
+		stopped:       metrics.GetOrRegisterGauge("keeper.stopped", o.Metrics),
 		syncedEntries: metrics.GetOrRegisterHistogram("keeper.entriesPerSync", o.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 	node, err := consensus.New(consensus.Options{
@@ -288,10 +297,11 @@
 
 func (k *Keeper) status() Status {
 	s := Status{
-		Status:   k.node.Status(),
-		Cluster:  k.options.Journal.Identity().Cluster,
-		Claims:   k.machine.claims.Len(),
-		LogBytes: k.options.Journal.Size(),
+		Status:     k.node.Status(),
+		Cluster:    k.options.Journal.Identity().Cluster,
+		Claims:     k.machine.claims.Len(),
+		LogBytes:   k.options.Journal.Size(),
+		DiskFullMs: k.fullFor().Milliseconds(),
 	}
 	if k.failure != nil {
 		s.Failed = k.failure.Error()
@@ -303,6 +313,7 @@
 	if k.failure != nil {
 		return
 	}
+	k.updateFullGauge()
 	k.node.Tick()
 	if !k.node.IsLeader() {
 		k.wasLeader = false
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -72,15 +72,38 @@
 	k.node.AdvanceUnsaved(r)
 }
 
-// noteFull records that the disk is full, and logs it once.
+// fullLogInterval is the time between two log lines of a disk that stays full.
+const fullLogInterval = time.Minute
+
+// noteFull records that the disk is full, and logs it at once and then at intervals.
 func (k *Keeper) noteFull(cause error) {
 	k.lastFull = k.options.Clock()
 	if k.fullSince == 0 {
 		k.fullSince = k.lastFull
+		k.fullLoggedAt = k.lastFull
 		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
+	} else if k.lastFull-k.fullLoggedAt >= fullLogInterval {
+		k.fullLoggedAt = k.lastFull
+		klog.ErrorS(cause, "disk is still full", "instance", k.options.Name, "code", int(result.JournalFull), "full", k.lastFull-k.fullSince)
+	}
+	k.updateFullGauge()
+}
+
+// fullFor returns how long the disk has had no room for changes or for a compaction; 0
+// while it has.
+func (k *Keeper) fullFor() time.Duration {
+	since := k.fullSince
+	if k.uncompactedSince != 0 && (since == 0 || k.uncompactedSince < since) {
+		since = k.uncompactedSince
+	}
+	if since == 0 {
+		return 0
 	}
+	return k.options.Clock() - since
 }
 
+func (k *Keeper) updateFullGauge() { k.diskFullMs.Update(k.fullFor().Milliseconds()) }
+
 // noteSaved records that the disk has room.
 func (k *Keeper) noteSaved() {
 	if k.fullSince != 0 {
@@ -200,6 +223,7 @@
 // fail stops the keeper, since what its journal holds is no longer known.
 func (k *Keeper) fail(err error) {
 	k.failure = result.From(err)
+	k.stopped.Update(1)
 	klog.ErrorS(err, "keeper stopped", "instance", k.options.Name, "code", int(k.failure.Code))
 	k.dropPending()
 	if k.options.OnFailure != nil {
