wal: Take a limit on the size of files for a full disk

A write beyond a limit on the size of files is refused with EFBIG. That stopped a keeper for good though, as with a quota, what was stored is intact and the limit can be raised. Before, with three keepers as processes, each limited for three seconds in turn:

e2e: Keepers whose disks are full one after another, 2 of 2 failed "keeper stopped" err="7002 journalSyncFailed: write log: write .../log: file too large" instance="keeper-0", then "keeper-1" while the disk of keeper 1 is full: expected 503 to equal 200 "keepers without a majority"

It counts as no room now: the log gets smaller by a compaction, and the limit may be lifted while the process runs. All changes are accepted, also while one of the disks is full.

The limit is the one way to refuse a write of a real process without a file system of the test's own. It can't refuse a sync or a rename; for these the tests of wal and keeper stand.

--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -281,7 +281,7 @@
 func TestKeepersGoOnAfterEachDiskWasFull(t *testing.T) {
 	for _, operation := range fullOperations {
 		for _, size := range []int{3, 4, 5} {
-			for _, cause := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT} {
+			for _, cause := range []syscall.Errno{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
 				if cause != syscall.ENOSPC && size != 3 {
 					continue
 				}
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -98,8 +98,11 @@
 // errFull is the cause of an error that IsFull recognises.
 var errFull = errors.New("the disk is full")
 
+// isNoSpace reports whether the operating system refused an operation for want of room. A
+// limit on the size of files counts as such: it can be raised while the process runs, and a
+// compaction makes the log smaller.
 func isNoSpace(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
 // Open reads a data folder. newID returns the ID for a new folder. A torn tail
