keeper, gossip, member: Replace a keeper that has stopped

A keeper that stops after a failed disk leaves its process running, with its other roles, and gossip went on listing it as alive: no spare keeper took its place, however long it was gone, and the second one to stop took the majority with it. Before, five keepers of which three vote, replaceAfter 1 s, and a sync that fails with EIO:

TestStoppedKeeperIsReplaced Timed out after 10.002s: expected [1, 2, 3] not to contain 1

The node's record says that its keeper has stopped. Other keepers then count it as missing, and replace it after replaceAfter; clients don't ask it. It is still asked for origins of streams, which its other role knows. A keeper whose disk is only full isn't replaced: it goes on by itself.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -84,12 +84,13 @@
 
 // The messages to the actor.
 type (
-	tick            struct{}
-	publish         struct{ records []member.Record }
-	refresh         struct{}
-	subscribe       struct{ f func(Change) }
-	setHasDocuments struct{}
-	setKeeper       struct {
+	tick             struct{}
+	publish          struct{ records []member.Record }
+	refresh          struct{}
+	subscribe        struct{ f func(Change) }
+	setHasDocuments  struct{}
+	setKeeperStopped struct{}
+	setKeeper        struct {
 		id      string
 		cluster uint64
 	}
@@ -189,6 +190,9 @@
 // SetKeeper publishes the identity of this node's data folder.
 func (h *Host) SetKeeper(id string, cluster uint64) { h.ref.Send(setKeeper{id, cluster}) }
 
+// SetKeeperStopped announces that this node's keeper has stopped after a failure.
+func (h *Host) SetKeeperStopped() { h.ref.Send(setKeeperStopped{}) }
+
 // Leave announces to the peers that this node stops.
 func (h *Host) Leave() { h.ref.Send(leave{}) }
 
@@ -270,6 +274,9 @@
 	case setKeeper:
 		h.options.Node.KeeperID, h.options.Node.Cluster = m.id, m.cluster
 		h.refresh(now)
+	case setKeeperStopped:
+		h.options.Node.KeeperStopped = true
+		h.refresh(now)
 	case setSeeds:
 		h.options.Seeds = m.seeds
 	case leave:
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -161,7 +161,7 @@
 	var list []consensus.ID
 	for _, n := range nodes {
 		id, ok := parseID(n.KeeperID)
-		if !ok {
+		if !ok || n.KeeperStopped {
 			continue
 		}
 		c.addresses[id] = n.Address
--- a/keeper/fulldisk_test.go
+++ b/keeper/fulldisk_test.go
@@ -110,6 +110,11 @@
 // startKeepers starts keepers that found a cluster together; refused is what their disks
 // refuse at first.
 func startKeepers(t *testing.T, size int, refused string) *testKeepers {
+	return startKeepersBy(t, size, refused, settings.Keeper{InitialVoters: size, Voters: size, ReplaceAfter: time.Minute})
+}
+
+// startKeepersBy starts keepers by the settings, of which the first founds the cluster.
+func startKeepersBy(t *testing.T, size int, refused string, s settings.Keeper) *testKeepers {
 	g := gomega.NewWithT(t)
 	k := &testKeepers{}
 	var seeds []netip.AddrPort
@@ -129,8 +134,9 @@
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		folder.refuse(refused)
 		host.SetKeeper(journal.Identity().ID.String(), 0)
+		s.Bootstrap = i == 0
 		keeper, err := New(t.Context(), Options{
-			Name: fmt.Sprint(i), Settings: settings.Keeper{Bootstrap: i == 0, InitialVoters: size, Voters: size, ReplaceAfter: time.Minute},
+			Name: fmt.Sprint(i), Settings: s,
 			Address: server.Address, Seeds: seeds, Journal: journal, Stored: stored, Gossip: host, Server: server,
 			Clock: clock.System(), Actors: system, Metrics: metrics.NewRegistry(),
 		})
@@ -203,6 +209,38 @@
 	g.Expect(k.failures(t.Context())).To(gomega.ConsistOf(gomega.ContainSubstring("journalSyncFailed")))
 }
 
+// TestStoppedKeeperIsReplaced guards against a keeper that has stopped for good and yet
+// keeps its vote, as its process is alive: after the second one no majority is left, though
+// others could have taken their places.
+func TestStoppedKeeperIsReplaced(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	k := startKeepersBy(t, 5, "", settings.Keeper{InitialVoters: 3, Voters: 3, ReplaceAfter: time.Second})
+	g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
+	voters := func() []consensus.ID {
+		for _, keeper := range k.keepers {
+			if s := keeper.Status(t.Context()); s.Failed == "" && s.Role == consensus.Leader.String() && len(s.Config.Outgoing) == 0 {
+				return s.Config.Voters
+			}
+		}
+		return nil
+	}
+	members := func() int {
+		c := k.keepers[0].Status(t.Context()).Config
+		return len(c.Members())
+	}
+	g.Eventually(members, 5*time.Second).Should(gomega.Equal(5))
+	for range 2 {
+		stopped := voters()[0]
+		folder := k.folders[stopped-1]
+		folder.setCause(syscall.EIO)
+		folder.refuse("sync log")
+		g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
+		g.Eventually(voters, 10*time.Second).Should(gomega.And(gomega.HaveLen(3), gomega.Not(gomega.ContainElement(stopped))))
+	}
+	g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
+}
+
 // TestClusterIsFoundedOnceDisksHaveRoom guards against a keeper that stops for good since
 // its disk was full when it was to found the cluster, or to join it.
 func TestClusterIsFoundedOnceDisksHaveRoom(t *testing.T) {
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -224,6 +224,7 @@
 func (k *Keeper) fail(err error) {
 	k.failure = result.From(err)
 	k.stopped.Update(1)
+	k.options.Gossip.SetKeeperStopped()
 	klog.ErrorS(err, "keeper stopped", "instance", k.options.Name, "code", int(k.failure.Code))
 	k.dropPending()
 	if k.options.OnFailure != nil {
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -26,6 +26,8 @@
 		k.outbox.setAddress(id, n.Address)
 		k.zones[id] = n.Zone
 		switch {
+		case n.KeeperStopped:
+			// Its process is alive, but it takes part in nothing.
 		case n.Cluster == 0:
 			k.unclustered = append(k.unclustered, id)
 			k.alive = append(k.alive, id)
--- a/member/node.go
+++ b/member/node.go
@@ -20,6 +20,9 @@
 	// Cluster identifies the cluster that the data folder belongs to; 0 if
 	// none.
 	Cluster uint64 `json:"cluster,omitempty"`
+	// KeeperStopped says that the keeper has stopped after a failure, while the node's
+	// process and other roles go on.
+	KeeperStopped bool `json:"keeperStopped,omitempty"`
 }
 
 // Check verifies a decoded NodeInfo.
