--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -501,3 +501,44 @@
 		}
 	}
 }
+
+// TestSpoolGoesOnAfterAFullDisk guards against a spool that takes no record any more, or
+// loses those that it has taken, after its disk refused an operation.
+func TestSpoolGoesOnAfterAFullDisk(t *testing.T) {
+	for _, operation := range []string{"all", "open origins", "write origins", "sync origins", "truncate origins", "sync the cut of origins", "rename origins.old", "close origins"} {
+		t.Run(operation, func(t *testing.T) {
+			for seed := uint64(1); seed <= 20; seed++ {
+				g := gomega.NewWithT(t)
+				random := rand.New(rand.NewPCG(seed, 5))
+				fs := newMemoryFS()
+				s, _, err := OpenSpool(fs, "origins")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				var want []string
+				for i := range 12 {
+					fs.fail = nil
+					if random.IntN(2) == 0 {
+						fs.fail = refuse(operation, syscall.ENOSPC)
+					}
+					if i == 6 {
+						_ = s.Turn()
+					}
+					if record := fmt.Sprint(i); s.Append([]byte(record)) == nil {
+						want = append(want, record)
+					}
+				}
+				fs.fail = nil
+				g.Expect(s.Append([]byte("last"))).To(gomega.Succeed())
+				fs.crashWith(func(_ string, low, high int) int { return low + random.IntN(high-low+1) })
+				_, records, err := OpenSpool(fs, "origins")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				var got []string
+				for _, r := range records {
+					got = append(got, string(r))
+				}
+				for _, record := range append(want, "last") {
+					g.Expect(got).To(gomega.ContainElement(record), "seed %d", seed)
+				}
+			}
+		})
+	}
+}
