--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -113,13 +113,15 @@
 
 // start runs a member from the state on its disk.
 func (c *cluster) start(m *member) {
+	stored := m.disk
+	stored.Unsettled = m.diskFull
 	node, err := consensus.New(consensus.Options{
 		ID:             m.id,
 		ElectionTicks:  electionTicks,
 		HeartbeatTicks: heartbeatTicks,
 		MaxAppendBytes: 2000,
 		Random:         c.random.IntN,
-	}, m.disk)
+	}, stored)
 	if err != nil {
 		c.t.Fatalf("start %v: %v", m.id, err)
 	}
@@ -167,6 +169,7 @@
 		return
 	}
 	if m.diskFull && r.MustSync() {
+		m.node.TransferLeadership()
 		c.network = append(c.network, m.node.Unsaved(r)...)
 		if r.Snapshot == nil {
 			for _, e := range r.Committed {
