--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -50,15 +50,15 @@
 // It saves what it has with each tick.
 const fullRetryInterval = 500 * time.Millisecond
 
+// compactRetryInterval is the time from a compaction for which the disk had no room to the
+// next try, which writes the whole state.
+const compactRetryInterval = 5 * time.Second
+
 // flushUnsaved does what may be done of r while the disk is full: this keeper goes
 // on following, voting for leaders as far as its log allows, and applying what
 // others have stored. If it leads, it hands that over.
 func (k *Keeper) flushUnsaved(r consensus.Ready, cause error) {
-	if k.fullSince == 0 {
-		k.fullSince = k.options.Clock()
-		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
-	}
-	k.lastFull = k.options.Clock()
+	k.noteFull(cause)
 	k.node.TransferLeadership()
 	k.send(k.node.Unsaved(r))
 	if r.Snapshot != nil {
@@ -72,6 +72,38 @@
 	k.node.AdvanceUnsaved(r)
 }
 
+// fullLogInterval is the time between two log lines of a disk that stays full.
+const fullLogInterval = time.Minute
+
+// noteFull records that the disk is full, and logs it at once and then at intervals.
+func (k *Keeper) noteFull(cause error) {
+	k.lastFull = k.options.Clock()
+	if k.fullSince == 0 {
+		k.fullSince = k.lastFull
+		k.fullLoggedAt = k.lastFull
+		klog.ErrorS(cause, "disk full; proposals are refused until there is room", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size())
+	} else if k.lastFull-k.fullLoggedAt >= fullLogInterval {
+		k.fullLoggedAt = k.lastFull
+		klog.ErrorS(cause, "disk is still full", "instance", k.options.Name, "code", int(result.JournalFull), "full", k.lastFull-k.fullSince)
+	}
+	k.updateFullGauge()
+}
+
+// fullFor returns how long the disk has had no room for changes or for a compaction; 0
+// while it has.
+func (k *Keeper) fullFor() time.Duration {
+	since := k.fullSince
+	if k.uncompactedSince != 0 && (since == 0 || k.uncompactedSince < since) {
+		since = k.uncompactedSince
+	}
+	if since == 0 {
+		return 0
+	}
+	return k.options.Clock() - since
+}
+
+func (k *Keeper) updateFullGauge() { k.diskFullMs.Update(k.fullFor().Milliseconds()) }
+
 // noteSaved records that the disk has room.
 func (k *Keeper) noteSaved() {
 	if k.fullSince != 0 {
@@ -134,7 +166,7 @@
 		k.hasDocuments = true
 		k.options.Gossip.SetHasDocuments()
 	}
-	if s.Applied > 0 && !k.refusesForFullDisk() && worthCompacting(k.options.Journal.Size(), k.compactedSize) {
+	if s.Applied > 0 && !k.refusesForFullDisk() && k.options.Clock() >= k.compactAt && worthCompacting(k.options.Journal.Size(), k.compactedSize) {
 		k.compact()
 	}
 }
@@ -171,23 +203,28 @@
 		return
 	}
 	if err := k.options.Journal.Compact(s, k.node.State(), k.node.Entries()); wal.IsFull(err) {
-		// The log stays as it is; the next flush after fullRetryInterval tries
-		// again.
-		klog.ErrorS(err, "log not compacted", "instance", k.options.Name)
-		k.lastFull = k.options.Clock()
-		k.fullSince = max(k.fullSince, k.lastFull)
+		// The log stays as it is, and takes changes while there is room for them.
+		now := k.options.Clock()
+		if k.uncompactedSince == 0 {
+			k.uncompactedSince = now
+			klog.ErrorS(err, "no room to compact the log", "instance", k.options.Name, "code", int(result.JournalFull), "logBytes", k.options.Journal.Size(), "snapshotBytes", len(data))
+		}
+		k.compactAt = now + compactRetryInterval
 		return
 	} else if err != nil {
 		k.fail(err)
 		return
 	}
-	k.compactedSize = k.options.Journal.Size()
+	k.compactedSize, k.uncompactedSince = k.options.Journal.Size(), 0
+	k.noteSaved()
 	klog.InfoS("log compacted", "instance", k.options.Name, "index", s.Index, "snapshotBytes", len(data), "logBytes", k.compactedSize)
 }
 
 // fail stops the keeper, since what its journal holds is no longer known.
 func (k *Keeper) fail(err error) {
 	k.failure = result.From(err)
+	k.stopped.Update(1)
+	k.options.Gossip.SetKeeperStopped()
 	klog.ErrorS(err, "keeper stopped", "instance", k.options.Name, "code", int(k.failure.Code))
 	k.dropPending()
 	if k.options.OnFailure != nil {
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -26,6 +26,8 @@
 		k.outbox.setAddress(id, n.Address)
 		k.zones[id] = n.Zone
 		switch {
+		case n.KeeperStopped:
+			// Its process is alive, but it takes part in nothing.
 		case n.Cluster == 0:
 			k.unclustered = append(k.unclustered, id)
 			k.alive = append(k.alive, id)
@@ -75,10 +77,14 @@
 	if voters == nil {
 		return
 	}
-	if err := k.options.Journal.Join(randomID()); err != nil {
+	if err := k.options.Journal.Join(randomID()); wal.IsFull(err) {
+		k.noteFull(err)
+		return
+	} else if err != nil {
 		k.fail(err)
 		return
 	}
+	k.noteSaved()
 	if err := k.node.Bootstrap(voters); err != nil {
 		klog.ErrorS(err, "bootstrap failed", "instance", k.options.Name)
 		return
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -74,13 +74,19 @@
 // isn't known what is on disk. The exception is a full disk: what it held before
 // is still there, and a later call may succeed (see IsFull).
 type Journal struct {
-	fs       FS
+	fs FS
+	// log is nil until something is appended to it.
 	log      File
 	size     int64
 	identity Identity
 	failure  error
-	// hasTornTail says that bytes of a write that failed follow the log's frames.
+	// hasTornTail says that bytes of a write or a sync that failed follow the log's
+	// frames.
 	hasTornTail bool
+	// unsettled is the content of a new log of which it isn't known whether a crash
+	// leaves it or the one before, since the folder couldn't be synced; nil if it is.
+	// It is written anew before anything else is saved.
+	unsettled []byte
 }
 
 // IsFull reports whether an error of Save, Compact or Join says that the disk is
@@ -92,25 +98,34 @@
 // errFull is the cause of an error that IsFull recognises.
 var errFull = errors.New("the disk is full")
 
+// isNoSpace reports whether the operating system refused an operation for want of room. A
+// limit on the size of files counts as such: it can be raised while the process runs, and a
+// compaction makes the log smaller.
 func isNoSpace(err error) bool {
-	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
 }
 
 // Open reads a data folder. newID returns the ID for a new folder. A torn tail
-// of the log is truncated; damage before the tail is an error with code
-// JournalDamaged.
+// of the log is dropped; damage before the tail is an
+// error with code JournalDamaged. A new folder on a full disk is an error with code
+// JournalFull.
 func Open(fs FS, newID func() consensus.ID) (*Journal, consensus.Stored, error) {
 	j := &Journal{fs: fs}
 	stored := consensus.Stored{}
+	for _, name := range []string{identityFile, snapshotFile, logFile} {
+		if left, err := fs.Read(name + temporarySuffix); err == nil && len(left) > 0 {
+			j.emptyTemporary(name)
+		}
+	}
 	if err := j.loadOrCreateIdentity(newID); err != nil {
-		return nil, stored, err
+		return nil, stored, withCode(err)
 	}
 	if err := j.readSnapshot(&stored); err != nil {
 		return nil, stored, err
 	}
 	data, err := fs.Read(logFile)
 	if errors.Is(err, os.ErrNotExist) && j.identity.Cluster == 0 && stored.Snapshot.Index == 0 {
-		return j, stored, j.replaceLog(stored.State, nil)
+		return j, stored, withCode(j.replaceLog(stored.State, nil))
 	}
 	if err != nil {
 		return nil, stored, damaged("log: %v", err)
@@ -118,8 +133,23 @@
 	if err := j.replay(data, &stored); err != nil {
 		return nil, stored, err
 	}
-	j.log, err = fs.Append(logFile)
-	return j, stored, errors.Wrap(err, "open log")
+	// The process before may have been refused a sync: what it wrote can be read, and
+	// yet may not be on the disk.
+	j.unsettled = data[:j.size:j.size]
+	err = j.prepareLog()
+	stored.Unsettled = errors.Is(err, errFull)
+	if err != nil && !stored.Unsettled {
+		return nil, stored, err
+	}
+	return j, stored, nil
+}
+
+// withCode gives the error of a full disk its result code.
+func withCode(err error) error {
+	if errors.Is(err, errFull) {
+		return result.New(result.JournalFull, result.RanNo, "%v", err)
+	}
+	return err
 }
 
 func damaged(format string, args ...any) error {
@@ -147,6 +177,13 @@
 	if err := wire.Decode(payload, &j.identity); err != nil {
 		return damaged("identity: %v", err)
 	}
+	if j.identity.Cluster != 0 {
+		return nil
+	}
+	if _, err := j.fs.Read(logFile); errors.Is(err, os.ErrNotExist) {
+		// The first start wasn't completed, perhaps as the sync of this file was refused.
+		return j.replaceFile(identityFile, payload)
+	}
 	return nil
 }
 
@@ -170,7 +207,7 @@
 	return nil
 }
 
-// replay reads the frames of the log and truncates a torn tail.
+// replay reads the frames of the log up to a torn tail.
 func (j *Journal) replay(data []byte, stored *consensus.Stored) error {
 	for offset := 0; offset < len(data); {
 		payload, length, ok := readFrame(data[offset:])
@@ -178,8 +215,8 @@
 			if hasLaterFrame(data[offset:]) {
 				return damaged("log: the record at byte %d is damaged, and intact records follow it", offset)
 			}
-			j.size = int64(offset)
-			return errors.Wrap(j.fs.Truncate(logFile, int64(offset)), "truncate the torn tail of the log")
+			j.size, j.hasTornTail = int64(offset), true
+			return nil
 		}
 		var b batch
 		if err := wire.Decode(payload, &b); err != nil {
@@ -229,6 +266,10 @@
 	if j.failure != nil {
 		return j.failure
 	}
+	if err := j.prepareLog(); err != nil {
+		// A folder that belongs to a cluster has to have a log.
+		return j.recordFailure(err)
+	}
 	joined := j.identity
 	joined.Cluster = cluster
 	if err := j.replaceFile(identityFile, wire.MustEncode(&joined)); err != nil {
@@ -255,24 +296,51 @@
 }
 
 func (j *Journal) appendBatch(b batch) error {
-	if err := j.truncateTail(); err != nil {
+	if err := j.prepareLog(); err != nil {
 		return err
 	}
 	frame := appendFrame(nil, wire.MustEncode(&b))
-	if _, err := j.log.Write(frame); err != nil {
+	operation := "write log"
+	_, err := j.log.Write(frame)
+	if err == nil {
+		operation = "sync log"
+		// After a failed sync the same sync may succeed without having stored
+		// anything: the frame is cut and written again.
+		err = j.log.Sync()
+	}
+	if err != nil {
 		j.hasTornTail = true
-		if !isNoSpace(err) {
-			return errors.Wrap(err, "write log")
+		err = wrapFull(err, operation)
+		if errors.Is(err, errFull) {
+			if cutErr := j.truncateTail(); cutErr != nil && !errors.Is(cutErr, errFull) {
+				return cutErr
+			}
 		}
-		if err := j.truncateTail(); err != nil && !errors.Is(err, errFull) {
+		return err
+	}
+	j.size += int64(len(frame))
+	return nil
+}
+
+// prepareLog makes the log end with its last intact frame, under its name and durably,
+// and opens it.
+func (j *Journal) prepareLog() error {
+	if j.unsettled != nil {
+		if err := j.replaceLogBy(j.unsettled); err != nil {
 			return err
 		}
-		return errors.Wrap(errFull, "write log")
 	}
-	if err := j.log.Sync(); err != nil {
-		return errors.Wrap(err, "sync log")
+	if err := j.truncateTail(); err != nil {
+		return err
 	}
-	j.size += int64(len(frame))
+	if j.log != nil {
+		return nil
+	}
+	log, err := j.fs.Append(logFile)
+	if err != nil {
+		return wrapFull(err, "open log")
+	}
+	j.log = log
 	return nil
 }
 
@@ -281,15 +349,11 @@
 	if !j.hasTornTail {
 		return nil
 	}
-	switch err := j.fs.Truncate(logFile, j.size); {
-	case err == nil:
-		j.hasTornTail = false
-		return nil
-	case isNoSpace(err):
-		return errors.Wrap(errFull, "truncate log")
-	default:
-		return errors.Wrap(err, "truncate log")
+	if err := j.fs.Truncate(logFile, j.size); err != nil {
+		return wrapFull(err, "truncate log")
 	}
+	j.hasTornTail = false
+	return nil
 }
 
 // Compact stores a snapshot and starts a new log with the given state and
@@ -307,48 +371,80 @@
 
 // replaceLog replaces the log file by one with a single batch.
 func (j *Journal) replaceLog(state consensus.HardState, entries []consensus.Entry) error {
-	payload := wire.MustEncode(&batch{State: &state, Entries: entries})
-	if err := j.replaceFile(logFile, payload); err != nil {
+	return j.replaceLogBy(appendFrame(nil, wire.MustEncode(&batch{State: &state, Entries: entries})))
+}
+
+// replaceLogBy replaces the log file by one with the content.
+func (j *Journal) replaceLogBy(content []byte) error {
+	renamed, err := j.replaceContent(logFile, content)
+	if !renamed {
 		return err
 	}
 	if j.log != nil {
 		_ = j.log.Close()
 		j.log = nil
 	}
+	j.unsettled = nil
 	j.hasTornTail = false
-	j.size = int64(frameHeaderBytes + len(payload))
-	log, err := j.fs.Append(logFile)
-	j.log = log
-	return errors.Wrap(err, "open log")
+	j.size = int64(len(content))
+	if err != nil {
+		j.unsettled = content
+	}
+	return err
 }
 
 // replaceFile durably replaces a file by one with a single frame.
 func (j *Journal) replaceFile(name string, payload []byte) error {
+	_, err := j.replaceContent(name, appendFrame(nil, payload))
+	return err
+}
+
+// replaceContent durably replaces a file by one with the content. After an error renamed
+// says that the new file may be found after a crash; it may be the old one too.
+func (j *Journal) replaceContent(name string, content []byte) (renamed bool, err error) {
+	if err := j.writeTemporary(name, content); err != nil {
+		return false, err
+	}
+	if err := j.fs.Rename(name+temporarySuffix, name); err != nil {
+		j.emptyTemporary(name)
+		return false, wrapFull(err, "rename "+name)
+	}
+	return true, wrapFull(j.fs.SyncFolder(), "sync the folder of "+name)
+}
+
+// writeTemporary writes and syncs the file that is to replace another.
+func (j *Journal) writeTemporary(name string, content []byte) error {
 	f, err := j.fs.Create(name + temporarySuffix)
 	if err != nil {
-		if isNoSpace(err) {
-			err = errFull
-		}
-		return errors.Wrapf(err, "create %s", name)
+		return wrapFull(err, "create "+name)
 	}
-	_, err = f.Write(appendFrame(nil, payload))
+	_, err = f.Write(content)
 	if err == nil {
 		err = f.Sync()
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
-	if isNoSpace(err) {
-		// The file that would be replaced is untouched.
-		err = errFull
+	if err != nil {
+		j.emptyTemporary(name)
 	}
-	if err == nil {
-		err = j.fs.Rename(name+temporarySuffix, name)
+	return wrapFull(err, "replace "+name)
+}
+
+// emptyTemporary gives back the room of a file that replaces no other, or else the rest
+// of a full disk would be lost to the log.
+func (j *Journal) emptyTemporary(name string) {
+	if f, err := j.fs.Create(name + temporarySuffix); err == nil {
+		_ = f.Close()
 	}
-	if err == nil {
-		err = j.fs.SyncFolder()
+}
+
+// wrapFull wraps an error, which matches errFull if it says that the disk is full.
+func wrapFull(err error, message string) error {
+	if isNoSpace(err) {
+		return errors.Wrapf(errFull, "%s: %v", message, err)
 	}
-	return errors.Wrapf(err, "replace %s", name)
+	return errors.Wrap(err, message)
 }
 
 // recordFailure keeps a failure, with its result code, as the answer to later
@@ -358,7 +454,7 @@
 		return nil
 	}
 	if errors.Is(err, errFull) {
-		return result.New(result.JournalFull, result.RanNo, "%v", err)
+		return withCode(err)
 	}
 	j.failure = result.New(result.JournalSyncFailed, result.RanUnknown, "%v", err)
 	return j.failure
