--- a/drain/listener.go
+++ b/drain/listener.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -34,16 +35,19 @@
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
-// on it, closed that CloseIdle has closed it. reading says that the server waits
+// on it, closed that no more is read from it. reading says that the server waits
 // for bytes: until then it may hold a request that it read with the one before.
+// interrupted says that CloseIdle has ended the wait in place of readDeadline.
 type trackedConn struct {
 	net.Conn
 	listener *Listener
 
-	mu      sync.Mutex
-	busy    bool
-	reading bool
-	closed  bool
+	mu           sync.Mutex
+	busy         bool
+	reading      bool
+	interrupted  bool
+	closed       bool
+	readDeadline time.Time
 	// lingering says that Close waits for the caller, ended that there is nothing to wait
 	// for: the caller has closed the connection, it has failed, or it is to be reset.
 	lingering, ended bool
@@ -113,20 +117,33 @@
 }
 
 // Read implements net.Conn. The connection is busy once Read has returned
-// bytes; after CloseIdle has closed it, Read returns none.
+// bytes; after CloseIdle has ended the wait for them, Read returns none.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
 	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closed || c.lingering {
+	interrupted := c.interrupted
+	c.interrupted = false
+	switch {
+	case c.lingering:
 		return 0, net.ErrClosed
-	}
-	if n > 0 {
+	case n > 0:
 		c.busy = true
+		if interrupted {
+			// The bytes came first.
+			_ = c.Conn.SetReadDeadline(c.readDeadline)
+		}
+	case interrupted:
+		c.closed = true
+		return 0, net.ErrClosed
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = true
@@ -134,6 +151,17 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -223,8 +251,8 @@
 	}
 }
 
-// CloseIdle closes the connections that wait for a request and returns the number
-// of those that remain, without those that linger.
+// CloseIdle ends the wait for a request on the connections that wait for one, closes them
+// and returns the number of those that aren't closed yet, without those that linger.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
@@ -236,7 +264,7 @@
 	l.mu.Unlock()
 	remaining := 0
 	for _, conn := range conns {
-		if conn.closeIfIdle() {
+		if conn.interruptIfIdle() {
 			_ = conn.Close()
 		} else {
 			remaining++
@@ -278,12 +306,16 @@
 	return err == nil && unread
 }
 
-func (c *trackedConn) closeIfIdle() bool {
+// interruptIfIdle ends the wait for a request, and reports whether it has ended without one.
+// A close would drop what Read has just read.
+func (c *trackedConn) interruptIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.reading || c.hasUnread() {
-		return false
+	if !c.busy && c.reading && !c.interrupted && !c.hasUnread() {
+		c.interrupted = c.Conn.SetReadDeadline(longAgo) == nil
 	}
-	c.closed = true
-	return true
+	return c.closed
 }
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
--- a/drain/unread_test.go
+++ b/drain/unread_test.go
@@ -66,13 +66,15 @@
 				defer c.mu.Unlock()
 				return c.reading
 			}).Should(gomega.BeTrue())
+			// The wait is ended; whether bytes came first is known when the read returns.
+			g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+			close(read)
+			g.Eventually(got).Should(gomega.Receive(gomega.Equal(text)))
 			if text == "" {
 				g.Expect(l.CloseIdle()).To(gomega.BeZero())
 			} else {
 				g.Expect(l.CloseIdle()).To(gomega.Equal(1))
 			}
-			close(read)
-			g.Eventually(got).Should(gomega.Receive(gomega.Equal(text)))
 		})
 	}
 }
