--- a/wal/fulldisk_test.go
+++ b/wal/fulldisk_test.go
@@ -438,7 +438,7 @@
 				j, _ := mustOpen(t, fs)
 				r := consensus.Ready{StateChanged: true, State: consensus.HardState{Term: 1, Vote: 7}, Entries: []consensus.Entry{{Index: 1, Term: 1}}}
 				g.Expect(j.Save(r)).To(gomega.Succeed())
-				fs.fail = func(operation, name string) error {
+				fs.fail = func(operation, _ string) error {
 					if operation == "sync" || operation == "truncate" {
 						return cause
 					}
