--- a/keeper/fulldisk_test.go
+++ b/keeper/fulldisk_test.go
@@ -248,7 +248,9 @@
 	g := gomega.NewWithT(t)
 	k := startKeepers(t, 3, "all")
 	g.Eventually(func() int { return k.folders[0].refusalsOf("open log") }, 5*time.Second).Should(gomega.BeNumerically(">", 0))
-	for _, folder := range k.folders {
+	k.folders[0].refuse("")
+	for _, folder := range k.folders[1:] {
+		g.Eventually(func() int { return folder.refusalsOf("open log") }, 5*time.Second).Should(gomega.BeNumerically(">", 1))
 		folder.refuse("")
 	}
 	g.Expect(k.put(t.Context(), 10)).To(gomega.Succeed())
