entry: Answer requests whose handler panics

As in the role ingress: a panic in a handler closed the caller's connection without an answer, and the only trace went to the standard logger. It is now logged, counted (entry.panics) and answered by 500 (9001), ran: unknown; if an answer has begun, the connection is closed. The ErrorLog that writes to klog moves to common/logs, with its test, as both roles use it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/common/logs"
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/gossip"
@@ -126,6 +127,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    o.Settings.MaxHeaderBytes,
 		ConnState:         e.listener.StateChanged,
+		ErrorLog:          logs.NewServerLog(),
 	}
 	go func() { _ = server.Serve(e.listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -265,7 +267,9 @@
 type meters struct {
 	accepted, refused, answered, failed metrics.Counter
 	resumed, recomputed                 metrics.Counter
-	firstToken                          metrics.Timer
+	// panics counts requests whose handler panicked.
+	panics     metrics.Counter
+	firstToken metrics.Timer
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -276,6 +280,7 @@
 		failed:     metrics.GetOrRegisterCounter("entry.failed", r),
 		resumed:    metrics.GetOrRegisterCounter("entry.resumed", r),
 		recomputed: metrics.GetOrRegisterCounter("entry.tokensRecomputed", r),
+		panics:     metrics.GetOrRegisterCounter("entry.panics", r),
 		firstToken: metrics.GetOrRegisterTimer("entry.firstToken", r),
 	}
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -52,12 +52,14 @@
 // serve wraps a handler with the checks common to all requests and with the
 // writing of errors.
 func (e *Entry) serve(handle requestHandler) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(response http.ResponseWriter, r *http.Request) {
+		w, in := &callerWriter{ResponseWriter: response}, callerRequest{}
+		defer e.answerPanic(w, &in)
 		if e.draining.Load() {
 			// A new connection of the caller leads to another entry.
 			w.Header().Set("Connection", "close")
 		}
-		in, err := e.readRequest(w, r)
+		err := e.readRequest(w, r, &in)
 		if err == nil {
 			defer e.openRequests.end(in.caller)
 			err = handle(r.Context(), w, r, in)
@@ -68,41 +70,41 @@
 	}
 }
 
-func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (callerRequest, error) {
-	in := callerRequest{caller: r.Header.Get(headerCaller), key: r.Header.Get(headerKey), unread: r.ContentLength != 0}
+func (e *Entry) readRequest(w *callerWriter, r *http.Request, in *callerRequest) error {
+	*in = callerRequest{caller: r.Header.Get(headerCaller), key: r.Header.Get(headerKey), unread: r.ContentLength != 0}
 	if in.caller == "" {
 		in.caller = anonymous
 	}
 	if !service.ValidName(in.caller) || len(in.key) > maxKeyBytes {
-		return in, result.New(result.BadRequest, result.RanNo, "header %s or %s is invalid", headerCaller, headerKey)
+		return result.New(result.BadRequest, result.RanNo, "header %s or %s is invalid", headerCaller, headerKey)
 	}
 	if !e.options.Gossip.Ready(r.Context()) {
-		return in, result.New(result.NotReady, result.RanNo, "this entry hasn't received its documents yet").WithRetry(drainDelay)
+		return result.New(result.NotReady, result.RanNo, "this entry hasn't received its documents yet").WithRetry(drainDelay)
 	}
 	// Requests name no time by which they fail, so that all may outlast a stop.
 	if e.stop.TooLate(e.dispatch.clock(), drain.Never) {
-		return in, drain.Error(false)
+		return drain.Error(false)
 	}
 	in.unread = false
 	body, err := e.readBody(w, r)
 	if err != nil {
-		return in, err
+		return err
 	}
 	if e.stop.TooLate(e.dispatch.clock(), drain.Never) {
-		return in, drain.Error(false)
+		return drain.Error(false)
 	}
 	in.body = body
 	if !e.openRequests.begin(in.caller) {
-		return in, result.New(result.CallerStreams, result.RanNo, "%d requests of caller %s are open, which is the limit", e.openRequests.perCallerLimit, in.caller).WithRetry(drainDelay)
+		return result.New(result.CallerStreams, result.RanNo, "%d requests of caller %s are open, which is the limit", e.openRequests.perCallerLimit, in.caller).WithRetry(drainDelay)
 	}
-	return in, nil
+	return nil
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (e *Entry) readBody(w *callerWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline(readBodyTimeout))
 	open := e.stop.Open(drain.Never, drain.Never, func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.options.Settings.MaxBodyBytes)))
+	body, err := io.ReadAll(http.MaxBytesReader(w.ResponseWriter, r.Body, int64(e.options.Settings.MaxBodyBytes)))
 	open.Close()
 	if open.Ended() {
 		return nil, drain.Error(false)
--- a/ingress/ended_test.go
+++ b/ingress/ended_test.go
@@ -48,14 +48,6 @@
 	return strings.Join(regexp.MustCompile(fmt.Sprintf(`(?m)^.* request=%q.*$`, request)).FindAllString(logged.text.String(), -1), "\n")
 }
 
-// logCount is how often the log has the text.
-func logCount(text string) int {
-	klog.Flush()
-	logged.mu.Lock()
-	defer logged.mu.Unlock()
-	return strings.Count(logged.text.String(), text)
-}
-
 // ended is how often the entry counted a cause.
 func (s *stopCase) ended(cause string) int64 {
 	return metrics.GetOrRegisterCounter("ingress.ended."+cause, s.in.options.Metrics).Count()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,6 +22,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/logs"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/drain"
@@ -139,9 +140,9 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ErrorLog:          newServerLog(),
+		ErrorLog:          logs.NewServerLog(),
 	}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: newServerLog()}
+	readinessServer := &http.Server{Handler: http.HandlerFunc(in.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: logs.NewServerLog()}
 	for _, s := range []struct {
 		server *http.Server
 		listen string
--- a/ingress/panic.go
+++ b/ingress/panic.go
@@ -3,20 +3,17 @@
 import (
 	"net/http"
 	"runtime/debug"
-	"strings"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/common/logs"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
 // maxStackBytes bounds the stack in the log line of a panic.
 const maxStackBytes = 8 << 10
 
-// oneLine makes a stack one line, as the log's lines are.
-var oneLine = strings.NewReplacer("\n\t", " ", "\n", "; ")
-
 // answerPanic, deferred, answers a request whose handler panics. If an answer has begun,
 // the caller's connection is closed. http.ErrAbortHandler goes on to net/http.
 func (in *Ingress) answerPanic(w http.ResponseWriter, httpRequest *http.Request, r *request) {
@@ -28,9 +25,8 @@
 		panic(p)
 	}
 	in.meters.panics.Inc(1)
-	stack := debug.Stack()
 	klog.ErrorS(errors.Errorf("%v", p), "handler panicked", "request", r.ID, "route", r.routeName(), "answerBegun", r.headSent, "sent", r.sent,
-		"stack", oneLine.Replace(string(stack[:min(len(stack), maxStackBytes)])))
+		"stack", logs.OneLine(debug.Stack(), maxStackBytes))
 	if r.headSent {
 		in.meters.ended(endPanicked)
 		klog.InfoS("response cut off; closing the connection", "request", r.ID, "route", r.routeName(), "cause", endPanicked)
--- a/ingress/panic_test.go
+++ b/ingress/panic_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -85,15 +84,3 @@
 		})
 	}
 }
-
-// TestServerLogsToTheNodesLog guards against lines of net/http's server that are lost, or that
-// a caller can make without bound.
-func TestServerLogsToTheNodesLog(t *testing.T) {
-	g := gomega.NewWithT(t)
-	l := newServerLog()
-	before := logCount("a long detail")
-	for range 10 * serverLogBurst {
-		l.Print("http: a long detail\n" + strings.Repeat("x", 2*maxServerLogBytes))
-	}
-	g.Expect(logCount("a long detail") - before).To(gomega.And(gomega.BeNumerically(">=", serverLogBurst), gomega.BeNumerically("<", 2*serverLogBurst)))
-}
