drain: Keep a request that was read while its connection was being closed

A stopping entry closes the connections that wait for a request. What the server read in that moment was dropped, and the caller saw its connection end: a whole request that had been read got neither an answer nor a refusal.

Cause: CloseIdle marked the connection as closed while a Read was between the system call and its return; Read then threw the bytes away. Found by reading; the window is short. The test holds a Read there:

--- FAIL: TestStopKeepsRequestsThatWereJustRead (0.00s) Expected <int>: 0 to equal <int>: 1

CloseIdle now ends the wait by a deadline that has passed. A Read that has bytes returns them and the connection stays; one that has none ends as at the end of the connection, and only then is the connection closed. The server's own deadline is put back if the bytes came first.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -1,9 +1,11 @@
 package drain
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -19,16 +21,19 @@
 }
 
 // trackedConn is a caller's connection; busy says that a request is under way
-// on it, closed that CloseIdle has closed it. reading says that the server waits
+// on it, closed that no more is read from it. reading says that the server waits
 // for bytes: until then it may hold a request that it read with the one before.
+// interrupted says that CloseIdle has ended the wait in place of readDeadline.
 type trackedConn struct {
 	net.Conn
 	listener *Listener
 
-	mu      sync.Mutex
-	busy    bool
-	reading bool
-	closed  bool
+	mu           sync.Mutex
+	busy         bool
+	reading      bool
+	interrupted  bool
+	closed       bool
+	readDeadline time.Time
 }
 
 // NewListener tracks the connections that l accepts.
@@ -50,24 +55,47 @@
 }
 
 // Read implements net.Conn. The connection is busy once Read has returned
-// bytes; after CloseIdle has closed it, Read returns none.
+// bytes; after CloseIdle has ended the wait for them, Read returns none.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return 0, io.EOF
+	}
 	c.reading = true
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
+	interrupted := c.interrupted
+	c.interrupted = false
+	switch {
+	case n > 0:
 		c.busy = true
+		if interrupted {
+			// The bytes came first.
+			_ = c.Conn.SetReadDeadline(c.readDeadline)
+		}
+	case interrupted:
+		// net/http answers other errors than the end of the connection.
+		c.closed = true
+		return 0, io.EOF
 	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.listener.mu.Lock()
@@ -98,8 +126,8 @@
 	conn.busy = s == http.StateActive
 }
 
-// CloseIdle closes the connections that wait for a request and returns the number
-// of those that remain.
+// CloseIdle ends the wait for a request on the connections that wait for one, closes them
+// and returns the number of those that aren't closed yet.
 func (l *Listener) CloseIdle() int {
 	l.mu.Lock()
 	conns := make([]*trackedConn, 0, len(l.open))
@@ -109,7 +137,7 @@
 	l.mu.Unlock()
 	remaining := 0
 	for _, conn := range conns {
-		if conn.closeIfIdle() {
+		if conn.interruptIfIdle() {
 			_ = conn.Close()
 		} else {
 			remaining++
@@ -133,12 +161,16 @@
 	return n
 }
 
-func (c *trackedConn) closeIfIdle() bool {
+// interruptIfIdle ends the wait for a request, and reports whether it has ended without one.
+// A close would drop what Read has just read.
+func (c *trackedConn) interruptIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.reading {
-		return false
+	if !c.busy && c.reading && !c.interrupted {
+		c.interrupted = c.Conn.SetReadDeadline(longAgo) == nil
 	}
-	c.closed = true
-	return true
+	return c.closed
 }
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -96,3 +97,59 @@
 		g.Expect(string(body)).To(gomega.Equal(want))
 	}
 }
+
+// heldConn returns from its first Read only when it may, after it has read.
+type heldConn struct {
+	net.Conn
+	first         sync.Once
+	read, release chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.first.Do(func() {
+		close(c.read)
+		<-c.release
+	})
+	return n, err
+}
+
+// TestStopKeepsRequestsThatWereJustRead guards against a request that gets neither an answer
+// nor a refusal: the connection is closed after its bytes were read, and they are dropped.
+func TestStopKeepsRequestsThatWereJustRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	serverEnd, callerEnd := net.Pipe()
+	held := &heldConn{Conn: serverEnd, read: make(chan struct{}), release: make(chan struct{})}
+	queue := make(connQueue, 1)
+	queue <- held
+	l := NewListener(queue)
+	c, err := l.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	const head, rest = "GET / HTTP/1.1\r\n", "Host: h\r\n\r\n"
+	go func() { _, _ = io.WriteString(callerEnd, head) }()
+	buffer, length, readErr := make([]byte, 64), 0, make(chan error, 1)
+	go func() {
+		var err error
+		length, err = c.Read(buffer)
+		readErr <- err
+	}()
+	<-held.read
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+	close(held.release)
+	g.Eventually(readErr).Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(string(buffer[:length])).To(gomega.Equal(head))
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+	go func() { _, _ = io.WriteString(callerEnd, rest) }()
+	length, err = c.Read(buffer)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(string(buffer[:length])).To(gomega.Equal(rest))
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Write([]byte("answer"))
+		answered <- err
+	}()
+	_, err = io.ReadFull(callerEnd, make([]byte, len("answer")))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(answered).Should(gomega.Receive(gomega.BeNil()))
+}
