--- a/drain/listener.go
+++ b/drain/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -122,7 +123,7 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		return 0, net.ErrClosed
+		return 0, io.EOF
 	}
 	c.reading = true
 	c.mu.Unlock()
@@ -142,8 +143,9 @@
 			_ = c.Conn.SetReadDeadline(c.readDeadline)
 		}
 	case interrupted:
+		// net/http answers other errors than the end of the connection.
 		c.closed = true
-		return 0, net.ErrClosed
+		return 0, io.EOF
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended = true
--- a/ingress/silence_fuzz_test.go
+++ b/ingress/silence_fuzz_test.go
@@ -604,7 +604,7 @@
 		options:        Options{Clock: now, Settings: settings.Ingress{UsageWindow: time.Second}},
 		dispatcher:     newDispatcher(ctx, now, fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1, DrainWithin: time.Second}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
-		link:           link.New(ctx, link.Options{Clock: now, PeerClient: peer.NewClient(), BuildUsageReport: func() control.AccountRequest { return control.AccountRequest{} }}),
+		link:           link.New(ctx, link.Options{Clock: now, PeerClient: peer.NewClient(), BuildUsageReport: func(time.Time) control.AccountRequest { return control.AccountRequest{} }}),
 		meters:         newMeters(metrics.NewRegistry()),
 		usage:          usage.NewMeter(),
 		origins:        origin.New(),
