exchange: Don't give up uploads for a closed window

A request whose body doesn't fit into its upstream's buffers was given up after 3 s in which the upstream read too little, as if it were gone, also one that may not be repeated: its caller got 502. Two silences of 1.9 s were enough where the upstream's window is small. TCP_USER_TIMEOUT counts a closed window as bytes that aren't acknowledged, though the upstream's kernel answers each probe.

Open: tunnels, where both ends keep the timeout.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -314,10 +314,7 @@
 		if err != nil {
 			return nil, &Error{Sent: n > 0, err: errors.Wrap(err, "send")}
 		}
-		go func() {
-			_, err := conn.Write(r.Body)
-			bodyWritten <- err
-		}()
+		go func() { bodyWritten <- conn.upload(r.Body) }()
 	}
 	conn.headBytes = maxHeadBytes
 	for foreign := 0; foreign <= maxForeignResponses; {
--- a/exchange/dial.go
+++ b/exchange/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,23 +20,24 @@
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(conn)
+	setUserTimeout(conn, userTimeout)
 	return conn, nil
 }
 
 // keepAlive detects peers that vanished without closing the connection.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
-// setUserTimeout bounds the time for which sent bytes may stay unacknowledged. If the
-// option can't be set, the keep-alive probes still detect a dead connection.
-func setUserTimeout(conn net.Conn) {
+// setUserTimeout bounds the time for which sent bytes may stay unacknowledged, unless the
+// timeout is 0. If the option can't be set, the keep-alive probes still detect a dead
+// connection.
+func setUserTimeout(conn net.Conn, timeout time.Duration) {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return
 	}
 	if raw, err := tcp.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 		})
 	}
 }
@@ -45,7 +47,7 @@
 func DetectDeadPeer(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
-		setUserTimeout(conn)
+		setUserTimeout(conn, userTimeout)
 	}
 }
 
