ingress: Keep an upstream's error response while the request is tried elsewhere

A caller whose upstream had answered with an error got 502 upstreamUnknown in its place if the second upstream refused, broke off or couldn't be reached: the error response was dropped before the second attempt had begun. Hedges keep it (TestErrorsOutliveHedges); now attempts that follow each other do too, until one of them has an answer.

Before, all eight cases:

--- FAIL: TestErrorsOutliveRetries/refuses_idempotent (0.01s) Expected <int>: 502 to equal <int>: 500

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// after is the outcome of an attempt that went on beside an earlier one that has failed. The
+// after is the outcome of an attempt that followed one that has failed, or went on beside it. The
 // earlier one's error response is still the best answer if this one has none.
 func (o outcome) after(earlier outcome) outcome {
 	if o.done || o.errorResponse != nil {
@@ -135,11 +135,10 @@
 				d.answerFailure(lastOutcome, a.Err)
 				return
 			case fleet.Grant:
-				lastOutcome.close()
 				if !d.stop.Send(in.options.Clock()) {
 					break
 				}
-				lastOutcome = d.attempt(ctx, a)
+				lastOutcome = d.attempt(ctx, a).after(lastOutcome)
 				for !lastOutcome.done {
 					d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
 					if ctx.Err() != nil {
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -202,6 +202,36 @@
 	g.Expect(body).To(gomega.Equal("why"))
 }
 
+// TestErrorsOutliveRetries guards against the error response of an upstream that is lost since the
+// request is tried at another one, which refuses it, breaks off or can't be reached.
+func TestErrorsOutliveRetries(t *testing.T) {
+	for name, second := range map[string]answer{
+		"refuses": func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Request-Id: "+requestID+"\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		},
+		"breaks off":              func(net.Conn, *http.Request) {},
+		"breaks off in its error": func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 500 Bro") },
+		"is gone":                 nil,
+	} {
+		for _, route := range []config.Route{{Kind: config.Idempotent}, resumable} {
+			t.Run(fmt.Sprint(name, " ", route.Kind), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				failing := startUpstream(t, func(c net.Conn, _ *http.Request) {
+					_, _ = io.WriteString(c, "HTTP/1.1 500 Broken\r\nX-Request-Id: "+requestID+"\r\nX-Replica-Seal: s\r\nContent-Length: 3\r\n\r\nwhy")
+				})
+				other := netip.MustParseAddrPort("127.0.0.1:1")
+				if second != nil {
+					other = startUpstream(t, second)
+				}
+				status, body, err := get(startEntry(t, route, 8*time.Second, failing, other))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(http.StatusInternalServerError))
+				g.Expect(body).To(gomega.Equal("why"))
+			})
+		}
+	}
+}
+
 // TestHedgedStreamsStayWholeAndLeaveNothing fuzzes upstreams that fall silent, break off and
 // refuse, and callers that leave: each answer has the events in order, none twice, and in
 // the end no ticket, slot or goroutine is left.
