ingress: Build no report before the link is known

New stores the link that New of package link returns, whose goroutines may build a report before that, and a report reads the link's clock: a data race, and in the worst case a nil pointer in a goroutine, which ends the process as it starts. Reports wait until the link is stored. Found by the race detector in tests that start an entry, on code that is older than these tests.

Before, with -race: TestNewConfigurationsEndNoRequest: race detected during execution of test read: buildUsageReport (ingress.go:293), previous write: New (ingress.go:132) After: all of ./ingress passes with -race.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -129,10 +129,21 @@
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, stopping: in.stopping.Load, meters: &in.meters}
 	o.Server.Handle(tunnelPattern, in.tunnels)
 	go in.watchForSilence(ctx)
+	// The reports of the link read its clocks.
+	linked := make(chan struct{})
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
-		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, BuildReport: in.buildReport, OnReply: in.applyReply, BuildUsageReport: in.buildUsageReport,
+		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, OnReply: in.applyReply,
+		BuildReport: func(now clock.Instant) control.AccountRequest {
+			<-linked
+			return in.buildReport(now)
+		},
+		BuildUsageReport: func() control.AccountRequest {
+			<-linked
+			return in.buildUsageReport()
+		},
 	})
+	close(linked)
 	in.registerGauges(o.Metrics)
 	callerServer := &http.Server{
 		Handler:           http.HandlerFunc(in.serveCaller),
