entry: Bound the writing of plain answers

A caller that read nothing of a large answer of a plain service kept its connection, one of maxConnections, for ever, and no log line said so when a write failed. The answer is written in pieces of 64 KB, each of which may take writeTimeout, so that a caller that reads slowly still gets all of it. A failed write is logged.

Without the deadlines: --- FAIL: TestPlainAnswersEndForCallersThatReadNothing/reads_nothing (2.01s) Timed out after 2.000s.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -5,9 +5,13 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -101,17 +105,32 @@
 		return err
 	}
 	e.inTime.add(e.dispatch.clock(), name, call.Rank, time.Since(began) <= d.Ranks[rank].FirstToken)
-	response.write(w)
+	if err := response.write(w, e.options.Settings.WriteTimeout); err != nil {
+		klog.InfoS("answer not written; closing the connection", "instance", e.options.Node.Name, "caller", in.caller, "service", name, "err", err)
+		panic(http.ErrAbortHandler)
+	}
 	return nil
 }
 
-func (a *plainResponse) write(w http.ResponseWriter) {
+// writeBytes is how much of a plain answer is written at once.
+const writeBytes = 64 << 10
+
+// write sends the answer. Each write may take until the timeout.
+func (a *plainResponse) write(w http.ResponseWriter, timeout time.Duration) error {
 	for name, values := range a.header {
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerServedBy, a.servedBy)
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(deadline(timeout))
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+	for body := range slices.Chunk(a.body, writeBytes) {
+		_ = control.SetWriteDeadline(deadline(timeout))
+		if _, err := w.Write(body); err != nil {
+			return errors.Wrap(err, "write")
+		}
+	}
+	return nil
 }
 
 // run sends the call to upstreams until one has responded. A call that isn't
