exchange: Watch only uploads that haven't arrived after a while

The timeout of the kernel stays on for the first quarter of a second, which almost all uploads need at most, so that those cost nothing but a timer; and it is put back when the state of a connection can't be read, as otherwise nothing would bound the time of unacknowledged bytes on it.

--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -17,25 +17,24 @@
 	maxLostProbes = 4
 )
 
-// upload writes a body that may not fit into the upstream's buffers. TCP_USER_TIMEOUT also
-// ends connections to an upstream that is there and reads nothing for a moment, so that
-// it is off until the upstream's kernel has the whole body.
+// upload writes a body that may not fit into the upstream's buffers.
 func (c *connection) upload(body []byte) error {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
 		_, err := c.Write(body)
 		return err
 	}
-	setUserTimeout(tcp, 0)
 	var written atomic.Bool
-	go watchUpload(tcp, &written)
+	time.AfterFunc(uploadCheckInterval, func() { watchUpload(tcp, &written) })
 	_, err := c.Write(body)
 	written.Store(true)
 	return err
 }
 
-// watchUpload aborts the connection if the other side is gone. It returns when the connection
-// has been closed, or when all that was written has arrived.
+// watchUpload takes the place of TCP_USER_TIMEOUT until all that was written has arrived:
+// that also ends connections to an upstream that is there and reads nothing for a moment.
+// It aborts the connection if the other side is gone, and returns when the connection has
+// been closed.
 func watchUpload(tcp *net.TCPConn, written *atomic.Bool) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
@@ -43,19 +42,22 @@
 	}
 	t := time.NewTicker(uploadCheckInterval)
 	defer t.Stop()
-	for range t.C {
+	for watched := false; ; watched = true {
 		done := written.Load()
 		left, info, err := sendState(raw)
 		switch {
-		case err != nil:
-			return
-		case done && left == 0:
-			setUserTimeout(tcp, userTimeout)
+		case err != nil || done && left == 0:
+			if watched {
+				setUserTimeout(tcp, userTimeout)
+			}
 			return
+		case !watched:
+			setUserTimeout(tcp, 0)
 		case lost(info):
 			Abort(tcp)
 			return
 		}
+		<-t.C
 	}
 }
 
