ingress: Give up an adopted hedge when the next one begins to answer

A request could wait for a silent upstream until its deadline, though another one had begun to answer it: the first upstream broke off while two hedges ran, the first hedge took its place, and the second one began to answer, or reached the end of the overlap, before the first one was watched. What gives the present attempt up was still that of the attempt that had ended, so that the silent one went on, and the answer of the other one was never read. A stream that goes on after an event was at both upstreams for as long.

Cause: adoptHedge left giveUp to watchForStall, which comes after a step of the dispatcher. Since there can be two hedges it has to change with the adoption. Found by reading; the window is short.

adoptHedge sets giveUp in the step in which the hedge becomes the present attempt.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -348,6 +348,8 @@
 	if h != nil {
 		h.adopted = true
 		d.remove(h)
+		// Another hedge may win before watchForStall is called for this one.
+		d.giveUp = h.cancel
 	}
 	d.mu.Unlock()
 	if h == nil {
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -167,3 +167,22 @@
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(grant.Upstream.ID).To(gomega.Equal(other.Upstream.ID))
 }
+
+// TestAdoptedHedgesAreGivenUp guards against a request that waits for a silent hedge until its
+// deadline, as the next hedge began to answer just when the first attempt had broken off.
+func TestAdoptedHedgesAreGivenUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d, _ := silentForwarding(t, httptest.NewRecorder(), chunkedHead)
+	d.giveUp = func() {}
+	for range 2 {
+		h := &hedge{settled: make(chan struct{}), accepted: make(chan struct{})}
+		h.ctx, h.cancel = context.WithCancel(t.Context())
+		d.hedges = append(d.hedges, h)
+	}
+	next := d.hedges[1]
+	adopted := d.adoptHedge(retry.Broken)
+	g.Expect(adopted).NotTo(gomega.BeIdenticalTo(next))
+	d.endOverlap(next)
+	g.Expect(d.replaced()).To(gomega.BeTrue())
+	g.Expect(adopted.ctx.Err()).To(gomega.MatchError(context.Canceled))
+}
