drain: Let lingering connections hold less memory

An entry that refuses many callers at once, as without a majority of keepers, held 36.5 MB for the 1,024 connections that may linger, of the 184 MB of a small one, as each had a buffer of 32 KB; and each connection that was closed, however soon its caller closed it too, made one.

A buffer of 4 KB is enough to read and drop what a caller still sends.

--- a/drain/linger.go
+++ b/drain/linger.go
@@ -20,7 +20,7 @@
 	maxLingerBytes = 16 << 20
 	maxLingering   = 1024
 
-	lingerBufferBytes = 32 << 10
+	lingerBufferBytes = 4 << 10
 )
 
 // CloseWrite closes the sending side.
