ingress: Say "unknown" after a hedge that may have run

In a stop, or when its key couldn't be confirmed, a request that may be repeated was refused as "not run" though an upstream that was asked beside a silent one had broken off with it: only attempts were remembered, not hedges that had ended.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,8 +43,9 @@
 	// countedAt the instant.
 	window    uint64
 	countedAt clock.Instant
-	// mayHaveRun says that an earlier attempt may have run the request.
-	mayHaveRun bool
+	// mayHaveRun says that an earlier attempt, or a hedge that has ended, may have run the
+	// request.
+	mayHaveRun atomic.Bool
 	stop       *drain.Request
 	// origin is what began the stream, nil if nobody may resume it; it was last told to
 	// the keepers at originToldAt.
@@ -151,7 +153,9 @@
 				r.sent = true
 				lastOutcome = d.attempt(ctx, a).after(lastOutcome)
 				for !lastOutcome.done {
-					d.mayHaveRun = d.mayHaveRun || lastOutcome.failure.MayHaveRun()
+					if lastOutcome.failure.MayHaveRun() {
+						d.mayHaveRun.Store(true)
+					}
 					if ctx.Err() != nil {
 						break
 					}
@@ -165,7 +169,7 @@
 				if lastOutcome.done {
 					return
 				}
-				if !d.mayHaveRun {
+				if !d.mayHaveRun.Load() {
 					d.stop.Unsent()
 				}
 				in.link.AwaitDirectory(ctx)
@@ -194,7 +198,7 @@
 		return
 	}
 	if d.stop.Ended() {
-		d.answerFailure(outcome{}, drain.Error(d.mayHaveRun))
+		d.answerFailure(outcome{}, drain.Error(d.mayHaveRun.Load()))
 		return
 	}
 	d.answerFailure(outcome{}, result.New(result.TimedOut, result.RanUnknown, "the deadline of the request has passed"))
@@ -242,7 +246,7 @@
 // may have been revoked. It says "not run" only if no earlier attempt may have
 // run the request.
 func (d *forwarding) notConfirmedError() *result.Error {
-	if d.mayHaveRun {
+	if d.mayHaveRun.Load() {
 		return result.New(result.UpstreamUnknown, result.RanUnknown, "an earlier attempt may have run the request, and the configuration can no longer be confirmed")
 	}
 	return result.From(d.in.notConfirmedError())
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -187,6 +187,7 @@
 // attempt fails. The caller holds mu.
 func (d *forwarding) drop(h *hedge) {
 	h.dropped = true
+	d.mayHaveRun.Store(true)
 	h.cancel()
 	d.in.dispatcher.withdraw(h.ticket)
 }
@@ -241,6 +242,9 @@
 	}
 	d.remove(h)
 	dropped := h.dropped || h.ctx.Err() != nil
+	if dropped || h.response != nil || o.failure.MayHaveRun() {
+		d.mayHaveRun.Store(true)
+	}
 	d.mu.Unlock()
 	if h.response != nil {
 		h.response.Close()
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -186,3 +186,27 @@
 	g.Expect(d.replaced()).To(gomega.BeTrue())
 	g.Expect(adopted.ctx.Err()).To(gomega.MatchError(context.Canceled))
 }
+
+// TestFailedHedgesMayHaveRun guards against a refusal that says "not run" though an upstream that
+// was asked beside a silent one may have run the request.
+func TestFailedHedgesMayHaveRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		second string
+		want   bool
+	}{
+		"breaks off": {"", true},
+		"refuses":    {answerHead + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			d, other := silentForwarding(t, httptest.NewRecorder(), c.second)
+			h := &hedge{ticket: other.Ticket, grant: other, startedAt: d.in.options.Clock(), settled: make(chan struct{}), accepted: make(chan struct{})}
+			h.ctx, h.cancel = context.WithCancel(t.Context())
+			d.hedges = []*hedge{h}
+			_, _, o := d.open(h.ctx, h.ticket, other)
+			g.Expect(o.cause).To(gomega.HaveOccurred())
+			d.settleHedge(h, o)
+			g.Expect(d.mayHaveRun.Load()).To(gomega.Equal(c.want))
+		})
+	}
+}
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -52,7 +52,7 @@
 	g := gomega.NewWithT(t)
 	d := &forwarding{in: &Ingress{options: Options{Clock: func() clock.Instant { return 0 }}, link: &link.Link{}}}
 	g.Expect(d.notConfirmedError().Code).To(gomega.Equal(result.ConfigNotConfirmed))
-	d.mayHaveRun = true
+	d.mayHaveRun.Store(true)
 	g.Expect(d.notConfirmedError().Code).To(gomega.Equal(result.UpstreamUnknown))
 	g.Expect(d.notConfirmedError().Ran).To(gomega.Equal(result.RanUnknown))
 }
