--- a/ingress/silence_fuzz_test.go
+++ b/ingress/silence_fuzz_test.go
@@ -98,7 +98,9 @@
 // run is one attempt at an upstream.
 type run struct {
 	script
-	// wroteAt is when something was sent, and closedAt when the connection ended.
+	// start is that of the scenario, wroteAt when something was sent, and closedAt when the
+	// connection ended.
+	start    time.Time
 	wroteAt  []time.Time
 	closedAt time.Time
 }
@@ -160,11 +162,11 @@
 }
 
 // answerAttempt is the upstream, of the release.
-func (s *scripted) answerAttempt(c *pipeEnd, release string) {
+func (s *scripted) answerAttempt(c *pipeEnd, release string, start time.Time) {
 	defer func() { _ = c.Close() }()
 	s.mu.Lock()
 	number := len(s.runs)
-	sc := &run{script: script{fate: refuses}}
+	sc := &run{start: start, script: script{fate: refuses}}
 	if number < len(s.scripts) {
 		sc.script = s.scripts[number]
 	}
@@ -353,7 +355,7 @@
 		zone = "b"
 	}
 	return upstream.Member{Announcement: upstream.Announcement{
-		ID: fmt.Sprintf("u%d", n), Incarnation: 1, Sequence: 1, Address: upstreamAddress(n), Zone: zone, Release: []string{"v1", "v1", "v1", "v2"}[n%4], Slots: slots, Services: []string{"s"}, Lease: time.Minute,
+		ID: fmt.Sprintf("u%d", n), Incarnation: 1, Sequence: 1, Address: upstreamAddress(n), Zone: zone, Release: []string{"v1", "v1", "v2", "v1"}[n%4], Slots: slots, Services: []string{"s"}, Lease: time.Minute,
 	}}
 }
 
@@ -373,7 +375,7 @@
 				return here, nil
 			}
 			release := s.releaseAt(address)
-			attempts.Go(func() { r.answerAttempt(there, release) })
+			attempts.Go(func() { r.answerAttempt(there, release, start) })
 			return here, nil
 		}
 		in := newVirtualIngress(ctx, now, dial)
@@ -564,6 +566,9 @@
 		}
 	}
 	if s.took >= s.route.Timeout {
+		if !slices.ContainsFunc(s.runs, func(r *run) bool { return r.fate == neverAnswers && !r.endedBefore(s.at+s.route.Timeout) }) {
+			return "left waiting"
+		}
 		return ""
 	}
 	if s.soundOnes > 0 && !s.excused() {
@@ -591,6 +596,11 @@
 	return true
 }
 
+// endedBefore reports whether the connection ended before the instant of the scenario.
+func (r *run) endedBefore(at time.Duration) bool {
+	return !r.closedAt.IsZero() && r.closedAt.Sub(r.start) < at
+}
+
 // wroteBefore reports whether the upstream sent something just before the instant.
 func (r *run) wroteBefore(at time.Time) bool {
 	return slices.ContainsFunc(r.wroteAt, func(w time.Time) bool { return !w.After(at) && at.Sub(w) <= maxOverlap })
