e2e: Add a soak of silences, departures and path faults beside changes of the configuration

The soak checks that each whole request gets a whole answer or a refusal within half a second of its time, unless its upstream broke off, its entry was killed or its time was over. Callers keep their connections.

Beside each other: upstreams that fall silent before any byte for 0.3 to 1.5 s, leave, turn requests away for a time, name a limit, crash, fail, break off, or send unframed answers, in two releases; entries whose connections to upstreams hang, are reset, or can't be opened; stops, kills and SIGHUP of entries and keepers, stand-stills of keepers; and configurations that add and drop a route and a key and change weights, times, quotas and the number of routes. Half of the upstreams have no faults.

New connections of an entry that can't open any are reset after they were opened, so that tunnels through other entries aren't part of this.

--- /dev/null
+++ b/e2e/faulty_replica_test.go
@@ -0,0 +1,342 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+)
+
+// pathFault is what befalls the connections of an entry that is cut off from upstreams.
+type pathFault int
+
+const (
+	noPathFault pathFault = iota
+	// hangingPath keeps all bytes back, resetPath resets all connections, and refusedPath
+	// resets new ones while the open ones live on.
+	hangingPath
+	resetPath
+	refusedPath
+)
+
+// paths are the paths of entries to faulty replicas.
+type paths struct {
+	// entries maps the IDs of requests to the index of the entry that they were sent to.
+	entries sync.Map
+
+	mu sync.Mutex
+	// faults are by the entry's index; healed is closed when the fault ends.
+	faults map[int]pathFault
+	healed map[int]chan struct{}
+	conns  map[*faultyConn]bool
+}
+
+// cut begins a fault of the paths of an entry, which lasts until the returned function is
+// called.
+func (p *paths) cut(entry int, fault pathFault) (heal func()) {
+	p.mu.Lock()
+	healed := make(chan struct{})
+	p.faults[entry], p.healed[entry] = fault, healed
+	var reset []*faultyConn
+	for c := range p.conns {
+		if c.entry == entry && fault == resetPath {
+			reset = append(reset, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range reset {
+		c.reset()
+	}
+	return func() {
+		p.mu.Lock()
+		delete(p.faults, entry)
+		close(healed)
+		p.mu.Unlock()
+	}
+}
+
+// fault returns the fault of an entry's paths, and what is closed when it ends.
+func (p *paths) fault(entry int) (pathFault, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults[entry], p.healed[entry]
+}
+
+// faultyReplica is a replica that falls silent, and whose connections may fail.
+type faultyReplica struct {
+	*replica
+	paths *paths
+	// silentUntil is the end of a silence of all its answers, in nanoseconds since 1970;
+	// while intermittent is set, single answers fall silent.
+	silentUntil  atomic.Int64
+	intermittent atomic.Bool
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	openMu sync.Mutex
+	// open are the requests under way, by the address of their connection; broke are those that
+	// the replica itself has broken off.
+	open  map[string]string
+	broke map[string]bool
+}
+
+// faultyListener accepts the connections of a faulty replica.
+type faultyListener struct {
+	net.Listener
+	replica *faultyReplica
+}
+
+// Accept implements net.Listener.
+func (l faultyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &faultyConn{Conn: c, replica: l.replica, entry: -1, closed: make(chan struct{})}, nil
+}
+
+// faultyConn is a connection of an entry to a faulty replica.
+type faultyConn struct {
+	net.Conn
+	replica   *faultyReplica
+	closeOnce sync.Once
+	// entry is the index of the entry that has opened the connection, -1 while it isn't known.
+	entry  int
+	closed chan struct{}
+}
+
+// requestIDPattern finds the ID in the head of a request.
+var requestIDPattern = regexp.MustCompile(`\r\nX-Request-Id: (\S+)\r\n`)
+
+// identify finds the entry in what the connection's first request says. It resets a new
+// connection of one that can open none, and reports whether it hasn't.
+func (c *faultyConn) identify(b []byte) bool {
+	match := requestIDPattern.FindSubmatch(b)
+	if c.entry >= 0 || match == nil {
+		return true
+	}
+	entry, known := c.replica.paths.entries.Load(string(match[1]))
+	if !known {
+		return true
+	}
+	p := c.replica.paths
+	p.mu.Lock()
+	c.entry = entry.(int)
+	p.conns[c] = true
+	fault := p.faults[c.entry]
+	p.mu.Unlock()
+	if fault == resetPath || fault == refusedPath {
+		c.reset()
+		return false
+	}
+	return true
+}
+
+func (c *faultyConn) reset() {
+	c.replica.breakOff(c.RemoteAddr().String())
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// wait waits until the connection's path and its replica work.
+func (c *faultyConn) wait() {
+	if fault, healed := c.replica.paths.fault(c.entry); fault == hangingPath {
+		select {
+		case <-healed:
+		case <-c.closed:
+		}
+	}
+	c.waitFor(time.Until(time.Unix(0, c.replica.silentUntil.Load())))
+}
+
+func (c *faultyConn) waitFor(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-c.closed:
+	}
+}
+
+// Read implements net.Conn.
+func (c *faultyConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !c.identify(b[:n]) {
+		return 0, net.ErrClosed
+	}
+	c.wait()
+	return n, err
+}
+
+// Write implements net.Conn. A silence begins before any of the bytes.
+func (c *faultyConn) Write(b []byte) (int, error) {
+	at, silence := c.replica.nextSilence(len(b))
+	n, err := c.Conn.Write(b[:at])
+	if err != nil {
+		return n, err
+	}
+	c.waitFor(silence)
+	c.wait()
+	rest, err := c.Conn.Write(b[at:])
+	return n + rest, err
+}
+
+// Close implements net.Conn.
+func (c *faultyConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	c.replica.paths.mu.Lock()
+	delete(c.replica.paths.conns, c)
+	c.replica.paths.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Of silenceShare writes of an intermittent replica, one is interrupted by a silence.
+const silenceShare = 20
+
+// nextSilence returns before which of the next bytes a replica falls silent, and for how
+// long.
+func (r *faultyReplica) nextSilence(length int) (at int, silence time.Duration) {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	at = r.random.IntN(length + 1)
+	if r.intermittent.Load() && r.random.IntN(silenceShare) == 0 {
+		silence = randomSilence(r.random)
+	}
+	return at, silence
+}
+
+func randomSilence(random *rand.Rand) time.Duration {
+	return time.Duration(300+random.IntN(1200)) * time.Millisecond
+}
+
+// startFaulty starts a replica on paths that may fail.
+func startFaulty(release, id, service, zone string, keepers []*process, p *paths, random *rand.Rand) *faultyReplica {
+	ginkgo.GinkgoHelper()
+	r := &faultyReplica{replica: newReplica(release, id, service, zone), paths: p, random: random, open: map[string]string{}, broke: map[string]bool{}}
+	r.pace = time.Duration(20+random.IntN(80)) * time.Millisecond
+	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
+	r.server.Listener = faultyListener{Listener: r.server.Listener, replica: r}
+	r.server.Config.ConnState = r.stateChanged
+	r.server.Start()
+	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); _ = r.server.Listener.Close() })
+	r.stopAnnouncing = announce(id, release, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
+	return r
+}
+
+func (r *faultyReplica) serve(w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("X-Request-Id")
+	r.openMu.Lock()
+	r.open[request.RemoteAddr] = id
+	r.openMu.Unlock()
+	defer func() {
+		if cause := recover(); cause != nil {
+			r.breakOff(request.RemoteAddr)
+			panic(cause)
+		}
+	}()
+	r.replica.serve(w, request)
+}
+
+// stateChanged is the server's hook: an answer has been written when its connection is idle
+// or closed.
+func (r *faultyReplica) stateChanged(c net.Conn, state http.ConnState) {
+	if state != http.StateIdle && state != http.StateClosed {
+		return
+	}
+	remote := c.RemoteAddr().String()
+	if r.crashed.Load() {
+		r.breakOff(remote)
+	}
+	r.openMu.Lock()
+	defer r.openMu.Unlock()
+	delete(r.open, remote)
+}
+
+// breakOff notes that the request of a connection, if there is one, is broken off.
+func (r *faultyReplica) breakOff(remote string) {
+	r.openMu.Lock()
+	defer r.openMu.Unlock()
+	if id, ok := r.open[remote]; ok {
+		r.broke[id] = true
+	}
+}
+
+func (r *faultyReplica) underWay() int {
+	r.openMu.Lock()
+	defer r.openMu.Unlock()
+	return len(r.open)
+}
+
+func (r *faultyReplica) brokeOff(id string) bool {
+	r.openMu.Lock()
+	defer r.openMu.Unlock()
+	return r.broke[id]
+}
+
+// deregister tells a keeper that the replica ends.
+func (r *faultyReplica) deregister(keeper *process) {
+	r.stopAnnouncing()
+	response, err := http.Post(fmt.Sprintf("http://%s/v1/replicas/%s/deregister", keeper.Peers, r.id), "application/json", strings.NewReader("{}"))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// Time limits of the routes of variedConfig, of which each configuration sets that or
+// shortTimeout of it.
+const (
+	streamTimeout = 6 * time.Second
+	plainTimeout  = 3 * time.Second
+	shortTimeout  = 0.8
+)
+
+// variedConfig returns a configuration with routes, weights, time limits, quotas and keys
+// that differ from version to version.
+func variedConfig(version int, random *rand.Rand) string {
+	timeout := func(longest time.Duration) int {
+		return int(float64(longest.Milliseconds()) * []float64{1, shortTimeout}[random.IntN(2)])
+	}
+	var routes []string
+	add := func(name, kind string, timeoutMs, attempts int, first, second string, more string) {
+		weight := []int{0, 10, 50}[random.IntN(3)]
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"mill.example","pathPrefix":"/%s/","kind":%q,"timeoutMs":%d,"sloMs":300,"gapSloMs":500,"priority":%d,`+
+			`"backends":[{"service":%q,"weight":%d},{"service":%q,"weight":%d}],"attempts":%d%s}`,
+			name, name, kind, timeoutMs, random.IntN(2), first, 100-weight, second, weight, attempts, more))
+	}
+	add("ask", "streaming", timeout(streamTimeout), 2+random.IntN(2), "speech", "voice", `,"resumable":true`)
+	add("talk", "streaming", timeout(streamTimeout), 1, "speech", "voice", "")
+	add("book", "non_idempotent", timeout(plainTimeout), 1, "booking", "ledger", "")
+	add("look", "idempotent", timeout(plainTimeout), 2, "booking", "ledger", `,"public":true`)
+	if random.IntN(2) == 0 {
+		add("extra", "idempotent", timeout(plainTimeout), 2, "ledger", "booking", "")
+	}
+	if random.IntN(4) == 0 {
+		for n := range 300 {
+			add("filler-"+strconv.Itoa(n), "idempotent", timeout(plainTimeout), 2, "ledger", "booking", "")
+		}
+	}
+	millKeys := `"key-m"`
+	if random.IntN(2) == 0 {
+		millKeys += `,"key-x"`
+	}
+	rate := []int{0, 60, 1000}[random.IntN(3)]
+	var services []string
+	for _, s := range []string{"speech", "voice", "booking", "ledger"} {
+		services = append(services, fmt.Sprintf(`{"name":%q,"healthPath":"/healthz","maxConns":90}`, s))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"mill","apiKeys":[%s],"ratePerS":%d,"burst":%d},{"name":"orchard","apiKeys":["key-o"],"ratePerS":1000,"burst":1000}]}`,
+		version, strings.Join(routes, ","), strings.Join(services, ","), millKeys, rate, rate)
+}
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -43,7 +43,11 @@
 	ginkgo.RunSpecs(t, "End to end")
 }
 
+// HYSSOPLADDER_BINARY names a binary to test in place of the one of this tree.
 var _ = ginkgo.BeforeSuite(func() {
+	if binary = os.Getenv("HYSSOPLADDER_BINARY"); binary != "" {
+		return
+	}
 	var err error
 	binary, err = gexec.Build("github.com/hyssopladder/hyssopladder")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -38,8 +38,13 @@
 	// crashPart is the part of a prompt that crashes the replica; "" if none does.
 	crashPart string
 	crashed   atomic.Bool
-	// limit, if it isn't 0, is the limit of requests per second that streams name.
-	limit atomic.Int64
+	// limit, if it isn't 0, is the limit of requests per second that answers name, and
+	// brittle the requests that may be turned away in a second.
+	limit, brittle atomic.Int64
+	// pace is the time between two events; unframed says that answers have neither a
+	// length nor chunks.
+	pace     time.Duration
+	unframed atomic.Bool
 	// saysLeaving says that all answers say that the replica leaves. Until closedUntil, in
 	// nanoseconds since 1970, it turns requests away and says for how long.
 	saysLeaving atomic.Bool
@@ -49,8 +54,16 @@
 
 	mu       sync.Mutex
 	received []*http.Request
+	// runs counts how often each request ran, by its ID.
+	runs map[string]int
 }
 
+// bigPath is in the paths whose plain answers are longer than what an entry reads ahead.
+const (
+	bigPath  = "/big/"
+	bigBytes = 300 << 10
+)
+
 // eventsPerStream is the number of events of a complete stream.
 const eventsPerStream = 6
 
@@ -65,13 +78,17 @@
 // startReplicaOf starts a replica with a version of the software.
 func startReplicaOf(release, id, service, zone string, keepers []*process) *replica {
 	ginkgo.GinkgoHelper()
-	r := &replica{id: id, service: service, zone: zone, release: release, hold: make(chan struct{})}
+	r := newReplica(release, id, service, zone)
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); r.server.Close() })
 	r.stopAnnouncing = announce(id, release, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
 	return r
 }
 
+func newReplica(release, id, service, zone string) *replica {
+	return &replica{id: id, service: service, zone: zone, release: release, hold: make(chan struct{}), runs: map[string]int{}}
+}
+
 // crash ends the replica as the kernel ends a process: nothing listens any more,
 // and all connections break.
 func (r *replica) crash() {
@@ -126,6 +143,12 @@
 	if r.saysLeaving.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if limit := r.limit.Load(); limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatInt(limit, 10))
+	}
+	if brittle := r.brittle.Load(); brittle > 0 {
+		w.Header().Set("Server-Brittle", strconv.FormatInt(brittle, 10))
+	}
 	if rest := time.Until(time.Unix(0, r.closedUntil.Load())); rest > 0 {
 		w.Header().Set("X-Not-Run", "1")
 		w.Header().Set("Retry-After", strconv.FormatFloat(rest.Seconds(), 'f', 3, 64))
@@ -133,27 +156,29 @@
 		return
 	}
 	w.Header().Set("X-Replica-Seal", "seal-"+r.id)
+	r.mu.Lock()
+	r.runs[request.Header.Get("X-Request-Id")]++
+	r.mu.Unlock()
+	if r.unframed.Load() {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if s := r.status.Load(); s != 0 {
 		w.WriteHeader(int(s))
 		return
 	}
-	if !strings.HasPrefix(request.URL.Path, "/ask/") {
+	if !strings.HasPrefix(request.URL.Path, "/ask/") && !strings.HasPrefix(request.URL.Path, "/talk/") {
 		body, _ := io.ReadAll(request.Body)
 		_, _ = fmt.Fprintf(w, "%s %s %s by %s for %s", request.Method, request.RequestURI, body, r.id, request.Header.Get("X-Tenant"))
+		if strings.Contains(request.URL.Path, bigPath) {
+			_, _ = w.Write(bytes.Repeat([]byte("."), bigBytes))
+		}
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	if limit := r.limit.Load(); limit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatInt(limit, 10))
-	}
 	if r.crashPart != "" && strings.Contains(request.Header.Get("X-Prompt-Prefix"), r.crashPart+":") {
 		_ = http.NewResponseController(w).Flush()
 		r.crash()
 	}
-	suffix := ""
-	if r.release != firstRelease {
-		suffix = " of " + r.release
-	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= eventsPerStream; n++ {
 		if cutAfter := int(r.cutAfter.Load()); cutAfter > 0 && n > cutAfter {
@@ -162,8 +187,15 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: word %d%s\n\n", n, n, suffix)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: word %d%s\n\n", n, n, suffixOf(r.release))
 		_ = http.NewResponseController(w).Flush()
+		if r.pace > 0 && n < eventsPerStream {
+			select {
+			case <-time.After(r.pace):
+			case <-request.Context().Done():
+				return
+			}
+		}
 		if n == int(r.holdAfter.Load()) {
 			select {
 			case <-r.hold:
@@ -340,14 +372,25 @@
 	return response
 }
 
-func wholeStream() string {
+func wholeStream() string { return wholeStreamOf(firstRelease) }
+
+// wholeStreamOf is the stream of a replica with the version of the software.
+func wholeStreamOf(release string) string {
 	var b strings.Builder
 	for n := 1; n <= eventsPerStream; n++ {
-		_, _ = fmt.Fprintf(&b, "id: %d\ndata: word %d\n\n", n, n)
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: word %d%s\n\n", n, n, suffixOf(release))
 	}
 	return b.String()
 }
 
+// suffixOf names the release in an event, unless it is the first one.
+func suffixOf(release string) string {
+	if release == firstRelease {
+		return ""
+	}
+	return " of " + release
+}
+
 var _ = ginkgo.Describe("A platform's callers, operators and upstreams", func() {
 	ginkgo.It("are served through every process", func() {
 		d := startPlatform()
