drain: Keep a connection from which the first byte of a request was read

A stopping entry could close a connection though it had read the first byte of the next request; the caller saw a reset.

Cause: while a request is served, net/http reads one byte ahead to notice the end of the connection. When the answer is written it reports the connection as idle, and the listener forgot that the byte had been read. A caller that sends its next request at once, as the answer arrives, can meet this.

A read of one byte on a busy connection is such a byte, and the connection then stays busy. If no more comes, the time for heads ends it.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -23,7 +23,8 @@
 // trackedConn is a caller's connection; busy says that a request is under way
 // on it, closed that no more is read from it. reading says that the server waits
 // for bytes: until then it may hold a request that it read with the one before.
-// interrupted says that CloseIdle has ended the wait in place of readDeadline.
+// interrupted says that CloseIdle has ended the wait in place of readDeadline, and
+// ahead that net/http has read the first byte of a request beside the one before it.
 type trackedConn struct {
 	net.Conn
 	listener *Listener
@@ -32,6 +33,7 @@
 	busy         bool
 	reading      bool
 	interrupted  bool
+	ahead        bool
 	closed       bool
 	readDeadline time.Time
 }
@@ -72,6 +74,7 @@
 	c.interrupted = false
 	switch {
 	case n > 0:
+		c.ahead = c.busy && len(p) == aheadBytes
 		c.busy = true
 		if interrupted {
 			// The bytes came first.
@@ -113,9 +116,13 @@
 	return l.SetLinger(seconds)
 }
 
+// aheadBytes is how much net/http reads at once to notice the end of a connection while a
+// request is served; it reads all else into larger buffers.
+const aheadBytes = 1
+
 // StateChanged is the http.Server's ConnState hook: an idle connection has no
-// request under way, and one is on an active connection, also if no byte was read
-// for it since the request before.
+// request under way unless its first byte was read ahead, and one is on an active
+// connection, also if no byte was read for it since the request before.
 func (l *Listener) StateChanged(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*trackedConn)
 	if !ok || s != http.StateIdle && s != http.StateActive {
@@ -123,7 +130,8 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	conn.busy = s == http.StateActive
+	conn.busy = s == http.StateActive || conn.ahead
+	conn.ahead = false
 }
 
 // CloseIdle ends the wait for a request on the connections that wait for one, closes them
--- a/drain/listener_test.go
+++ b/drain/listener_test.go
@@ -153,3 +153,47 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Eventually(answered).Should(gomega.Receive(gomega.BeNil()))
 }
+
+// TestStopKeepsRequestsWhoseFirstByteWasRead guards against a connection that is closed
+// though net/http has read the first byte of a request, beside the one before it.
+func TestStopKeepsRequestsWhoseFirstByteWasRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	serverEnd, callerEnd := net.Pipe()
+	queue := make(connQueue, 1)
+	queue <- serverEnd
+	close(queue)
+	l := NewListener(queue)
+	serving, goOn := make(chan struct{}, 2), make(chan struct{}, 2)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			serving <- struct{}{}
+			<-goOn
+		}),
+		ConnState: l.StateChanged,
+	}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	send := func(text string) {
+		_, err := io.WriteString(callerEnd, text)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	answers := bufio.NewReader(callerEnd)
+	receive := func() {
+		response, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	send(request)
+	<-serving
+	// A pipe takes a byte only when it is read.
+	send(request[:1])
+	goOn <- struct{}{}
+	receive()
+	g.Consistently(l.CloseIdle).Should(gomega.Equal(1))
+	send(request[1:])
+	<-serving
+	goOn <- struct{}{}
+	receive()
+	g.Eventually(l.CloseIdle).Should(gomega.Equal(0))
+}
