drain, entry, ingress: Close the whole server without waiting for callers

The end of a server waited for up to five seconds for each caller whose next request had come while one was served, one after the other, with the lock of net/http held, so that the connections behind it stayed open. It is the close at the end of the grace, or of a node within a process that goes on; the process itself does not wait for it.

Cause: net/http closes all connections from one goroutine, and the tracked connections took that for the close of one of them, unless a read was under way. None is, once the first byte of a next request has come.

Both roles now say so before they close their server.

--- a/drain/linger.go
+++ b/drain/linger.go
@@ -39,7 +39,7 @@
 	defer c.listener.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lingering || c.ended || c.closed || c.reading || !c.listener.open[c] || c.listener.lingering >= maxLingering {
+	if c.lingering || c.ended || c.closed || c.reading || !c.listener.open[c] || c.listener.atOnce || c.listener.lingering >= maxLingering {
 		return false
 	}
 	c.lingering, c.busy = true, false
@@ -70,6 +70,14 @@
 	}
 }
 
+// CloseAtOnce makes connections wait for no caller when they are closed from now on. It goes
+// before the close of the server, which closes one connection after the other.
+func (l *Listener) CloseAtOnce() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.atOnce = true
+}
+
 // Lingering is the number of closed connections whose callers haven't closed theirs.
 func (l *Listener) Lingering() int {
 	l.mu.Lock()
--- a/drain/listener.go
+++ b/drain/listener.go
@@ -25,8 +25,10 @@
 
 	mu   sync.Mutex
 	open map[*trackedConn]bool
-	// lingering is the number of open connections that linger.
+	// lingering is the number of open connections that linger, unless atOnce says that none
+	// is to linger any more.
 	lingering int
+	atOnce    bool
 
 	// slots has one for each connection that may be open; nil if there is no limit. ended is
 	// closed with the listener.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,7 +130,10 @@
 		ErrorLog:          logs.NewServerLog(),
 	}
 	go func() { _ = server.Serve(e.listener) }()
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	context.AfterFunc(ctx, func() {
+		e.listener.CloseAtOnce()
+		_ = server.Close()
+	})
 	return e, nil
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -158,7 +158,10 @@
 			l = in.listener
 		}
 		go func() { _ = s.server.Serve(l) }()
-		context.AfterFunc(ctx, func() { _ = s.server.Close() })
+		context.AfterFunc(ctx, func() {
+			in.listener.CloseAtOnce()
+			_ = s.server.Close()
+		})
 	}
 	go func() {
 		t := time.NewTicker(sweepInterval)
