entry: Close the connection of a stream that ends with an error

A caller of the role entry that closed its sending side after its request got a stream that ended in order after part of the events: the error was written behind them, as a last part of the body, and net/http completed the chunks. By reading, any error of a handler whose answer had begun ended like that.

--- FAIL: TestBrokenStreamsNeverLookWhole (3.03s) Expected an error, got nil "HTTP server" detail="http: superfluous response.WriteHeader call ..."

An error after the answer has begun now closes the connection, with a log line and a count. For callers of HTTP/1.0 the close still ends the body.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,9 +64,16 @@
 			defer e.openRequests.end(in.caller)
 			err = handle(r.Context(), w, r, in)
 		}
-		if err != nil {
-			e.problem(w, in, err)
+		if err == nil {
+			return
+		}
+		if w.begun {
+			// An error behind half an answer would end it in order.
+			e.meters.failed.Inc(1)
+			klog.InfoS("response cut off; closing the connection", "instance", e.options.Node.Name, "caller", in.caller, "err", err)
+			panic(http.ErrAbortHandler)
 		}
+		e.problem(w, in, err)
 	}
 }
 
