entry: Bound the writing of whole answers

A caller of the role entry that asked for a large answer and read nothing kept its connection, its place among the open requests and what serves it for ever: a plain answer and a chat answer that is sent as a whole had no write deadline, as refusals and streams have. A write that failed left no trace either.

Before (with no deadline set in writeBody):

--- FAIL: TestAnswersThatNobodyReadsEnd (4.01s) --- FAIL: TestAnswersThatNobodyReadsEnd/plain (2.00s) Timed out after 2.001s. --- FAIL: TestAnswersThatNobodyReadsEnd/chat (2.00s)

The answer goes out in parts of 64 KB, each within writeTimeout, so that a slow caller that reads on gets all of it. A failed write is logged and counted as that of any answer that breaks off.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -101,17 +103,33 @@
 		return err
 	}
 	e.inTime.add(e.dispatch.clock(), name, call.Rank, time.Since(began) <= d.Ranks[rank].FirstToken)
-	response.write(w)
-	return nil
+	return response.write(w, e.options.Settings.WriteTimeout)
 }
 
-func (a *plainResponse) write(w http.ResponseWriter) {
+func (a *plainResponse) write(w http.ResponseWriter, timeout time.Duration) error {
 	for name, values := range a.header {
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerServedBy, a.servedBy)
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+	return writeBody(w, a.body, timeout)
+}
+
+// writeBytes is how much of an answer one write takes.
+const writeBytes = 64 << 10
+
+// writeBody sends a whole answer to a caller that reads on within the timeout of each write.
+func writeBody(w http.ResponseWriter, body []byte, timeout time.Duration) error {
+	control := http.NewResponseController(w)
+	for first := true; first || len(body) > 0; first = false {
+		_ = control.SetWriteDeadline(deadline(timeout))
+		n := min(len(body), writeBytes)
+		if _, err := w.Write(body[:n]); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+			return result.New(result.Expired, result.RanUnknown, "sending to the caller failed: %v", err)
+		}
+		body = body[n:]
+	}
+	return nil
 }
 
 // run sends the call to upstreams until one has responded. A call that isn't
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -61,7 +61,7 @@
 
 func newSink(w http.ResponseWriter, r *chatRequest, last position, resumes bool, timeout time.Duration) sink {
 	if !r.Stream {
-		return &bufferedSink{w: w, model: r.Model}
+		return &bufferedSink{w: w, model: r.Model, timeout: timeout}
 	}
 	s := &streamSink{w: w, control: http.NewResponseController(w), model: r.Model, timeout: timeout}
 	if resumes {
@@ -72,9 +72,10 @@
 
 // bufferedSink collects the tokens and writes the response at the end.
 type bufferedSink struct {
-	w     http.ResponseWriter
-	model string
-	text  strings.Builder
+	w       http.ResponseWriter
+	model   string
+	timeout time.Duration
+	text    strings.Builder
 }
 
 var _ sink = (*bufferedSink)(nil)
@@ -109,9 +110,7 @@
 }
 
 func (s *bufferedSink) end(offset int, u *upstream.Announcement) error {
-	s.w.Header().Set("Content-Type", "application/json")
-	s.w.Header().Set(headerServedBy, u.ID)
-	_ = json.NewEncoder(s.w).Encode(completion{
+	body, err := json.Marshal(completion{
 		ID:     "chatcmpl",
 		Object: "chat.completion",
 		Model:  s.model,
@@ -121,7 +120,12 @@
 		}},
 		Usage: completionUsage{CompletionTokens: offset},
 	})
-	return nil
+	if err != nil {
+		return err
+	}
+	s.w.Header().Set("Content-Type", "application/json")
+	s.w.Header().Set(headerServedBy, u.ID)
+	return writeBody(s.w, append(body, '\n'), s.timeout)
 }
 
 func (s *bufferedSink) fail(*result.Error) {}
