fleet: Test that chains of hedges keep to the runs of their request

The fuzz of hedges bounds the attempts of a request, but not its runs, and not the number of its attempts at one upstream. It now has requests of two to five runs at four upstreams, and counts the attempts that may have run; requests also fail while their hedges still end, as they may in ingress.

--- a/fleet/hedge_test.go
+++ b/fleet/hedge_test.go
@@ -60,21 +60,33 @@
 }
 
 // TestHedgesAreAccountedFor fuzzes hedged requests: however they and their hedges end, no
-// upstream keeps work of requests that have ended, no request has two hedges, and no
-// request is tried more often than it may be.
+// upstream keeps work of requests that have ended, no request has two hedges, no request
+// is tried or run more often than it may be, and none runs twice at one upstream at once.
 func TestHedgesAreAccountedFor(t *testing.T) {
 	failures := []retry.Failure{retry.NotSent, retry.Refused, retry.Broken, retry.Silent, retry.Errored}
 	rapid.Check(t, func(rt *rapid.T) {
-		f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1))
+		f := plainFleet(member("u1", 1, 1), member("u2", 2, 1), member("u3", 3, 1), member("u4", 4, 1))
 		now, lastID := clock.Instant(0), uint64(0)
 		hedgeOf := map[uint64]uint64{}
+		// request is the first attempt's ticket, and at the upstream of an attempt; runs
+		// are the attempts of a request that may have run.
+		request, at, runs, maxRuns := map[uint64]uint64{}, map[uint64]string{}, map[uint64]int{}, map[uint64]int{}
 		// running are the tickets and hedges with an attempt under way.
 		running := map[uint64]bool{}
 		apply := func(actions []Action) {
 			for _, a := range actions {
 				switch a := a.(type) {
 				case Grant:
-					running[a.Ticket] = true
+					of := request[a.Ticket]
+					for other := range running {
+						if other != a.Ticket && request[other] == of && at[other] == a.Upstream.ID {
+							rt.Fatalf("request %d runs twice at %s", of, a.Upstream.ID)
+						}
+					}
+					running[a.Ticket], at[a.Ticket] = true, a.Upstream.ID
+					if runs[of]++; runs[of] > maxRuns[of] {
+						rt.Fatalf("run %d of %d", runs[of], maxRuns[of])
+					}
 					if a.Attempt > retry.MaxAttempts {
 						rt.Fatalf("attempt %d", a.Attempt)
 					}
@@ -103,6 +115,13 @@
 			}
 			return 0, false
 		}
+		// failed counts an attempt that has failed.
+		failed := func(id uint64, failure retry.Failure) {
+			delete(running, id)
+			if !failure.MayHaveRun() {
+				runs[request[id]]--
+			}
+		}
 		// unlink takes an attempt out of those that run beside each other.
 		unlink := func(id uint64) {
 			of, isHedge := hedgeOf[id]
@@ -126,6 +145,8 @@
 				lastID++
 				ticket := newTicket(lastID)
 				ticket.Deadline, ticket.Target = now+time.Minute, time.Minute
+				ticket.MaxRuns = rapid.IntRange(2, 5).Draw(rt, "maxRuns")
+				request[lastID], maxRuns[lastID] = lastID, ticket.MaxRuns
 				apply(f.Submit(now, ticket))
 				continue
 			}
@@ -140,6 +161,7 @@
 			case 0:
 				apply(f.Progress(now, id))
 			case 1:
+				request[lastID+1] = request[id]
 				actions := f.Hedge(now, id, lastID+1, second)
 				grants := granted(actions)
 				if hedged && len(grants) > 0 {
@@ -152,18 +174,20 @@
 				}
 			case 2:
 				if isHedge {
-					delete(running, id)
+					failed(id, failure)
 					unlink(id)
 					apply(f.HedgeFailed(now, id, failure))
 				}
 			case 3:
-				if hedged && !isHedge {
-					delete(running, id)
+				if hedged && !isHedge && rapid.Bool().Draw(rt, "replace") {
+					failed(id, failure)
 					unlink(id)
 					apply(f.Replace(now, id, failure))
 				} else if !isHedge {
-					delete(running, id)
+					// Its hedges may still end.
+					failed(id, failure)
 					apply(f.Failed(now, id, failure))
+					endHedgesOf(id)
 				}
 			case 4:
 				if !isHedge {
