drain: Keep a request that comes while the wait for it is being ended

A stopping entry ends the wait for a request by a read deadline that has passed. A request that had come by then, but after the stop had looked for unread bytes and before the server saw the deadline, was left unread, and its connection was reset: neither an answer nor a refusal. On a busy instance that takes as long as the server's goroutine waits for a processor.

The Read that finds its wait ended looks for unread bytes once more, and goes on if there are some. What comes between that and the close is still lost, as on any connection that is closed while idle.

--- a/drain/listener.go
+++ b/drain/listener.go
@@ -132,6 +132,14 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n == 0 && c.interrupted && !c.lingering && c.hasUnread() {
+		// They came before the end of the wait was seen.
+		c.interrupted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+	}
 	c.reading = false
 	interrupted := c.interrupted
 	c.interrupted = false
--- a/drain/unread_test.go
+++ b/drain/unread_test.go
@@ -78,3 +78,40 @@
 		})
 	}
 }
+
+// TestStopKeepsRequestsThatCameBeforeTheEndOfTheWait guards against a whole request that gets
+// neither an answer nor a refusal: it has come after a stop ended the wait for it, and before the
+// server has seen that, which takes a while on a busy instance.
+func TestStopKeepsRequestsThatCameBeforeTheEndOfTheWait(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	g := gomega.NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = inner.Close() }()
+	read := make(chan struct{})
+	l := NewListener(slowListener{inner, read})
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = caller.Close() }()
+	accepted, err := l.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got := make(chan string, 1)
+	go func() {
+		buffer := make([]byte, 2*len(request))
+		n, _ := accepted.Read(buffer)
+		got <- string(buffer[:n])
+	}()
+	c := accepted.(*trackedConn)
+	g.Eventually(func() bool {
+		g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.interrupted
+	}).Should(gomega.BeTrue())
+	_, err = io.WriteString(caller, request)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(c.hasUnread).Should(gomega.BeTrue())
+	close(read)
+	g.Eventually(got).Should(gomega.Receive(gomega.Equal(request)))
+	g.Expect(l.CloseIdle()).To(gomega.Equal(1))
+}
