--- a/drain/listener.go
+++ b/drain/listener.go
@@ -25,8 +25,10 @@
 
 	mu   sync.Mutex
 	open map[*trackedConn]bool
-	// lingering is the number of open connections that linger.
+	// lingering is the number of open connections that linger, unless atOnce says that none
+	// is to linger any more.
 	lingering int
+	atOnce    bool
 
 	// slots has one for each connection that may be open; nil if there is no limit. ended is
 	// closed with the listener.
@@ -132,6 +134,14 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n == 0 && c.interrupted && !c.lingering && c.hasUnread() {
+		// They came before the end of the wait was seen.
+		c.interrupted = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		c.mu.Unlock()
+		n, err = c.Conn.Read(p)
+		c.mu.Lock()
+	}
 	c.reading = false
 	interrupted := c.interrupted
 	c.interrupted = false
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -5,12 +5,10 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
-	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
@@ -105,30 +103,31 @@
 		return err
 	}
 	e.inTime.add(e.dispatch.clock(), name, call.Rank, time.Since(began) <= d.Ranks[rank].FirstToken)
-	if err := response.write(w, e.options.Settings.WriteTimeout); err != nil {
-		klog.InfoS("answer not written; closing the connection", "instance", e.options.Node.Name, "caller", in.caller, "service", name, "err", err)
-		panic(http.ErrAbortHandler)
-	}
-	return nil
+	return response.write(w, e.options.Settings.WriteTimeout)
 }
 
-// writeBytes is how much of a plain answer is written at once.
-const writeBytes = 64 << 10
-
-// write sends the answer. Each write may take until the timeout.
 func (a *plainResponse) write(w http.ResponseWriter, timeout time.Duration) error {
 	for name, values := range a.header {
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerServedBy, a.servedBy)
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(deadline(timeout))
 	w.WriteHeader(a.status)
-	for body := range slices.Chunk(a.body, writeBytes) {
+	return writeBody(w, a.body, timeout)
+}
+
+// writeBytes is how much of an answer one write takes.
+const writeBytes = 64 << 10
+
+// writeBody sends a whole answer to a caller that reads on within the timeout of each write.
+func writeBody(w http.ResponseWriter, body []byte, timeout time.Duration) error {
+	control := http.NewResponseController(w)
+	for first := true; first || len(body) > 0; first = false {
 		_ = control.SetWriteDeadline(deadline(timeout))
-		if _, err := w.Write(body); err != nil {
-			return errors.Wrap(err, "write")
+		n := min(len(body), writeBytes)
+		if _, err := w.Write(body[:n]); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+			return result.New(result.Expired, result.RanUnknown, "sending to the caller failed: %v", err)
 		}
+		body = body[n:]
 	}
 	return nil
 }
