keeper: Write new formats only at a level that all members read

What operators would have seen with the next format of the log: a voter of an older build leaves out a field that it doesn't know and diverges without a sign, or can't decode a command and stops, and with the second one the majority is gone. Nothing told what the others read.

Cause: the log has no common version. Now a level is in force in it, from 0, and the leader raises it by an entry when every voter and learner is alive and reads it (package level decides; gossip records say who reads what). Why it holds while gossip is stale: a batch carries the level of its sender's log; a keeper that reads less refuses it before it stores anything, a build without levels finds no cluster in it, and batches of senders that don't read what is in force are dropped. An older keeper stops with 7004, at its start or when it learns of the level, and its folder stays as it was. A lost machine holds the level down until it is replaced in the membership.

A trial level 1 is in test files only.

There was no test before, and no code that it could fail on. The check of the sender's level is covered by a table only.

--- a/consensus/node.go
+++ b/consensus/node.go
@@ -233,6 +233,9 @@
 	return ok && term == n.hardState.Term
 }
 
+// Applied returns the index of the last entry that was returned to be applied.
+func (n *Node) Applied() uint64 { return n.applied }
+
 // Leader returns the leader that the node follows, or None.
 func (n *Node) Leader() ID { return n.leader }
 
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 )
@@ -90,6 +91,7 @@
 	subscribe        struct{ f func(Change) }
 	setHasDocuments  struct{}
 	setKeeperStopped struct{}
+	setLevels        struct{ reads, inForce level.Level }
 	setKeeper        struct {
 		id      string
 		cluster uint64
@@ -190,6 +192,9 @@
 // SetKeeper publishes the identity of this node's data folder.
 func (h *Host) SetKeeper(id string, cluster uint64) { h.ref.Send(setKeeper{id, cluster}) }
 
+// SetLevels publishes the highest level that this node's keeper reads, and the one in force.
+func (h *Host) SetLevels(reads, inForce level.Level) { h.ref.Send(setLevels{reads, inForce}) }
+
 // SetKeeperStopped announces that this node's keeper has stopped after a failure.
 func (h *Host) SetKeeperStopped() { h.ref.Send(setKeeperStopped{}) }
 
@@ -277,6 +282,9 @@
 	case setKeeperStopped:
 		h.options.Node.KeeperStopped = true
 		h.refresh(now)
+	case setLevels:
+		h.options.Node.Reads, h.options.Node.Level = m.reads, m.inForce
+		h.refresh(now)
 	case setSeeds:
 		h.options.Seeds = m.seeds
 	case leave:
--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -6,6 +6,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/settings"
@@ -43,6 +44,7 @@
 			Zone:    n.Zone,
 			Address: address,
 			Roles:   n.Roles,
+			Reads:   level.Highest,
 		},
 		Incarnation: host.Incarnation,
 		Seeds:       host.Settings.Peer.Seeds,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
@@ -18,6 +19,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -69,6 +71,8 @@
 	Clock   clock.Clock
 	Actors  *actor.ActorSystem
 	Metrics metrics.Registry
+	// Later is what the keeper reads above level 0; nil if nothing.
+	Later Later
 }
 
 // Keeper runs one node of the replicated log and applies its entries to the
@@ -108,6 +112,13 @@
 	alive, unclustered []consensus.ID
 	// foreignKeeper says that a keeper of another cluster is alive.
 	foreignKeeper bool
+	// reads holds the highest level that each keeper reads, as it last said; leftOut the
+	// members that don't read the level of the log; levelNodes
+	// what level.Raise has to know, and announcedLevel the level that gossip tells.
+	reads          map[consensus.ID]level.Level
+	leftOut        map[consensus.ID]bool
+	levelNodes     []level.Node
+	announcedLevel level.Level
 	// zones holds the availability zone of each member and living keeper.
 	zones map[consensus.ID]string
 	// majoritySeen says that a majority of the voters has been alive at one
@@ -123,6 +134,8 @@
 	// diskFullMs is for how long the disk has been full, and stopped is 1 after a
 	// failure.
 	diskFullMs, stopped metrics.Gauge
+	// levelGauge and readsGauge are the level in force and the highest that is read.
+	levelGauge, readsGauge metrics.Gauge
 
 	// confirmRequests holds the callers of Confirm that wait for the next read
 	// round.
@@ -152,9 +165,12 @@
 // Status is the state of a keeper for operators.
 type Status struct {
 	consensus.Status
-	Cluster  uint64 `json:"cluster"`
-	Claims   int    `json:"claims"`
-	LogBytes int64  `json:"logBytes"`
+	Cluster uint64 `json:"cluster"`
+	// Level is in force, and Reads the highest that this keeper reads.
+	Level    level.Level `json:"level,omitempty"`
+	Reads    level.Level `json:"reads,omitempty"`
+	Claims   int         `json:"claims"`
+	LogBytes int64       `json:"logBytes"`
 	// DiskFullMs is for how long the disk has had no room.
 	DiskFullMs int64  `json:"diskFullMs,omitempty"`
 	Failed     string `json:"failed,omitempty"`
@@ -164,13 +180,17 @@
 func New(ctx context.Context, o Options) (*Keeper, error) {
 	k := &Keeper{
 		options:       o,
-		machine:       newStateMachine(),
+		machine:       newStateMachine(o.Later),
 		pending:       map[uint64]pendingProposal{},
 		zones:         map[consensus.ID]string{},
+		reads:         map[consensus.ID]level.Level{},
+		leftOut:       map[consensus.ID]bool{},
 		syncTimes:     metrics.GetOrRegisterTimer("keeper.sync", o.Metrics),
 		tickDelays:    metrics.GetOrRegisterTimer("keeper.tickDelay", o.Metrics),
 		diskFullMs:    metrics.GetOrRegisterGauge("keeper.diskFullMs", o.Metrics),
 		stopped:       metrics.GetOrRegisterGauge("keeper.stopped", o.Metrics),
+		levelGauge:    metrics.GetOrRegisterGauge("keeper.level", o.Metrics),
+		readsGauge:    metrics.GetOrRegisterGauge("keeper.levelRead", o.Metrics),
 		syncedEntries: metrics.GetOrRegisterHistogram("keeper.entriesPerSync", o.Metrics, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 	node, err := consensus.New(consensus.Options{
@@ -185,13 +205,17 @@
 	}
 	k.node = node
 	k.membership = newMembershipPolicy(o.Settings.ReplaceAfter, o.Settings.Voters, func(id consensus.ID) string { return k.zones[id] })
+	if err := checkStored(k.machine.reads, o.Stored); err != nil {
+		return nil, err
+	}
 	if len(o.Stored.Snapshot.Data) > 0 {
 		if err := k.machine.restore(o.Stored.Snapshot.Data); err != nil {
-			return nil, result.New(result.JournalDamaged, result.RanNo, "snapshot: %v", err)
+			return nil, journalError(result.RanNo, errors.Wrap(err, "snapshot"))
 		}
 		k.publishAll()
 	}
-	k.outbox = newOutbox(ctx, o.Server.Client)
+	k.outbox = newOutbox(ctx, o.Server.Client, k.machine.reads)
+	k.announceLevel()
 	k.confirmRequests = make(chan chan<- bool, maxPending)
 	k.view = newViewPublisher()
 	k.ref = actors.Spawn(ctx, o.Actors, "keeper", k.receive)
@@ -228,6 +252,9 @@
 	if err := wire.Decode(body, &b); err != nil {
 		return nil, err
 	}
+	if err := level.Check(k.machine.reads, b.Level); err != nil {
+		return nil, err
+	}
 	k.ref.Send(batchReceived{b})
 	return struct{}{}, nil
 }
@@ -299,6 +326,8 @@
 	s := Status{
 		Status:     k.node.Status(),
 		Cluster:    k.options.Journal.Identity().Cluster,
+		Level:      k.machine.level,
+		Reads:      k.machine.reads,
 		Claims:     k.machine.claims.Len(),
 		LogBytes:   k.options.Journal.Size(),
 		DiskFullMs: k.fullFor().Milliseconds(),
@@ -339,9 +368,12 @@
 	if k.failure != nil {
 		return
 	}
+	if !b.readable(k.machine.reads, k.machine.level) {
+		return
+	}
 	own := k.options.Journal.Identity().Cluster
 	if own == 0 {
-		if err := k.options.Journal.Join(b.Cluster); wal.IsFull(err) {
+		if err := k.options.Journal.Join(b.cluster()); wal.IsFull(err) {
 			k.noteFull(err)
 			return
 		} else if err != nil {
@@ -350,8 +382,8 @@
 		}
 		k.noteSaved()
 		k.announceCluster()
-	} else if own != b.Cluster {
-		klog.ErrorS(nil, "dropping messages of another cluster", "instance", k.options.Name, "own", own, "theirs", b.Cluster)
+	} else if own != b.cluster() {
+		klog.ErrorS(nil, "dropping messages of another cluster", "instance", k.options.Name, "own", own, "theirs", b.cluster())
 		return
 	}
 	for _, m := range b.Messages {
@@ -364,6 +396,9 @@
 	case k.failure != nil:
 		m.reply <- Reply{NotLeader: true, Code: k.failure.Code, Detail: k.failure.Detail}
 		return
+	case m.command.Level != nil || m.command.needed() > k.machine.level:
+		m.reply <- Reply{NotLeader: true, Code: result.LevelNotRead, Detail: "the command is of a level that is not in force"}
+		return
 	case k.refusesForFullDisk():
 		m.reply <- Reply{NotLeader: true, Code: result.JournalFull, Detail: "the disk of this keeper is full"}
 		return
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/wal"
 )
@@ -38,7 +39,7 @@
 		}
 		k.send(r.Messages)
 		if err := k.applyReady(r); err != nil {
-			k.fail(result.New(result.JournalDamaged, result.RanUnknown, "%v", err))
+			k.fail(journalError(result.RanUnknown, err))
 			return
 		}
 		k.node.Advance(r)
@@ -66,7 +67,7 @@
 		return
 	}
 	if err := k.applyReady(r); err != nil {
-		k.fail(result.New(result.JournalDamaged, result.RanUnknown, "%v", err))
+		k.fail(journalError(result.RanUnknown, err))
 		return
 	}
 	k.node.AdvanceUnsaved(r)
@@ -155,6 +156,7 @@
 	if k.failure != nil {
 		return
 	}
+	k.noteLevel()
 	k.logRefusals()
 	if k.node.Status().Role != consensus.Leader.String() {
 		k.dropPending()
@@ -234,7 +236,11 @@
 
 func (k *Keeper) send(messages []consensus.Message) {
 	cluster := k.options.Journal.Identity().Cluster
+	of := levelInLog(k.machine, k.node)
 	for _, m := range messages {
-		k.outbox.send(cluster, m)
+		if reads, known := k.reads[m.To]; known && level.Check(reads, of) != nil {
+			continue
+		}
+		k.outbox.send(cluster, of, m)
 	}
 }
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/wal"
 )
@@ -18,6 +19,8 @@
 func (k *Keeper) updateNodes(nodes []member.NodeInfo) {
 	own := k.options.Journal.Identity()
 	k.alive, k.unclustered, k.foreignKeeper = nil, nil, false
+	k.updateLevels(nodes)
+	inLog := levelInLog(k.machine, k.node)
 	for _, n := range nodes {
 		id, ok := parseID(n.KeeperID)
 		if !ok {
@@ -28,6 +31,8 @@
 		switch {
 		case n.KeeperStopped:
 			// Its process is alive, but it takes part in nothing.
+		case level.Check(k.reads[id], inLog) != nil:
+			// It is sent nothing, and is replaced as a lost one is.
 		case n.Cluster == 0:
 			k.unclustered = append(k.unclustered, id)
 			k.alive = append(k.alive, id)
@@ -42,11 +47,17 @@
 	maps.DeleteFunc(k.zones, func(id consensus.ID, _ string) bool {
 		return !slices.Contains(k.alive, id) && !slices.Contains(members, id)
 	})
+	maps.DeleteFunc(k.leftOut, func(id consensus.ID, _ bool) bool { return !slices.Contains(members, id) })
+	maps.DeleteFunc(k.reads, func(id consensus.ID, _ level.Level) bool {
+		return !slices.Contains(members, id) && !slices.Contains(k.alive, id)
+	})
 	slices.Sort(k.alive)
 	slices.Sort(k.unclustered)
 	k.bootstrap(own)
 	k.campaignOnMajority()
-	k.changeMembers()
+	if due := k.changeMembers(); k.failure == nil {
+		raiseLevel(k.machine, k.node, k.levelNodes, !due)
+	}
 }
 
 // campaignOnMajority makes the node campaign when a majority of the voters is
@@ -130,17 +141,19 @@
 	k.options.Gossip.SetKeeper(identity.ID.String(), identity.Cluster)
 }
 
-func (k *Keeper) changeMembers() {
+// changeMembers reports whether a change of the members is due.
+func (k *Keeper) changeMembers() bool {
 	if k.failure != nil || !k.node.IsLeader() {
-		return
+		return false
 	}
 	voters, learners, change := k.membership.decide(k.options.Clock(), k.node.Config(), k.alive, k.node.CaughtUp)
 	if !change {
-		return
+		return false
 	}
 	if err := k.node.ProposeConfig(voters, learners); err != nil && !errors.Is(err, consensus.ErrChangeInProgress) {
 		klog.ErrorS(err, "membership change refused; trying again at the next check", "instance", k.options.Name)
-		return
+		return true
 	}
 	klog.InfoS("changing the keepers' membership", "instance", k.options.Name, "voters", voters, "learners", learners)
+	return true
 }
--- a/keeper/membership_test.go
+++ b/keeper/membership_test.go
@@ -112,7 +112,7 @@
 
 func TestMachineSnapshot(t *testing.T) {
 	g := gomega.NewWithT(t)
-	m := newStateMachine()
+	m := newStateMachine(nil)
 	doc := service.Document{
 		Name: "x", Kind: service.Plain, Zones: []string{"a"}, Classes: []string{"small"}, ReplicasHigh: 1,
 		Ranks: []service.Rank{{Name: "urgent", FirstToken: time.Second}},
@@ -130,7 +130,7 @@
 	}
 	data, err := m.snapshot()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	restored := newStateMachine()
+	restored := newStateMachine(nil)
 	g.Expect(restored.restore(data)).To(gomega.Succeed())
 	restoredData, err := restored.snapshot()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -149,6 +149,6 @@
 		_ = wire.Decode(data, &b)
 		var c Command
 		_ = wire.Decode(data, &c)
-		_ = newStateMachine().restore(data)
+		_ = newStateMachine(nil).restore(data)
 	})
 }
--- a/keeper/outbox.go
+++ b/keeper/outbox.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/peer"
 )
 
@@ -25,6 +26,8 @@
 type outbox struct {
 	ctx    context.Context
 	client *peer.Client
+	// reads is the highest level that this keeper reads.
+	reads level.Level
 
 	mu        sync.Mutex
 	addresses map[consensus.ID]netip.AddrPort
@@ -33,13 +36,15 @@
 
 type queuedMessage struct {
 	cluster uint64
+	level   level.Level
 	message consensus.Message
 }
 
-func newOutbox(ctx context.Context, client *peer.Client) *outbox {
+func newOutbox(ctx context.Context, client *peer.Client, reads level.Level) *outbox {
 	return &outbox{
 		ctx:       ctx,
 		client:    client,
+		reads:     reads,
 		addresses: map[consensus.ID]netip.AddrPort{},
 		queues:    map[consensus.ID]chan queuedMessage{},
 	}
@@ -59,7 +64,7 @@
 	return a, ok
 }
 
-func (o *outbox) send(cluster uint64, m consensus.Message) {
+func (o *outbox) send(cluster uint64, of level.Level, m consensus.Message) {
 	o.mu.Lock()
 	q, ok := o.queues[m.To]
 	if !ok {
@@ -69,7 +74,7 @@
 	}
 	o.mu.Unlock()
 	select {
-	case q <- queuedMessage{cluster, m}:
+	case q <- queuedMessage{cluster, of, m}:
 	default:
 	}
 }
@@ -79,16 +84,16 @@
 	for {
 		select {
 		case first := <-q:
-			b := Batch{Cluster: first.cluster, Messages: []consensus.Message{first.message}}
+			messages, of := []consensus.Message{first.message}, first.level
 			for more := true; more; {
 				select {
 				case next := <-q:
-					b.Messages = append(b.Messages, next.message)
+					messages, of = append(messages, next.message), max(of, next.level)
 				default:
 					more = false
 				}
 			}
-			o.call(to, b)
+			o.call(to, newBatch(first.cluster, of, o.reads, messages))
 		case <-o.ctx.Done():
 			return
 		}
--- a/keeper/statemachine.go
+++ b/keeper/statemachine.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -29,6 +30,10 @@
 	Claim  *claim.Command   `json:"c,omitempty"`
 	Put    *config.Put      `json:"p,omitempty"`
 	Usage  *usage.Window    `json:"u,omitempty"`
+	// Level raises the level in force; only the leader appends it.
+	Level *RaiseLevel `json:"l,omitempty"`
+	// Later is a command above level 0.
+	Later *LaterCommand `json:"x,omitempty"`
 }
 
 // Check verifies a decoded command.
@@ -46,6 +51,12 @@
 	if c.Usage != nil {
 		commands = append(commands, c.Usage)
 	}
+	if c.Level != nil {
+		commands = append(commands, c.Level)
+	}
+	if c.Later != nil {
+		commands = append(commands, c.Later)
+	}
 	if len(commands) != 1 {
 		return errors.New("command must set exactly one field")
 	}
@@ -76,14 +87,36 @@
 // Batch carries consensus messages to one keeper.
 type Batch struct {
 	// Cluster is the sender's. A keeper drops messages of other clusters; one
-	// that belongs to no cluster joins the sender's.
+	// that belongs to no cluster joins the sender's. It is 0 in batches above level
+	// 0, so that builds that know no levels refuse them whole.
 	Cluster  uint64              `json:"c"`
 	Messages []consensus.Message `json:"m"`
+	// Level is that of the sender's log, Reads the highest that the sender reads, and
+	// LevelCluster its cluster if Level is above 0.
+	Level        level.Level `json:"v,omitempty"`
+	Reads        level.Level `json:"r,omitempty"`
+	LevelCluster uint64      `json:"w,omitempty"`
+}
+
+func newBatch(cluster uint64, of, reads level.Level, messages []consensus.Message) Batch {
+	b := Batch{Cluster: cluster, Messages: messages, Level: of, Reads: reads}
+	if of > 0 {
+		b.Cluster, b.LevelCluster = 0, cluster
+	}
+	return b
+}
+
+// cluster returns the sender's cluster.
+func (b *Batch) cluster() uint64 {
+	if b.Level > 0 {
+		return b.LevelCluster
+	}
+	return b.Cluster
 }
 
 // Check verifies a decoded batch.
 func (b *Batch) Check() error {
-	if b.Cluster == 0 {
+	if b.cluster() == 0 {
 		return errors.New("batch has no cluster")
 	}
 	for i := range b.Messages {
@@ -100,10 +133,18 @@
 	claims    *claim.Registry
 	configs   *config.Store
 	usage     *usage.Ledger
+	// level is in force, and reads the highest that this keeper reads.
+	level, reads level.Level
+	// later is the state above level 0; nil if the keeper reads no more.
+	later Later
 }
 
-func newStateMachine() *stateMachine {
-	return &stateMachine{documents: document.New(), claims: claim.New(), configs: config.NewStore(), usage: usage.NewLedger()}
+func newStateMachine(later Later) *stateMachine {
+	m := &stateMachine{documents: document.New(), claims: claim.New(), configs: config.NewStore(), usage: usage.NewLedger(), reads: level.Highest, later: later}
+	if later != nil {
+		m.reads = later.Reads()
+	}
+	return m
 }
 
 // apply applies an entry. If a document came into force by it, apply returns
@@ -125,6 +166,10 @@
 	case c.Usage != nil:
 		recorded := m.usage.Apply(*c.Usage)
 		return Reply{Usage: &recorded}, nil, nil
+	case c.Level != nil:
+		return Reply{}, nil, m.raise(c.Level.To)
+	case c.Later != nil:
+		return Reply{}, nil, m.applyLater(*c.Later)
 	default:
 		reply := m.claims.Apply(*c.Claim)
 		return Reply{Claim: &reply}, nil, nil
@@ -159,10 +204,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return wire.Encode(&machineSnapshot{documents, claims, configs, ledger})
+	data, err := wire.Encode(&machineSnapshot{documents, claims, configs, ledger})
+	if err != nil || m.level == 0 {
+		return data, err
+	}
+	return m.snapshotAboveZero(data)
 }
 
 func (m *stateMachine) restore(data []byte) error {
+	data, err := m.restoreAboveZero(data)
+	if err != nil {
+		return err
+	}
 	var s machineSnapshot
 	if err := wire.DecodeState(data, &s); err != nil {
 		return err
--- a/member/node.go
+++ b/member/node.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/level"
 )
 
 // NodeInfo is the payload of a Node record.
@@ -23,6 +24,10 @@
 	// KeeperStopped says that the keeper has stopped after a failure, while the node's
 	// process and other roles go on.
 	KeeperStopped bool `json:"keeperStopped,omitempty"`
+	// Reads is the highest level that the node reads, and Level the one in force as far as
+	// its keeper has applied the log (package level).
+	Reads level.Level `json:"reads,omitempty"`
+	Level level.Level `json:"level,omitempty"`
 }
 
 // Check verifies a decoded NodeInfo.
--- a/result/code.go
+++ b/result/code.go
@@ -51,6 +51,7 @@
 	JournalDamaged      Code = 7001
 	JournalSyncFailed   Code = 7002
 	JournalFull         Code = 7003
+	LevelNotRead        Code = 7004
 	Internal            Code = 9001
 )
 
@@ -108,6 +109,7 @@
 	JournalDamaged:      {"journalDamaged", 500, false},
 	JournalSyncFailed:   {"journalSyncFailed", 500, false},
 	JournalFull:         {"journalFull", 507, false},
+	LevelNotRead:        {"levelNotRead", 500, false},
 	Internal:            {"internal", 500, false},
 }
 
