formats: Show each node's version and formats

During an update nobody could see which nodes run which version, nor whether their formats differ: all builds said 0.1.0, and nodes said nothing. The plain "status" is as it was, since the tools of both versions have to print the same of a node. Entries of a platform have no gossip record: they have the line and metrics.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -19,12 +19,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/logs"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
-// Version is the program's version.
-const Version = "0.1.0"
-
 // Exit codes of the program.
 const (
 	exitOK     = 0
@@ -94,8 +92,8 @@
 	c.addStandin(app)
 	c.addLoad(app)
 	c.addDemo(app)
-	c.setAction(app.Command("version", "Print the version."), func() error {
-		_, err := fmt.Fprintln(c.out, "hyssopladder "+Version)
+	c.setAction(app.Command("version", "Print the version, and the formats that it reads and writes."), func() error {
+		_, err := fmt.Fprintf(c.out, "hyssopladder %s\nformats %s\n", formats.Version(), formats.Text())
 		return err
 	})
 	return app
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/examples"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/load"
+	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/operator"
 	"github.com/hyssopladder/hyssopladder/service"
 )
@@ -107,6 +109,19 @@
 	}
 }
 
+// TestNodes guards against a mixed cluster in which an operator can't tell the versions.
+func TestNodes(t *testing.T) {
+	nodes := []member.NodeInfo{
+		{Name: "entry-a0", Zone: "a", Roles: []string{"entry"}},
+		{Name: "keeper-a", Zone: "a", Roles: []string{"keeper", "control"}, Version: "0.1.0", Formats: formats.Text()},
+		{Name: "keeper-b", Zone: "b", Roles: []string{"keeper"}, Version: "0.2.0", Formats: strings.Replace(formats.Text(), "log/1", "log/2", 1), KeeperStopped: true},
+	}
+	var out bytes.Buffer
+	c := &cli{out: &out, format: "text"}
+	gomega.NewWithT(t).Expect(c.printNodes(nodes)).To(gomega.Succeed())
+	golden(t, "status-nodes", out.String())
+}
+
 func TestList(t *testing.T) {
 	g := gomega.NewWithT(t)
 	assistant, err := service.ParseINI(examples.Assistant)
--- a/commands/state.go
+++ b/commands/state.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -12,13 +13,16 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
+	"github.com/hyssopladder/hyssopladder/formats"
+	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/operator"
 )
 
 func (c *cli) addNodeOperations(app *kingpin.Application) {
 	status := app.Command("status", "Print the upstreams, slots and waiting calls of each service, and what it lacks.")
 	statusNode := nodeFlag(status)
-	c.setAction(status, func() error { return c.status(*statusNode) })
+	showNodes := status.Flag("nodes", "Print the nodes instead, with their versions and how their formats differ from those of this program.").Bool()
+	c.setAction(status, func() error { return c.status(*statusNode, *showNodes) })
 
 	drain := app.Command("drain", "Drain a node: it takes no new callers, finishes what is under way and stops.")
 	drainNode := nodeFlag(drain)
@@ -41,14 +45,33 @@
 	})
 }
 
-func (c *cli) status(node netip.AddrPort) error {
+func (c *cli) status(node netip.AddrPort, showNodes bool) error {
 	s, err := operator.NewClient(node).Status(c.ctx)
 	if err != nil {
 		return err
 	}
+	if showNodes {
+		return c.printNodes(s.Nodes)
+	}
 	return c.printStatus(s)
 }
 
+func (c *cli) printNodes(nodes []member.NodeInfo) error {
+	if c.format == "json" {
+		return c.printJSON(nodes)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "NODE\tZONE\tROLES\tVERSION\tFORMATS\tNOTE")
+	for _, n := range nodes {
+		note := "ok"
+		if n.KeeperStopped {
+			note = "the keeper has stopped"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", n.Name, n.Zone, strings.Join(n.Roles, ","), cmp.Or(n.Version, "unknown"), formats.Difference(n.Formats), note)
+	}
+	return w.Flush()
+}
+
 func (c *cli) printStatus(s operator.Status) error {
 	if c.format == "json" {
 		return c.printJSON(s)
--- a/formats/formats_test.go
+++ b/formats/formats_test.go
@@ -337,6 +337,14 @@
 	g.Expect(decode(t, passed[0])).NotTo(gomega.HaveKey(laterField))
 }
 
+// TestMetrics guards against an upgrade that a monitor can't follow.
+func TestMetrics(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var b strings.Builder
+	formats.WriteMetrics(&b)
+	g.Expect(b.String()).To(gomega.HavePrefix("hyssopladder_node_version{version=\"" + formats.Version() + "\"} 1\nhyssopladder_node_format{name=\"exchange\"} 1\n"))
+}
+
 func formatOf(t *testing.T, name string) formats.Format {
 	t.Helper()
 	for _, f := range formats.List() {
--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
@@ -43,6 +44,8 @@
 			Zone:    n.Zone,
 			Address: address,
 			Roles:   n.Roles,
+			Version: formats.Version(),
+			Formats: formats.Text(),
 		},
 		Incarnation: host.Incarnation,
 		Seeds:       host.Settings.Peer.Seeds,
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -19,6 +19,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/settings"
 )
 
@@ -125,7 +126,7 @@
 			s.Started()
 		}
 	}
-	klog.InfoS("node started", "instance", s.Node.Name, "zone", s.Node.Zone, "roles", s.Node.Roles)
+	klog.InfoS("node started", "instance", s.Node.Name, "zone", s.Node.Zone, "roles", s.Node.Roles, "version", formats.Version(), "formats", formats.Text())
 	return h, nil
 }
 
--- a/member/node.go
+++ b/member/node.go
@@ -23,6 +23,10 @@
 	// KeeperStopped says that the keeper has stopped after a failure, while the node's
 	// process and other roles go on.
 	KeeperStopped bool `json:"keeperStopped,omitempty"`
+	// Version is the program's version, and Formats are those that it reads; "" from a node
+	// of an earlier version.
+	Version string `json:"version,omitempty"`
+	Formats string `json:"formats,omitempty"`
 }
 
 // Check verifies a decoded NodeInfo.
--- a/operator/api.go
+++ b/operator/api.go
@@ -20,6 +20,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/document"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -252,4 +253,5 @@
 func (a *API) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	meters.WriteText(w, a.metrics)
+	formats.WriteMetrics(w)
 }
--- a/status/plugin.go
+++ b/status/plugin.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/meters"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/kernel"
 )
 
@@ -39,6 +40,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		meters.WriteText(w, h.Metrics)
+		formats.WriteMetrics(w)
 	})
 	mux.HandleFunc("GET /debug/dump", func(w http.ResponseWriter, _ *http.Request) {
 		data, err := h.Dump()
