--- a/gossip/plugin.go
+++ b/gossip/plugin.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/kernel"
 	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
@@ -45,6 +46,8 @@
 			Address: address,
 			Roles:   n.Roles,
 			Reads:   level.Highest,
+			Version: formats.Version(),
+			Formats: formats.Text(),
 		},
 		Incarnation: host.Incarnation,
 		Seeds:       host.Settings.Peer.Seeds,
--- a/member/node.go
+++ b/member/node.go
@@ -28,6 +28,10 @@
 	// its keeper has applied the log (package level).
 	Reads level.Level `json:"reads,omitempty"`
 	Level level.Level `json:"level,omitempty"`
+	// Version is the program's version, and Formats are those that it reads; "" from a node
+	// of an earlier version.
+	Version string `json:"version,omitempty"`
+	Formats string `json:"formats,omitempty"`
 }
 
 // Check verifies a decoded NodeInfo.
