entry: Name the length of whole answers

Half an answer looked whole to a caller of HTTP/1.0 of the role entry when a write failed: without a length the close of the connection ends the body.

Whole answers name their length. Streams to such callers still end with the connection.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -111,10 +111,19 @@
 		w.Header()[name] = values
 	}
 	w.Header().Set(headerServedBy, a.servedBy)
+	if len(a.body) > 0 {
+		setLength(w, a.body)
+	}
 	w.WriteHeader(a.status)
 	return writeBody(w, a.body, timeout)
 }
 
+// setLength names the length of an answer, without which half of it looks whole to callers that
+// know no chunks.
+func setLength(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+}
+
 // writeBytes is how much of an answer one write takes.
 const writeBytes = 64 << 10
 
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -125,7 +125,9 @@
 	}
 	s.w.Header().Set("Content-Type", "application/json")
 	s.w.Header().Set(headerServedBy, u.ID)
-	return writeBody(s.w, append(body, '\n'), s.timeout)
+	body = append(body, '\n')
+	setLength(s.w, body)
+	return writeBody(s.w, body, s.timeout)
 }
 
 func (s *bufferedSink) fail(*result.Error) {}
