ingress: Send unread requests from a caller whose window never shrinks

TestEveryEndWithoutAnAnswerIsLoggedAndCounted failed in 7 of 240 runs beside load, in two forms. In this one 2,245 refusals are logged, and then neither an end nor a count within 20 s. Traced by the state of the sockets in 4 runs: the test shrinks its caller's receive buffer to 4 KB after the kernel has advertised 64 KB. The caller's kernel then drops what comes, the updates of the entry's window with it, and stands in TCP's persist state with 2.1 MB unsent and its back-off doubling. The entry has read 128 KB, has answered all requests in it, and closes the connection by its header timeout: nothing that it wrote has failed.

The caller's buffer is small from its connect on now. The check is as it was.

--- a/ingress/ended_test.go
+++ b/ingress/ended_test.go
@@ -79,8 +79,8 @@
 		"writeFailed": {"/endless/stream", func(_ *stopCase, c *stopCaller) {
 			c.send(stopRequest("/endless/stream"))
 		}},
-		"writeFailed after the handler": {"/unread", func(_ *stopCase, c *stopCaller) {
-			c.sendUnread("-unread")
+		"writeFailed after the handler": {"/unread", func(s *stopCase, _ *stopCaller) {
+			s.sendUnread("-unread")
 		}},
 	} {
 		t.Run(cause, func(t *testing.T) {
--- a/ingress/late_answer_test.go
+++ b/ingress/late_answer_test.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/hyssopladder/hyssopladder/config"
 )
@@ -31,13 +33,20 @@
 
 // sendUnread sends requests that are refused, more than the kernel holds refusals for, without
 // reading any. It returns their number.
-func (c *stopCaller) sendUnread(id string) (requests int64) {
+func (s *stopCase) sendUnread(id string) (requests int64) {
 	const (
 		readBuffer    = 4 << 10
 		unreadRefused = 40_000
 	)
-	c.s.g.Expect(c.Conn.(*net.TCPConn).SetReadBuffer(readBuffer)).To(gomega.Succeed())
-	c.s.g.Expect(c.SetDeadline(time.Time{})).To(gomega.Succeed())
+	// A buffer that shrinks after the kernel has advertised its window can stall both directions.
+	c := s.dialBy(&net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, readBuffer) })
+		if controlErr != nil {
+			return controlErr
+		}
+		return err
+	}})
+	s.g.Expect(c.SetDeadline(time.Time{})).To(gomega.Succeed())
 	go func() {
 		_, _ = io.WriteString(c, strings.Repeat("GET /nowhere HTTP/1.1\r\nHost: h\r\nX-Request-Id: "+id+"\r\n\r\n", unreadRefused))
 	}()
@@ -49,7 +58,7 @@
 func TestRefusalsThatNobodyReadsEndTheirConnection(t *testing.T) {
 	t.Parallel()
 	s := startStopCase(t)
-	requests := s.dial().sendUnread("-unread")
+	requests := s.sendUnread("-unread")
 	// Whether a request is under way changes all the time while requests are refused.
 	served := func() int64 { return s.in.meters.requests.Count() }
 	last := int64(-1)
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -200,8 +200,10 @@
 	reader *bufio.Reader
 }
 
-func (s *stopCase) dial() *stopCaller {
-	c, err := net.Dial("tcp", s.in.listener.Addr().String())
+func (s *stopCase) dial() *stopCaller { return s.dialBy(&net.Dialer{}) }
+
+func (s *stopCase) dialBy(dialer *net.Dialer) *stopCaller {
+	c, err := dialer.Dial("tcp", s.in.listener.Addr().String())
 	s.g.Expect(err).NotTo(gomega.HaveOccurred())
 	s.t.Cleanup(func() { _ = c.Close() })
 	s.g.Expect(c.SetDeadline(time.Now().Add(2 * stopLimit))).To(gomega.Succeed())
