--- a/ingress/abort.go
+++ b/ingress/abort.go
@@ -30,8 +30,8 @@
 
 // notWritten records that an answer, or its end, didn't reach the caller's connection.
 func (in *Ingress) notWritten(request string, err error) {
-	in.meters.ended(endUnwritten)
 	klog.InfoS("answer not written; closing the connection", "request", request, "cause", endUnwritten, "err", err)
+	in.meters.ended(endUnwritten)
 }
 
 // lingerer is a connection whose Close can be made a reset.
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -192,8 +192,8 @@
 // be answered before the entry stops.
 func (d *forwarding) abandon(callerCtx context.Context) {
 	if callerCtx.Err() != nil {
-		d.in.meters.ended(endGone)
 		klog.InfoS("caller gone", "request", d.r.ID, "route", d.r.routeName(), "cause", endGone, "events", d.events.forwarded, "held", d.in.options.Clock()-d.r.arrived)
+		d.in.meters.ended(endGone)
 		d.answerGone()
 		return
 	}
@@ -235,8 +235,8 @@
 		err = result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream's error response broke off")
 	}
 	if d.headSent {
-		d.in.meters.ended(endCutOff)
 		klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "cause", endCutOff, "events", d.events.forwarded, "code", int(err.Code), "detail", err.Detail)
+		d.in.meters.ended(endCutOff)
 		d.abort()
 	}
 	d.in.refuse(d.w, d.r, err)
--- a/ingress/forward__relay.go
+++ b/ingress/forward__relay.go
@@ -84,8 +84,8 @@
 	if errors.Is(err, io.EOF) && n <= int64(limit) {
 		return
 	}
-	d.in.meters.ended(endCutOff)
 	klog.InfoS("response cut off; closing the connection", "request", d.r.ID, "route", d.r.routeName(), "cause", endCutOff, "bytes", n, "limit", limit, "err", err)
+	d.in.meters.ended(endCutOff)
 	d.finish(false, false)
 	d.abort()
 }
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -114,7 +114,8 @@
 	endPanicked endCause = "panicked"
 )
 
-// ended counts a caller's connection that ends without a whole answer.
+// ended counts a caller's connection that ends without a whole answer. Its cause is logged
+// before, so that each one that is counted can be found.
 func (m *meters) ended(c endCause) {
 	metrics.GetOrRegisterCounter("ingress.ended."+string(c), m.registry).Inc(1)
 }
--- a/ingress/panic.go
+++ b/ingress/panic.go
@@ -28,8 +28,8 @@
 	klog.ErrorS(errors.Errorf("%v", p), "handler panicked", "request", r.ID, "route", r.routeName(), "answerBegun", r.headSent, "sent", r.sent,
 		"stack", logs.OneLine(debug.Stack(), maxStackBytes))
 	if r.headSent {
-		in.meters.ended(endPanicked)
 		klog.InfoS("response cut off; closing the connection", "request", r.ID, "route", r.routeName(), "cause", endPanicked)
+		in.meters.ended(endPanicked)
 		abort(w, httpRequest.ProtoAtLeast(1, 1), r)
 	}
 	// They were to be the head of another answer.
