--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -257,8 +257,8 @@
 	in, r := d.in, d.r
 	startedAt := in.options.Clock()
 	var response *exchange.Response
-	var limit float64
-	defer func() { d.logAttempt(requestCtx, grant, startedAt, response, limit, o) }()
+	var head responseHead
+	defer func() { d.logAttempt(requestCtx, grant, startedAt, response, head, o) }()
 	if r.org != nil && !in.configFresh() {
 		// The configuration was fresh when the request was accepted, but the
 		// instance may have been suspended since.
@@ -279,7 +279,7 @@
 			o.failure = retry.Silent
 		}
 	}()
-	response, limit, o = d.open(ctx, d.ticket, grant)
+	response, head, o = d.open(ctx, d.ticket, grant)
 	if response != nil {
 		return d.relay(response)
 	}
@@ -298,10 +298,15 @@
 	}
 }
 
+// responseHead is the head of an upstream's answer to the request; its status is 0 if none came.
+type responseHead struct {
+	status int
+	platform.ResponseInfo
+}
+
 // logAttempt logs an attempt that has ended, with the response that was relayed, if there
-// was one. limit is the number of requests per second that the upstream's answer names; 0
-// if none.
-func (d *forwarding) logAttempt(requestCtx context.Context, grant fleet.Grant, startedAt clock.Instant, response *exchange.Response, limit float64, o outcome) {
+// was one.
+func (d *forwarding) logAttempt(requestCtx context.Context, grant fleet.Grant, startedAt clock.Instant, response *exchange.Response, head responseHead, o outcome) {
 	in, r := d.in, d.r
 	// by is the other end of the connection, which differs from the address if the attempt
 	// went through another entry.
@@ -322,7 +327,7 @@
 	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
-		"done", o.done, "failure", failure, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", limit, "err", o.cause)
+		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit, "err", o.cause)
 	if failure == retry.Broken.String() {
 		klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 			"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
@@ -330,9 +335,8 @@
 }
 
 // open sends the request to the granted upstream and reads the head of its response. It
-// returns the response if it can be relayed, and why not otherwise. limit is the number of
-// requests per second that the upstream names; 0 if none.
-func (d *forwarding) open(ctx context.Context, ticket uint64, grant fleet.Grant) (relayable *exchange.Response, limit float64, o outcome) {
+// returns the response if it can be relayed, and why not otherwise.
+func (d *forwarding) open(ctx context.Context, ticket uint64, grant fleet.Grant) (relayable *exchange.Response, head responseHead, o outcome) {
 	in, r := d.in, d.r
 	d.mu.Lock()
 	lastEvent, resumes := d.events.position()
@@ -357,12 +361,13 @@
 			o.failure, o.sent = retry.Broken, true
 		}
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
-		return nil, 0, o
+		return nil, head, o
 	}
 	if response.Direct() {
 		in.paths.Answered()
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
+	head = responseHead{response.StatusCode, answer}
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
@@ -375,17 +380,17 @@
 	switch {
 	case answer.NotRun:
 		response.Skip()
-		return nil, answer.Limit, outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
+		return nil, head, outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
-		return nil, answer.Limit, outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
+		return nil, head, outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
 		response.Close()
-		return nil, answer.Limit, outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
+		return nil, head, outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
 	case !d.continues(response):
 		response.Close()
-		return nil, answer.Limit, outcome{failure: retry.Errored, cause: errors.Errorf("response with status %d and content type %q doesn't continue the stream", response.StatusCode, response.Header.Get("Content-Type"))}
+		return nil, head, outcome{failure: retry.Errored, cause: errors.Errorf("response with status %d and content type %q doesn't continue the stream", response.StatusCode, response.Header.Get("Content-Type"))}
 	}
-	return response, answer.Limit, outcome{}
+	return response, head, outcome{}
 }
 
 // applyNotice passes on what the answer says of how the upstream wants to be used.
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -38,7 +38,7 @@
 	startedAt clock.Instant
 	ctx       context.Context
 	cancel    context.CancelFunc
-	// settled is closed when won, dropped, response, outcome and limit don't change any more.
+	// settled is closed when won, dropped, response, outcome and head don't change any more.
 	settled chan struct{}
 	// resumes says that the hedge goes on after an event of the attempt. accepted is closed
 	// when its upstream has sent the head of a response that does.
@@ -51,7 +51,7 @@
 	response *exchange.Response
 	// outcome is how a hedge without a response ended that has won or is adopted.
 	outcome outcome
-	limit   float64
+	head    responseHead
 }
 
 // errReplaced is the error of an attempt whose hedge has begun to answer first.
@@ -131,7 +131,7 @@
 func (d *forwarding) runHedge(h *hedge) {
 	opened := make(chan outcome, 1)
 	go func() {
-		response, limit, o := d.open(h.ctx, h.ticket, h.grant)
+		response, head, o := d.open(h.ctx, h.ticket, h.grant)
 		if response != nil {
 			close(h.accepted)
 			if err := d.awaitBeginning(response); err != nil {
@@ -139,7 +139,7 @@
 				response, o = nil, outcome{failure: retry.Broken, cause: err}
 			}
 		}
-		h.response, h.limit = response, limit
+		h.response, h.head = response, head
 		opened <- o
 	}()
 	var overlap <-chan time.Time
@@ -254,7 +254,7 @@
 	o.close()
 	h.cancel()
 	klog.InfoS("second upstream not used", "request", d.r.ID, "upstream", h.grant.Upstream.ID, "number", h.grant.Attempt,
-		"took", d.in.options.Clock()-h.startedAt, "dropped", dropped, "failure", o.failure.String(), "limit", h.limit, "err", o.cause)
+		"took", d.in.options.Clock()-h.startedAt, "dropped", dropped, "failure", o.failure.String(), "status", h.head.status, "notRun", h.head.NotRun, "named", h.head.RequestID == d.r.ID, "limit", h.head.Limit, "err", o.cause)
 	if !dropped {
 		d.in.meters.attemptFailed(o.failure)
 		d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.HedgeFailed(now, h.ticket, o.failure) })
@@ -368,7 +368,7 @@
 // attemptHedged waits for the response of a hedge that has become the present attempt, and
 // relays it.
 func (d *forwarding) attemptHedged(requestCtx context.Context, h *hedge) (o outcome) {
-	defer func() { d.logAttempt(requestCtx, h.grant, h.startedAt, h.response, h.limit, o) }()
+	defer func() { d.logAttempt(requestCtx, h.grant, h.startedAt, h.response, h.head, o) }()
 	defer func() {
 		if o.errorResponse == nil {
 			h.cancel()
