--- /dev/null
+++ b/ingress/promise_test.go
@@ -0,0 +1,60 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/config"
+)
+
+// TestAnswersPromiseOnlyWhatUpstreamsState guards against a caller that is told by its status
+// that a request hasn't run, as its upstream chose that status after it had run the request.
+func TestAnswersPromiseOnlyWhatUpstreamsState(t *testing.T) {
+	for kind, route := range map[string]config.Route{
+		"non-idempotent": {Kind: config.NonIdempotent}, "idempotent": {Kind: config.Idempotent}, "stream": {Kind: config.Streaming}, "resumable": resumable,
+	} {
+		for _, status := range []int{408, 429, 503} {
+			for _, headers := range []string{"X-Replica-Seal: s\r\n", "", "X-Replica-Seal: s\r\nRetry-After: 1\r\n", "X-Replica-Seal: s\r\nContent-Type: text/event-stream\r\n"} {
+				for framing, body := range map[string]string{"length": "Content-Length: 4\r\n\r\nfull", "chunks": "Transfer-Encoding: chunked\r\n\r\n" + chunk("full") + lastChunk, "until closed": "\r\nfull", "cut off": "Content-Length: 9\r\n\r\nfull"} {
+					t.Run(fmt.Sprintf("%s %d %q %s", kind, status, headers, framing), func(t *testing.T) {
+						t.Parallel()
+						g := gomega.NewWithT(t)
+						var runs atomic.Int64
+						upstream := startUpstream(t, func(c net.Conn, _ *http.Request) {
+							runs.Add(1)
+							_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\n%s%s", status, requestID, headers, body))
+						})
+						response, err := callers.Get(startEntry(t, route, 2*time.Second, upstream))
+						g.Expect(err).NotTo(gomega.HaveOccurred())
+						defer func() { _ = response.Body.Close() }()
+						text, err := io.ReadAll(response.Body)
+						g.Expect(err).NotTo(gomega.HaveOccurred())
+						g.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway), string(text))
+						g.Expect(response.Header).NotTo(gomega.HaveKey("X-Replica-Seal"), "the signature is of another status")
+						g.Expect(string(text)).To(gomega.ContainSubstring(`"ran":"unknown"`))
+						g.Expect(runs.Load()).To(gomega.BeEquivalentTo(1))
+						// Whether another upstream may run it depends on nothing but the route.
+						sound := startUpstream(t, func(c net.Conn, _ *http.Request) {
+							runs.Add(1)
+							_, _ = io.WriteString(c, chunkedHead+chunk(event(1))+lastChunk)
+						})
+						wanted := map[bool]int{true: http.StatusOK, false: http.StatusBadGateway}[route.Repeatable()]
+						got, _, err := get(startEntry(t, route, 2*time.Second, upstream, sound))
+						g.Expect(err).NotTo(gomega.HaveOccurred())
+						g.Expect(got).To(gomega.Equal(wanted))
+						if !route.Repeatable() {
+							g.Expect(runs.Load()).To(gomega.BeEquivalentTo(2))
+						}
+					})
+				}
+			}
+		}
+	}
+}
