ingress: Pass no promise on that the upstream hasn't made

Cause: the entry looks for the upstream's statement that it has not run the request, and without one it relayed whatever status came. The statuses 503, 429, 408 and 421 mean something else to a caller of the entry than to the upstream, which uses them as any server does.

An answer with one of these statuses and without the statement is an error of the upstream now: a request that may be repeated can go to another one, any other is answered by 502 (3002), ran unknown. The body and the signature aren't passed on, as they belong to the other status. That is so for requests that may be repeated too, as the promise is the same for all.

TestErrorAnswersAreWhole expected status 503 unchanged, which is the fault: its cases of 503 now expect 502 with ran unknown, in all framings and arrivals.

--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -100,10 +100,12 @@
 
 // finalError is the answer to a ticket that isn't retried.
 func (t *ticket) finalError(failure retry.Failure, retryAfter time.Duration) *result.Error {
-	if t.mayHaveRun {
+	switch {
+	case t.mayHaveRun && failure == retry.Errored:
+		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream's answer can't be passed on")
+	case t.mayHaveRun:
 		return result.New(result.UpstreamUnknown, result.RanUnknown, "the upstream was lost after the request was sent")
-	}
-	if failure == retry.Refused {
+	case failure == retry.Refused:
 		return result.New(result.UpstreamRefused, result.RanNo, "%d upstreams refused the request", t.attempts).WithRetry(retryAfter)
 	}
 	return result.New(result.Saturated, result.RanNo, "no upstream accepted the request").WithRetry(retryAfter)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -84,7 +84,7 @@
 	// cancelResponse is called.
 	errorResponse  *exchange.Response
 	cancelResponse context.CancelFunc
-	// sent says of a broken attempt that the upstream may have the request.
+	// sent says of an attempt without an errorResponse that the upstream may have the request.
 	sent  bool
 	cause error
 }
@@ -291,7 +291,7 @@
 // countFailed adds the request of a failed attempt to its organisation's usage, if the
 // upstream began to run it.
 func (d *forwarding) countFailed(o outcome) {
-	if o.failure == retry.Errored && o.errorResponse != nil || o.failure == retry.Broken && o.sent && !d.r.isStream() {
+	if o.failure == retry.Errored && (o.errorResponse != nil || o.sent) || o.failure == retry.Broken && o.sent && !d.r.isStream() {
 		// Unlike a stream, a plain request counts as running as soon as the
 		// upstream has it.
 		d.countOnce()
@@ -381,6 +381,10 @@
 	case answer.NotRun:
 		response.Skip()
 		return nil, head, outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
+	case platform.PromisesNotRun(response.StatusCode):
+		// Nor may the entry pass the answer on with another status.
+		response.Skip()
+		return nil, head, outcome{failure: retry.Errored, sent: true, cause: errors.Errorf("upstream responded with status %d and doesn't state that it has not run the request", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
 		return nil, head, outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
 	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -29,6 +29,7 @@
 	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -521,6 +522,10 @@
 							})
 							got, text, err := get(startEntry(t, route, 2*time.Second, address))
 							switch {
+							case platform.PromisesNotRun(status):
+								g.Expect(err).NotTo(gomega.HaveOccurred())
+								g.Expect(got).To(gomega.Equal(http.StatusBadGateway), text)
+								g.Expect(text).To(gomega.ContainSubstring(`"ran":"unknown"`))
 							case framing == "cut off" && len(body) > maxBufferedBytes:
 								g.Expect(err).To(gomega.HaveOccurred(), "the answer looks complete")
 							case framing == "cut off":
