entry: Say that a refused chat has not run only if its upstream states so

The same class of fault as in the role ingress, found by looking for it elsewhere: an answer below 500 of an upstream was passed to the caller as 400 with ran no, whether the upstream said so or not, and also after an earlier attempt that may have run the request. Nobody has reported it. ran is no now only with the upstream's statement and without such an attempt.

The test fails in 700 of 800 cases before, and passes now.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -224,11 +224,16 @@
 // classify returns the failure of an attempt whose response isn't a stream, or the error
 // for the caller. An answer that has begun isn't ended by an upstream's error.
 func (c *chatCall) classify(r *http.Response) (retry.Failure, error) {
-	failure, err := classifyStatus(r)
-	if err != nil && c.stream.Offset() > 0 {
+	failure, refusal := classifyStatus(r)
+	switch {
+	case refusal == nil:
+		return failure, nil
+	case c.stream.Offset() > 0:
 		return retry.Broken, nil
+	case c.mayHaveRun:
+		refusal.Ran = result.RanUnknown
 	}
-	return failure, err
+	return 0, refusal
 }
 
 // accept sends a chunk to the caller unless the stream drops it. A gap in the
--- a/entry/chat_test.go
+++ b/entry/chat_test.go
@@ -10,8 +10,28 @@
 	"github.com/onsi/gomega"
 
 	"github.com/hyssopladder/hyssopladder/relay"
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
+// TestRefusedContentHasRunUnlessStatedOtherwise guards against a caller that is told that its
+// request hasn't run, as an upstream answered with a status below 500, though the upstream
+// doesn't say so or an earlier one may have run it.
+func TestRefusedContentHasRunUnlessStatedOtherwise(t *testing.T) {
+	for status := http.StatusBadRequest; status < http.StatusInternalServerError; status++ {
+		for _, stated := range []string{"", "no", "unknown", "yes"} {
+			for _, mayHaveRun := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%d %q %v", status, stated, mayHaveRun), func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					c := &chatCall{mayHaveRun: mayHaveRun}
+					_, err := c.classify(&http.Response{StatusCode: status, Header: http.Header{headerRan: {stated}}, Body: http.NoBody})
+					g.Expect(err).To(gomega.HaveOccurred())
+					g.Expect(result.From(err).Ran == result.RanNo).To(gomega.Equal(stated == "no" && !mayHaveRun))
+				})
+			}
+		}
+	}
+}
+
 // TestErrorOfTheNextUpstreamIsNotForTheCaller guards against an error document in the middle
 // of a stream that has begun at another upstream.
 func TestErrorOfTheNextUpstreamIsNotForTheCaller(t *testing.T) {
@@ -25,7 +45,7 @@
 			number, _ := c.stream.Begin()
 			_, err := c.classify(respond())
 			refused := status >= http.StatusBadRequest && status < http.StatusInternalServerError
-			g.Expect(err != nil).To(gomega.Equal(refused), "the request hasn't run, and the caller may mend it")
+			g.Expect(err != nil).To(gomega.Equal(refused), "the caller may mend the request")
 			g.Expect(c.stream.Accept(relay.Chunk{Attempt: number, Text: "a"})).To(gomega.Equal(relay.Emit))
 			failure, err := c.classify(respond())
 			g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -171,18 +171,22 @@
 const headerRan = "X-Ran"
 
 // classifyStatus handles a response with a status other than 200. A server error
-// is a failure of the upstream, which states by headerRan if it did not run the
-// request; a client error is returned to the caller.
-func classifyStatus(r *http.Response) (retry.Failure, error) {
+// is a failure of the upstream, a client error is returned to the caller. The upstream
+// states by headerRan if it did not run the request.
+func classifyStatus(r *http.Response) (failure retry.Failure, refusal *result.Error) {
+	ran := result.RanUnknown
+	if r.Header.Get(headerRan) == string(result.RanNo) {
+		ran = result.RanNo
+	}
 	switch {
-	case r.Header.Get(headerRan) == string(result.RanNo) && r.StatusCode >= http.StatusInternalServerError:
+	case ran == result.RanNo && r.StatusCode >= http.StatusInternalServerError:
 		return retry.Refused, nil
 	case r.StatusCode >= http.StatusBadRequest && r.StatusCode < http.StatusInternalServerError:
 		var problem struct {
 			Detail string `json:"detail"`
 		}
 		_ = json.NewDecoder(io.LimitReader(r.Body, maxProblemBytes)).Decode(&problem)
-		return 0, result.New(result.BadRequest, result.RanNo, "the upstream refused the request: %d %s", r.StatusCode, problem.Detail)
+		return 0, result.New(result.BadRequest, ran, "the upstream refused the request: %d %s", r.StatusCode, problem.Detail)
 	default:
 		return retry.Broken, nil
 	}
