--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -195,7 +195,7 @@
 		want   bool
 	}{
 		"breaks off": {"", true},
-		"refuses":    {answerHead + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+		"refuses":    {strings.Replace(answerHead, "200 OK", "503 Full", 1) + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/ingress/promise_test.go
+++ b/ingress/promise_test.go
@@ -14,6 +14,28 @@
 	"github.com/hyssopladder/hyssopladder/config"
 )
 
+// TestSuccessesAreNoRefusals guards against a caller that is told that its request hasn't run
+// though its upstream answers with a signed success, which also states that.
+func TestSuccessesAreNoRefusals(t *testing.T) {
+	for kind, route := range map[string]config.Route{"plain": {Kind: config.NonIdempotent}, "stream": {Kind: config.Streaming}} {
+		for _, signed := range []bool{true, false} {
+			t.Run(fmt.Sprint(kind, " signed=", signed), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				head, want := "X-Replica-Seal: s\r\n", http.StatusOK
+				if !signed {
+					head, want = "", http.StatusBadGateway
+				}
+				upstream := startUpstream(t, func(c net.Conn, _ *http.Request) {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Not-Run: 1\r\nX-Request-Id: "+requestID+"\r\n"+head+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1))+lastChunk)
+				})
+				status, body, err := get(startEntry(t, route, 2*time.Second, upstream))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).To(gomega.Equal(want), body)
+			})
+		}
+	}
+}
+
 // TestAnswersPromiseOnlyWhatUpstreamsState guards against a caller that is told by its status
 // that a request hasn't run, as its upstream chose that status after it had run the request.
 func TestAnswersPromiseOnlyWhatUpstreamsState(t *testing.T) {
