entry, readahead: Bound the memory of all answers that are read ahead

Package readahead bounds them together: each answer has 16 KiB of its own, and takes what it needs beyond that from a pool of 16 MiB. An answer for which nothing is left counts as broken off, as one that is too long; short ones don't notice. The pool is a weighted semaphore of golang.org/x/sync.

--- /dev/null
+++ b/common/readahead/readahead.go
@@ -0,0 +1,75 @@
+// Package readahead reads answers ahead of their callers into memory that all of them share,
+// so that many long ones at once don't exhaust a process.
+package readahead
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+)
+
+// ownBytes is what each answer may take whatever the others have taken.
+const ownBytes = 16 << 10
+
+// Pool is the memory that answers share beyond their own bytes. It is safe for concurrent use.
+type Pool struct{ free *semaphore.Weighted }
+
+// New returns a pool of the size, in bytes.
+func New(size int64) *Pool { return &Pool{semaphore.NewWeighted(size)} }
+
+// Answer is the beginning of an answer, or all of it.
+type Answer struct {
+	Bytes []byte
+	// Whole says that the answer has no more bytes, and no more than the limit.
+	Whole bool
+	pool  *Pool
+	taken int64
+}
+
+// Release returns the memory to the pool. The bytes aren't to be used any more.
+func (a *Answer) Release() {
+	if a.taken > 0 {
+		a.pool.free.Release(a.taken)
+	}
+	a.Bytes, a.taken = nil, 0
+}
+
+// Read reads up to limit bytes of an answer and one more, which tells a longer answer from one of
+// that size, or fewer if the pool is used up. The error is that of the reader, in which case
+// the memory is returned.
+func (p *Pool) Read(r io.Reader, limit int) (Answer, error) {
+	a := Answer{pool: p, Bytes: make([]byte, 0, min(ownBytes, limit+1))}
+	for {
+		if len(a.Bytes) == cap(a.Bytes) && !a.grow(limit) {
+			return a, nil
+		}
+		n, err := r.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
+		a.Bytes = a.Bytes[:len(a.Bytes)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			a.Whole = len(a.Bytes) <= limit
+			return a, nil
+		case err != nil:
+			a.Release()
+			return Answer{}, err
+		}
+	}
+}
+
+// grow makes room for more bytes, and reports whether it did.
+func (a *Answer) grow(limit int) bool {
+	size := min(2*cap(a.Bytes), limit+1)
+	// Both copies exist for a moment.
+	if size <= cap(a.Bytes) || !a.pool.free.TryAcquire(int64(size)) {
+		return false
+	}
+	grown := make([]byte, len(a.Bytes), size)
+	copy(grown, a.Bytes)
+	a.Bytes = grown
+	if a.taken > 0 {
+		a.pool.free.Release(a.taken)
+	}
+	a.taken = int64(size)
+	return true
+}
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/cuttest"
+	"github.com/hyssopladder/hyssopladder/common/readahead"
 	"github.com/hyssopladder/hyssopladder/relay"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/service"
@@ -26,7 +27,7 @@
 // used again while its upstream closes it is another failure.
 func newCutEntry(dispatch *dispatchActor) *Entry {
 	return &Entry{
-		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(),
+		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes),
 		dispatch: dispatch,
 		meters:   newMeters(metrics.NewRegistry()), inTime: newInTimeTracker(),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/logs"
+	"github.com/hyssopladder/hyssopladder/common/readahead"
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/gossip"
@@ -63,6 +64,7 @@
 	options        Options
 	dispatch       *dispatchActor
 	upstreams      *upstreamClient
+	responses      *readahead.Pool
 	listener       *drain.Listener
 	draining       atomic.Bool
 	stop           drain.Stop
@@ -116,6 +118,7 @@
 		listener:     drain.NewLimitedListener(l, o.Settings.MaxConnections),
 		dispatch:     h,
 		upstreams:    newUpstreamClient(),
+		responses:    readahead.New(maxResponsesBytes),
 		openRequests: openRequests{perCallerLimit: o.Settings.MaxStreamsPerCaller, byCaller: map[string]int{}},
 		meters:       newMeters(o.Metrics),
 		inTime:       newInTimeTracker(),
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/drain"
@@ -18,8 +18,12 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
-// maxResponseBytes limits the body of a plain service's response.
-const maxResponseBytes = 8 << 20
+// maxResponseBytes limits the body of a plain service's response, and maxResponsesBytes those of
+// all open requests together. Each is read whole, so that a broken one can be replaced.
+const (
+	maxResponseBytes  = 8 << 20
+	maxResponsesBytes = 16 << 20
+)
 
 // plainCost is the work of a plain call, which has no tokens to count.
 const plainCost = 1
@@ -42,6 +46,8 @@
 	header   http.Header
 	body     []byte
 	servedBy string
+	// release returns the memory of the body; nil if it isn't shared.
+	release func()
 }
 
 // plainCall is one request to a plain service in progress.
@@ -102,6 +108,9 @@
 	if err != nil {
 		return err
 	}
+	if response.release != nil {
+		defer response.release()
+	}
 	e.inTime.add(e.dispatch.clock(), name, call.Rank, time.Since(began) <= d.Ranks[rank].FirstToken)
 	return response.write(w, e.options.Settings.WriteTimeout)
 }
@@ -232,15 +241,20 @@
 	if x.response.Header.Get(headerRan) == string(result.RanNo) {
 		return nil, retry.Refused, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	answer, err := p.entry.responses.Read(x.response.Body, maxResponseBytes)
+	if err != nil {
+		return nil, retry.Broken, nil
+	}
+	if !answer.Whole {
+		klog.InfoS("upstream's response is too long, or the responses of all requests are", "instance", p.entry.options.Node.Name, "request", p.job.ticket.ID, "upstream", u.ID, "bytes", len(answer.Bytes))
+		answer.Release()
 		return nil, retry.Broken, nil
 	}
 	header := x.response.Header.Clone()
 	for _, h := range strippedHeaders {
 		header.Del(h)
 	}
-	return &plainResponse{status: x.response.StatusCode, header: header, body: body, servedBy: u.ID}, 0, nil
+	return &plainResponse{status: x.response.StatusCode, header: header, body: answer.Bytes, servedBy: u.ID, release: answer.Release}, 0, nil
 }
 
 func (p *plainCall) upstreamRequest(ctx context.Context, u upstream.Announcement) (*http.Request, error) {
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/readahead"
 	"github.com/hyssopladder/hyssopladder/dispatch"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/member"
@@ -51,9 +52,9 @@
 	return &Entry{
 		options:   Options{Settings: settings.Entry{ProgressTimeout: testProgressTimeout, WriteTimeout: time.Second}},
 		dispatch:  d,
-		upstreams: newUpstreamClient(),
-		meters:    newMeters(metrics.NewRegistry()),
-		inTime:    newInTimeTracker(),
+		upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes),
+		meters: newMeters(metrics.NewRegistry()),
+		inTime: newInTimeTracker(),
 	}
 }
 
