entry: Bound the text of a chat

The entry keeps the text of an answer until its end, to go on with it at another upstream. It is bounded by 1 MiB now, 32 bytes for each of the most tokens that a request may ask for; beyond that the answer ends with 3002, ran unknown, or is cut off, as no other upstream could go on with it.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -21,6 +21,10 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
+// maxAnswerBytes bounds the text of one chat, which is kept until its end: 32 bytes for each of
+// maxMaxTokens tokens.
+const maxAnswerBytes = 32 * maxMaxTokens
+
 var noDeadline time.Time
 
 func deadline(after time.Duration) time.Time { return time.Now().Add(after) }
@@ -239,6 +243,9 @@
 // accept sends a chunk to the caller unless the stream drops it. A gap in the
 // stream is a failure of the upstream.
 func (c *chatCall) accept(chunk relay.Chunk, u *upstream.Announcement) (*retry.Failure, error) {
+	if c.text.Len()+len(chunk.Text) > maxAnswerBytes {
+		return nil, result.New(result.UpstreamUnknown, result.RanUnknown, "the answer is longer than %d bytes", maxAnswerBytes)
+	}
 	switch c.stream.Accept(chunk) {
 	case relay.Emit:
 		if c.request.Stream && !c.stop.Answer() {
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -103,3 +104,28 @@
 	})).To(gomega.BeNumerically("<", maxHeapGrowth))
 	g.Expect(failed.Load()).To(gomega.BeEquivalentTo(callers))
 }
+
+// TestChatsWithoutEndFitIntoTheEntry guards against an answer that an upstream never ends: the
+// entry keeps its text, to go on with it at another upstream.
+func TestChatsWithoutEndFitIntoTheEntry(t *testing.T) {
+	for _, bytes := range []int{32, 1 << 10, 128 << 10} {
+		t.Run(fmt.Sprint(bytes), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			text := strings.Repeat("x", bytes)
+			u := startEndless(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", func(n int) []byte {
+				return fmt.Appendf(nil, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n", n, text)
+			})
+			request, err := parseChat([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			e := newCutEntry(newUndecided(t))
+			c := &chatCall{entry: e, request: request, call: service.Call{Repeatable: true}, job: &job{}, out: &bufferedSink{w: httptest.NewRecorder()}}
+			number, offset := c.stream.Begin()
+			watch := e.watch(c.job, time.Minute, func() {})
+			defer watch.stop()
+			_, err = c.relayFrom(t.Context(), watch, u, number, offset)
+			g.Expect(err).To(gomega.HaveOccurred(), "no other upstream can go on with it")
+			g.Expect(result.From(err).Ran).To(gomega.Equal(result.RanUnknown))
+			g.Expect(c.text.Len()).To(gomega.BeNumerically("<=", maxAnswerBytes))
+		})
+	}
+}
