e2e: Let replicas fail with statuses that promise that a request hasn't run

In the soak of silences, departures and path faults a replica that falls silent now and then also fails one in ten of the requests that it has run, with status 503, 429, 408 or 500 and without the statement that it hasn't; calls that may not repeat have three attempts.

--- a/e2e/faulty_replica_test.go
+++ b/e2e/faulty_replica_test.go
@@ -216,6 +216,22 @@
 	return at, silence
 }
 
+// Of failureShare requests that an intermittent replica has run, one fails, with one of the
+// statuses that would promise a caller that it hasn't run, or with another one.
+const failureShare = 10
+
+var failureStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusInternalServerError}
+
+// nextFailure returns the status of the next answer; 0 for a success.
+func (r *faultyReplica) nextFailure() int {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	if !r.intermittent.Load() || r.random.IntN(failureShare) > 0 {
+		return 0
+	}
+	return failureStatuses[r.random.IntN(len(failureStatuses))]
+}
+
 func randomSilence(random *rand.Rand) time.Duration {
 	return time.Duration(300+random.IntN(1200)) * time.Millisecond
 }
@@ -225,6 +241,7 @@
 	ginkgo.GinkgoHelper()
 	r := &faultyReplica{replica: newReplica(release, id, service, zone), paths: p, random: random, open: map[string]string{}, broke: map[string]bool{}}
 	r.pace = time.Duration(20+random.IntN(80)) * time.Millisecond
+	r.failure = r.nextFailure
 	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
 	r.server.Listener = faultyListener{Listener: r.server.Listener, replica: r}
 	r.server.Config.ConnState = r.stateChanged
@@ -316,7 +333,7 @@
 	}
 	add("ask", "streaming", timeout(streamTimeout), 2+random.IntN(2), "speech", "voice", `,"resumable":true`)
 	add("talk", "streaming", timeout(streamTimeout), 1, "speech", "voice", "")
-	add("book", "non_idempotent", timeout(plainTimeout), 1, "booking", "ledger", "")
+	add("book", "non_idempotent", timeout(plainTimeout), 3, "booking", "ledger", "")
 	add("look", "idempotent", timeout(plainTimeout), 2, "booking", "ledger", `,"public":true`)
 	if random.IntN(2) == 0 {
 		add("extra", "idempotent", timeout(plainTimeout), 2, "ledger", "booking", "")
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -33,8 +33,10 @@
 	// holdAfter is the event after which streams wait for release of hold; 0 means none.
 	holdAfter atomic.Int64
 	hold      chan struct{}
-	// status, if it isn't 0, is the status of every response.
-	status atomic.Int64
+	// status, if it isn't 0, is the status of every response; failure, if it isn't nil, returns
+	// that of the next one, 0 for a success.
+	status  atomic.Int64
+	failure func() int
 	// crashPart is the part of a prompt that crashes the replica; "" if none does.
 	crashPart string
 	crashed   atomic.Bool
@@ -162,8 +164,12 @@
 	if r.unframed.Load() {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
-	if s := r.status.Load(); s != 0 {
-		w.WriteHeader(int(s))
+	status := int(r.status.Load())
+	if r.failure != nil {
+		status = r.failure()
+	}
+	if status != 0 {
+		w.WriteHeader(status)
 		return
 	}
 	if !strings.HasPrefix(request.URL.Path, "/ask/") && !strings.HasPrefix(request.URL.Path, "/talk/") {
