--- a/ingress/tunnel.go
+++ b/ingress/tunnel.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -36,6 +37,8 @@
 	tunnelDialTimeout = 700 * time.Millisecond
 	// maxTunnels bounds the tunnels through one entry. Each takes about 40 KB.
 	maxTunnels = 256
+	// maxTunnelHead bounds the head of a helper's answer, in bytes.
+	maxTunnelHead = 16 << 10
 	// tunnelCopyBytes is the size of one read in a tunnel.
 	tunnelCopyBytes = 8 << 10
 )
@@ -101,8 +104,10 @@
 	if _, err := fmt.Fprintf(conn, "POST /tunnel HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", helper, upstreamHeader, upstream); err != nil {
 		return nil, nil, err
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxTunnelHead}
+	reader := bufio.NewReader(limited)
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+	limited.N = math.MaxInt64
 	return response, reader, err
 }
 
--- a/ingress/tunnel_test.go
+++ b/ingress/tunnel_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -178,6 +180,32 @@
 	}
 }
 
+// TestHelpersWithoutEnd guards against an entry that keeps all that another process sends at the
+// address of an entry that is gone.
+func TestHelpersWithoutEnd(t *testing.T) {
+	for name, head := range map[string]string{"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX-More: ", "no answer": ""} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			block, closed := bytes.Repeat([]byte("more"), 16<<10), make(chan struct{})
+			helper := startUpstream(t, func(c net.Conn, _ *http.Request) {
+				defer close(closed)
+				_, err := io.WriteString(c, head)
+				for err == nil {
+					_, err = c.Write(block)
+				}
+			})
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := dialTunnel(t.Context(), helper, helper)
+			runtime.ReadMemStats(&after)
+			g.Expect(err).To(gomega.HaveOccurred())
+			g.Expect(int64(after.TotalAlloc) - int64(before.TotalAlloc)).To(gomega.BeNumerically("<", maxHeapGrowth))
+			g.Eventually(closed).Should(gomega.BeClosed())
+		})
+	}
+}
+
 // TestTunnelsAreBounded guards against an entry whose memory ends by the requests of others.
 func TestTunnelsAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
