ingress: Fuzz upstreams that fail with status 503

The fuzz of silences and changes draws upstreams that have run a request and answer with status 503 without their statement, and fails if a status promises that a request has not run that has.

--- a/ingress/silence_fuzz_test.go
+++ b/ingress/silence_fuzz_test.go
@@ -34,6 +34,7 @@
 	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -54,10 +55,12 @@
 	refuses
 	fails
 	neverAnswers
+	// promises fails with a status that promises that the request hasn't run.
+	promises
 )
 
 func (f fate) String() string {
-	return [...]string{"sound", "breaks off", "resets", "refuses", "fails", "never answers"}[f]
+	return [...]string{"sound", "breaks off", "resets", "refuses", "fails", "never answers", "promises"}[f]
 }
 
 // silence is a pause before the byte at an offset of an answer.
@@ -199,6 +202,8 @@
 		text = "HTTP/1.1 503 Full\r\nX-Request-Id: " + requestID + "\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	case fails:
 		text = "HTTP/1.1 500 Broken\r\nX-Request-Id: " + requestID + "\r\nX-Replica-Seal: s\r\nContent-Length: 3\r\n\r\nwhy"
+	case promises:
+		text = "HTTP/1.1 503 Broken\r\nX-Request-Id: " + requestID + "\r\nX-Replica-Seal: s\r\nContent-Length: 3\r\n\r\nwhy"
 	case sound:
 		s.soundOnes++
 	default:
@@ -534,6 +539,9 @@
 	if s.ran > s.route.Attempts {
 		return "ran too often"
 	}
+	if s.err == nil && s.ran > 0 && platform.PromisesNotRun(s.status) {
+		return "a status promises that it hasn't run"
+	}
 	if s.err == nil && s.status == http.StatusOK {
 		if s.route.Kind == config.Streaming {
 			for _, release := range []string{"v1", "v2"} {
@@ -636,7 +644,7 @@
 func drawScript() *rapid.Generator[script] {
 	return rapid.Custom(func(t *rapid.T) script {
 		return script{
-			fate:      rapid.SampledFrom([]fate{sound, sound, sound, breaksOff, resetsIt, refuses, fails, neverAnswers}).Draw(t, "fate"),
+			fate:      rapid.SampledFrom([]fate{sound, sound, sound, breaksOff, resetsIt, refuses, fails, neverAnswers, promises}).Draw(t, "fate"),
 			framing:   rapid.SampledFrom([]string{"length", "chunks", "close"}).Draw(t, "framing"),
 			silences:  drawSilences().Draw(t, "silences"),
 			readAfter: rapid.SampledFrom([]time.Duration{0, 0, 0, 1300 * time.Millisecond}).Draw(t, "readAfter"),
