--- a/load/run.go
+++ b/load/run.go
@@ -14,6 +14,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"github.com/hyssopladder/hyssopladder/result"
 )
 
 // Range of the histograms, in microseconds.
@@ -119,10 +121,9 @@
 	defer func() { _ = response.Body.Close() }()
 	o := outcome{firstToken: time.Since(began)}
 	switch {
-	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
-		o.refused = true
 	case response.StatusCode != http.StatusOK:
-		o.failed = true
+		o.refused = hasNotRun(response.Body)
+		o.failed = !o.refused
 	case a.Stream && a.Model != "":
 		o.failed = !readStream(response.Body, func() { o.firstToken = time.Since(began) })
 	default:
@@ -133,6 +134,16 @@
 	return o
 }
 
+// maxProblemBytes bounds what is read of an error.
+const maxProblemBytes = 16 << 10
+
+// hasNotRun reports whether an error of an entry says that the request hasn't run.
+func hasNotRun(body io.Reader) bool {
+	var e result.Error
+	err := json.NewDecoder(io.LimitReader(body, maxProblemBytes)).Decode(&e)
+	return err == nil && e.Ran == result.RanNo
+}
+
 func newRequest(ctx context.Context, entry netip.AddrPort, a Arrival) (*http.Request, error) {
 	url, body := "http://"+entry.String(), a.Prompt
 	if a.Model != "" {
