--- /dev/null
+++ b/operator/endless_test.go
@@ -0,0 +1,26 @@
+package operator
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/cuttest"
+)
+
+// TestRepliesWithoutEnd guards against an operator's command that keeps all that a node sends.
+func TestRepliesWithoutEnd(t *testing.T) {
+	const maxHeapGrowth = 3 * maxReplyBytes
+	block := bytes.Repeat([]byte("more"), 16<<10)
+	for name, head := range cuttest.EndlessHeads {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			c := NewClient(cuttest.StartEndless(t, head, func(int) []byte { return block }))
+			g.Expect(cuttest.HeapPeak(func() {
+				_, err := c.Apply(t.Context(), DocumentWrite{Name: "d"})
+				g.Expect(err).To(gomega.HaveOccurred())
+			})).To(gomega.BeNumerically("<", maxHeapGrowth))
+		})
+	}
+}
