readahead: Wait for the memory of other answers

Found by reading the change once more: an answer of the role entry for which the pool had nothing left was lost at once, though callers that read slowly return theirs in a moment. It waits for a second now, as long as answers that hold a part of the pool may wait for each other.

TestAnswersWaitForMemory is new with it; TestAnswersShareThePool and the tests of the role entry pass as before.

--- a/common/readahead/readahead.go
+++ b/common/readahead/readahead.go
@@ -3,7 +3,9 @@
 package readahead
 
 import (
+	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
@@ -13,10 +15,16 @@
 const ownBytes = 16 << 10
 
 // Pool is the memory that answers share beyond their own bytes. It is safe for concurrent use.
-type Pool struct{ free *semaphore.Weighted }
+type Pool struct {
+	free *semaphore.Weighted
+	wait time.Duration
+}
 
-// New returns a pool of the size, in bytes.
-func New(size int64) *Pool { return &Pool{semaphore.NewWeighted(size)} }
+// New returns a pool of the size, in bytes. An answer for which nothing is left waits that long
+// for others to return theirs; answers may also wait for each other.
+func New(size int64, wait time.Duration) *Pool {
+	return &Pool{free: semaphore.NewWeighted(size), wait: wait}
+}
 
 // Answer is the beginning of an answer, or all of it.
 type Answer struct {
@@ -37,11 +45,11 @@
 
 // Read reads up to limit bytes of an answer and one more, which tells a longer answer from one of
 // that size, or fewer if the pool is used up. The error is that of the reader, in which case
-// the memory is returned.
-func (p *Pool) Read(r io.Reader, limit int) (Answer, error) {
+// the memory is returned. The end of ctx ends a wait for memory.
+func (p *Pool) Read(ctx context.Context, r io.Reader, limit int) (Answer, error) {
 	a := Answer{pool: p, Bytes: make([]byte, 0, min(ownBytes, limit+1))}
 	for {
-		if len(a.Bytes) == cap(a.Bytes) && !a.grow(limit) {
+		if len(a.Bytes) == cap(a.Bytes) && !a.grow(ctx, limit) {
 			return a, nil
 		}
 		n, err := r.Read(a.Bytes[len(a.Bytes):cap(a.Bytes)])
@@ -58,10 +66,15 @@
 }
 
 // grow makes room for more bytes, and reports whether it did.
-func (a *Answer) grow(limit int) bool {
+func (a *Answer) grow(ctx context.Context, limit int) bool {
 	size := min(2*cap(a.Bytes), limit+1)
+	if size <= cap(a.Bytes) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.pool.wait)
+	defer cancel()
 	// Both copies exist for a moment.
-	if size <= cap(a.Bytes) || !a.pool.free.TryAcquire(int64(size)) {
+	if a.pool.free.Acquire(ctx, int64(size)) != nil {
 		return false
 	}
 	grown := make([]byte, len(a.Bytes), size)
--- a/common/readahead/readahead_test.go
+++ b/common/readahead/readahead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/pkg/errors"
@@ -29,20 +30,41 @@
 		{limit, pool - 2*ownBytes, false, 2 * ownBytes},
 	} {
 		g := gomega.NewWithT(t)
-		p := New(pool)
+		p := New(pool, time.Millisecond)
 		g.Expect(p.free.TryAcquire(int64(tc.others))).To(gomega.BeTrue())
 		for _, reader := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.HalfReader, iotest.DataErrReader} {
-			a, err := p.Read(reader(bytes.NewReader(make([]byte, tc.length))), limit)
+			a, err := p.Read(t.Context(), reader(bytes.NewReader(make([]byte, tc.length))), limit)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(a.Whole).To(gomega.Equal(tc.whole), "%+v", tc)
 			g.Expect(a.Bytes).To(gomega.HaveLen(tc.bytes), "%+v", tc)
 			a.Release()
 			a.Release()
 		}
-		a, err := p.Read(io.MultiReader(bytes.NewReader(make([]byte, min(tc.bytes, limit))), iotest.ErrReader(errors.New("reset"))), limit)
+		a, err := p.Read(t.Context(), io.MultiReader(bytes.NewReader(make([]byte, min(tc.bytes, limit))), iotest.ErrReader(errors.New("reset"))), limit)
 		g.Expect(err == nil).To(gomega.Equal(tc.others > 0 && tc.bytes >= ownBytes), "%+v", tc)
 		a.Release()
 		p.free.Release(int64(tc.others))
 		g.Expect(p.free.TryAcquire(pool)).To(gomega.BeTrue(), "all memory is free again")
 	}
 }
+
+// TestAnswersWaitForMemory guards against an answer that is lost though another one is about to
+// return its memory.
+func TestAnswersWaitForMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const size = 4 * ownBytes
+	p := New(size, time.Minute)
+	first, err := p.Read(t.Context(), bytes.NewReader(make([]byte, 2*ownBytes-1)), size)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(p.free.TryAcquire(size - first.taken)).To(gomega.BeTrue())
+	second := make(chan Answer)
+	go func() {
+		a, _ := p.Read(t.Context(), bytes.NewReader(make([]byte, 2*ownBytes-1)), size)
+		second <- a
+	}()
+	g.Consistently(second).ShouldNot(gomega.Receive())
+	first.Release()
+	var a Answer
+	g.Eventually(second).Should(gomega.Receive(&a))
+	g.Expect(a.Whole).To(gomega.BeTrue())
+}
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -27,7 +27,7 @@
 // used again while its upstream closes it is another failure.
 func newCutEntry(dispatch *dispatchActor) *Entry {
 	return &Entry{
-		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes),
+		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes, responsesWait),
 		dispatch: dispatch,
 		meters:   newMeters(metrics.NewRegistry()), inTime: newInTimeTracker(),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,7 @@
 		listener:     drain.NewLimitedListener(l, o.Settings.MaxConnections),
 		dispatch:     h,
 		upstreams:    newUpstreamClient(),
-		responses:    readahead.New(maxResponsesBytes),
+		responses:    readahead.New(maxResponsesBytes, responsesWait),
 		openRequests: openRequests{perCallerLimit: o.Settings.MaxStreamsPerCaller, byCaller: map[string]int{}},
 		meters:       newMeters(o.Metrics),
 		inTime:       newInTimeTracker(),
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -19,10 +19,12 @@
 )
 
 // maxResponseBytes limits the body of a plain service's response, and maxResponsesBytes those of
-// all open requests together. Each is read whole, so that a broken one can be replaced.
+// all open requests together, which wait for responsesWait for the memory of others. Each is
+// read whole, so that a broken one can be replaced.
 const (
 	maxResponseBytes  = 8 << 20
 	maxResponsesBytes = 16 << 20
+	responsesWait     = time.Second
 )
 
 // plainCost is the work of a plain call, which has no tokens to count.
@@ -241,7 +243,7 @@
 	if x.response.Header.Get(headerRan) == string(result.RanNo) {
 		return nil, retry.Refused, nil
 	}
-	answer, err := p.entry.responses.Read(x.response.Body, maxResponseBytes)
+	answer, err := p.entry.responses.Read(ctx, x.response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, retry.Broken, nil
 	}
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -52,7 +52,7 @@
 	return &Entry{
 		options:   Options{Settings: settings.Entry{ProgressTimeout: testProgressTimeout, WriteTimeout: time.Second}},
 		dispatch:  d,
-		upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes),
+		upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes, responsesWait),
 		meters: newMeters(metrics.NewRegistry()),
 		inTime: newInTimeTracker(),
 	}
