--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -20,6 +20,9 @@
 	// leaving and closed count the upstreams that said so, unreadable the headers of
 	// answers that name nothing.
 	leaving, closed, unreadable metrics.Counter
+	// unstated counts upstreams' answers with a status that promises that the request has not
+	// run, without their statement.
+	unstated metrics.Counter
 
 	// hedged counts second attempts beside silent upstreams, and hedgesUsed those whose
 	// response was relayed.
@@ -51,6 +54,7 @@
 		tunnelsServed: metrics.GetOrRegisterCounter("ingress.tunnelsServed", r),
 
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
+		unstated:   metrics.GetOrRegisterCounter("ingress.unstatedRefusal", r),
 		panics:     metrics.GetOrRegisterCounter("ingress.panics", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
--- a/ingress/promise_test.go
+++ b/ingress/promise_test.go
@@ -53,7 +53,8 @@
 							runs.Add(1)
 							_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\n%s%s", status, requestID, headers, body))
 						})
-						response, err := callers.Get(startEntry(t, route, 2*time.Second, upstream))
+						in, url := startIngress(t, route, 2*time.Second, upstream)
+						response, err := callers.Get(url)
 						g.Expect(err).NotTo(gomega.HaveOccurred())
 						defer func() { _ = response.Body.Close() }()
 						text, err := io.ReadAll(response.Body)
@@ -62,6 +63,7 @@
 						g.Expect(response.Header).NotTo(gomega.HaveKey("X-Replica-Seal"), "the signature is of another status")
 						g.Expect(string(text)).To(gomega.ContainSubstring(`"ran":"unknown"`))
 						g.Expect(runs.Load()).To(gomega.BeEquivalentTo(1))
+						g.Expect(in.meters.unstated.Count()).To(gomega.BeEquivalentTo(1))
 						// Whether another upstream may run it depends on nothing but the route.
 						sound := startUpstream(t, func(c net.Conn, _ *http.Request) {
 							runs.Add(1)
