readahead, peer: Bound the whole wait for memory, and share the endless server

Found by reading the tests' times: an answer waited for a second each time it grew, up to ten times, 8.7 s in TestPlainAnswersWithoutEndFitIntoTheEntry.

The tests of peers that send without end use the server of package cuttest, with the same cases and bounds; the heap is looked at while the call goes on, not only after it.

--- a/common/cuttest/cuttest.go
+++ b/common/cuttest/cuttest.go
@@ -1,4 +1,4 @@
-// Package cuttest has servers for tests whose answers are cut off.
+// Package cuttest has servers for tests whose answers are cut off, or have no end.
 package cuttest
 
 import (
--- a/common/cuttest/endless.go
+++ b/common/cuttest/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -29,6 +30,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
+				// A response before its request isn't read by net/http's client at all.
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 					return
 				}
@@ -46,6 +48,12 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Repeat returns blocks of some 64 KiB of the text.
+func Repeat(text string) (block func(n int) []byte) {
+	data := bytes.Repeat([]byte(text), 64<<10/len(text)+1)
+	return func(int) []byte { return data }
+}
+
 // HeapPeak returns by how much the heap grows at most while run runs.
 func HeapPeak(run func()) int64 {
 	runtime.GC()
--- a/common/readahead/readahead.go
+++ b/common/readahead/readahead.go
@@ -20,8 +20,8 @@
 	wait time.Duration
 }
 
-// New returns a pool of the size, in bytes. An answer for which nothing is left waits that long
-// for others to return theirs; answers may also wait for each other.
+// New returns a pool of the size, in bytes. An answer for which nothing is left waits for others
+// to return theirs, for that long in all; answers may also wait for each other.
 func New(size int64, wait time.Duration) *Pool {
 	return &Pool{free: semaphore.NewWeighted(size), wait: wait}
 }
@@ -33,6 +33,8 @@
 	Whole bool
 	pool  *Pool
 	taken int64
+	// waited is how long the answer has waited for memory.
+	waited time.Duration
 }
 
 // Release returns the memory to the pool. The bytes aren't to be used any more.
@@ -71,10 +73,13 @@
 	if size <= cap(a.Bytes) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.pool.wait)
+	ctx, cancel := context.WithTimeout(ctx, a.pool.wait-a.waited)
 	defer cancel()
+	began := time.Now()
 	// Both copies exist for a moment.
-	if a.pool.free.Acquire(ctx, int64(size)) != nil {
+	err := a.pool.free.Acquire(ctx, int64(size))
+	a.waited += time.Since(began)
+	if err != nil {
 		return false
 	}
 	grown := make([]byte, len(a.Bytes), size)
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -26,8 +26,7 @@
 // the upstreams of one service send bodies without end to many callers.
 func TestPlainAnswersWithoutEndFitIntoTheEntry(t *testing.T) {
 	g := gomega.NewWithT(t)
-	block := []byte(fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat("x", 64<<10)))
-	u := upstream.Announcement{ID: "u", Address: cuttest.StartEndless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", func(int) []byte { return block })}
+	u := upstream.Announcement{ID: "u", Address: cuttest.StartEndless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", cuttest.Repeat("1000\r\n"+strings.Repeat("x", 4<<10)+"\r\n"))}
 	e := newCutEntry(newUndecided(t))
 	var failed atomic.Int64
 	const callers = 48
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -382,7 +382,7 @@
 		response.Skip()
 		return nil, head, outcome{failure: retry.Refused, cause: errors.Errorf("upstream refused the request with status %d", response.StatusCode)}
 	case platform.PromisesNotRun(response.StatusCode):
-		// Nor may the entry pass the answer on with another status.
+		// The signature is of this status, so that the answer can't get another one.
 		in.meters.unstated.Inc(1)
 		response.Skip()
 		return nil, head, outcome{failure: retry.Errored, sent: true, cause: errors.Errorf("upstream responded with status %d and doesn't state that it has not run the request", response.StatusCode)}
--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"bytes"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -12,11 +11,10 @@
 // TestRepliesWithoutEnd guards against an operator's command that keeps all that a node sends.
 func TestRepliesWithoutEnd(t *testing.T) {
 	const maxHeapGrowth = 3 * maxReplyBytes
-	block := bytes.Repeat([]byte("more"), 16<<10)
 	for name, head := range cuttest.EndlessHeads {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			c := NewClient(cuttest.StartEndless(t, head, func(int) []byte { return block }))
+			c := NewClient(cuttest.StartEndless(t, head, cuttest.Repeat("more")))
 			g.Expect(cuttest.HeapPeak(func() {
 				_, err := c.Apply(t.Context(), DocumentWrite{Name: "d"})
 				g.Expect(err).To(gomega.HaveOccurred())
--- a/peer/client_test.go
+++ b/peer/client_test.go
@@ -1,70 +1,27 @@
 package peer
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"io"
-	"net"
-	"net/http"
-	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
-)
 
-// startEndlessPeer answers each call with the head and then the block, again and
-// again until the caller closes the connection.
-func startEndlessPeer(t *testing.T, head, block string) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				// A response before its request isn't read by the client at all.
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, head)
-				data := bytes.Repeat([]byte(block), 64<<10/len(block))
-				for {
-					if _, err := c.Write(data); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
-}
+	"github.com/hyssopladder/hyssopladder/common/cuttest"
+)
 
 // TestHeadsWithoutEndFail calls a peer whose response head never ends: the call
 // has to fail before its deadline, and the heap must not grow with it.
 func TestHeadsWithoutEndFail(t *testing.T) {
 	for _, block := range []string{"X-More: and more\r\n", "more"} {
 		g := gomega.NewWithT(t)
-		address := startEndlessPeer(t, "HTTP/1.1 200 OK\r\nX-First: ", block)
+		address := cuttest.StartEndless(t, "HTTP/1.1 200 OK\r\nX-First: ", cuttest.Repeat(block))
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		runtime.GC()
-		var before, after runtime.MemStats
-		runtime.ReadMemStats(&before)
-		err := NewClient().Call(ctx, address, Read, struct{}{}, nil)
-		runtime.ReadMemStats(&after)
-		g.Expect(err).To(gomega.HaveOccurred())
+		g.Expect(cuttest.HeapPeak(func() {
+			g.Expect(NewClient().Call(ctx, address, Read, struct{}{}, nil)).NotTo(gomega.Succeed())
+		})).To(gomega.BeNumerically("<", 20<<20))
 		g.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
-		g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(gomega.BeNumerically("<", 20<<20))
 	}
 }
 
@@ -72,7 +29,7 @@
 // than the longest message is read.
 func TestBodyWithoutEndFails(t *testing.T) {
 	g := gomega.NewWithT(t)
-	address := startEndlessPeer(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n", "more")
+	address := cuttest.StartEndless(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n", cuttest.Repeat("more"))
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	err := NewClient().Call(ctx, address, Read, struct{}{}, nil)
