ingress: Don't pass on errors without their upstream's signature

A success without the signature wasn't passed on before.

Such an answer is an error of the upstream now, without a back-off of it: it may not even have understood the request. Callers get 502 (3002), ran unknown, and a request that may be repeated goes to another upstream. The line attempt says whether an answer was signed.

TestUnsignedAnswersAreNotPassedOn fails before in 18 of 44 cases and passes now; the tests of ingress and fleet pass.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -327,7 +327,7 @@
 	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
-		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit, "err", o.cause)
+		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "signed", head.Signed, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit, "err", o.cause)
 	if failure == retry.Broken.String() {
 		klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 			"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
@@ -388,7 +388,12 @@
 		return nil, head, outcome{failure: retry.Errored, sent: true, cause: errors.Errorf("upstream responded with status %d and doesn't state that it has not run the request", response.StatusCode)}
 	case response.StatusCode >= http.StatusInternalServerError:
 		return nil, head, outcome{failure: retry.Errored, errorResponse: response, cause: errors.Errorf("upstream responded with status %d", response.StatusCode)}
-	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices && !answer.Signed:
+	case !answer.Signed && response.StatusCode >= http.StatusMultipleChoices:
+		// A caller would take it for the entry's own. The upstream is up: it may not even have
+		// understood the request.
+		response.Skip()
+		return nil, head, outcome{failure: retry.Errored, sent: true, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
+	case !answer.Signed:
 		response.Close()
 		return nil, head, outcome{failure: retry.Broken, cause: errors.Errorf("response with status %d lacks the upstream's signature", response.StatusCode)}
 	case !d.continues(response):
--- a/ingress/promise_test.go
+++ b/ingress/promise_test.go
@@ -36,6 +36,30 @@
 	}
 }
 
+// TestUnsignedAnswersAreNotPassedOn guards against a caller that takes the status of something else
+// than an upstream for the entry's own: that its key is unknown, or its path.
+func TestUnsignedAnswersAreNotPassedOn(t *testing.T) {
+	for kind, route := range map[string]config.Route{"plain": {Kind: config.NonIdempotent}, "stream": {Kind: config.Streaming}} {
+		for _, status := range []int{200, 204, 302, 304, 400, 401, 403, 404, 413, 422, 499} {
+			for _, signed := range []bool{false, true} {
+				t.Run(fmt.Sprint(kind, status, signed), func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					seal, want := "", http.StatusBadGateway
+					if signed {
+						seal, want = "X-Replica-Seal: s\r\n", status
+					}
+					upstream := startUpstream(t, func(c net.Conn, _ *http.Request) {
+						_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %s\r\n%sContent-Length: 0\r\n\r\n", status, requestID, seal))
+					})
+					got, body, err := get(startEntry(t, route, 2*time.Second, upstream))
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					g.Expect(got).To(gomega.Equal(want), body)
+				})
+			}
+		}
+	}
+}
+
 // TestAnswersPromiseOnlyWhatUpstreamsState guards against a caller that is told by its status
 // that a request hasn't run, as its upstream chose that status after it had run the request.
 func TestAnswersPromiseOnlyWhatUpstreamsState(t *testing.T) {
