e2e: Give each process of tests ports of its own

Traced: the entries' log has revisions 17 and 20, which are the soak's, and the soak's log has "listen tcp 127.0.0.1:15059: bind: address already in use". Both processes had begun near the same port, and a port of a killed keeper of the one was given to a keeper of the other. Each process claims blocks of 500 ports now, and holds the first one of each.

TestPortsAreOfOneProcess is new with it.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -236,29 +237,72 @@
 }
 
 // Ports of freeAddress, below those that the system gives to outgoing connections, so that
-// none takes one before its process listens.
+// none takes one before its process listens. Each process of tests has blocks of its own: the
+// port of a node that was killed must not become that of another test's node.
 const (
-	firstPort = 12_000
-	lastPort  = 32_000
+	firstPort     = 12_000
+	lastPort      = 32_000
+	portsPerBlock = 500
 )
 
-// nextPort is where freeAddress looks next. Each process of tests begins elsewhere.
-var nextPort = firstPort + os.Getpid()*61%(lastPort-firstPort)
+// portBlock is a range of ports that no other process of tests uses, while guard listens on
+// the first of them.
+type portBlock struct {
+	guard      net.Listener
+	next, last int
+}
+
+// portBlocks are those of this process, of which the last one is in use.
+var portBlocks []*portBlock
+
+// claimPorts claims the first block that no process of tests has, from the number on; nil if
+// there is none.
+func claimPorts(from int) *portBlock {
+	const blocks = (lastPort - firstPort) / portsPerBlock
+	for i := range blocks {
+		first := firstPort + (from+i)%blocks*portsPerBlock
+		if guard, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", first)); err == nil {
+			return &portBlock{guard: guard, next: first + 1, last: first + portsPerBlock - 1}
+		}
+	}
+	return nil
+}
 
 // freeAddress returns a loopback address on which nothing listens, each once.
 func freeAddress() netip.AddrPort {
 	ginkgo.GinkgoHelper()
-	for range lastPort - firstPort {
-		if nextPort++; nextPort > lastPort {
-			nextPort = firstPort
+	for {
+		if len(portBlocks) == 0 || portBlocks[len(portBlocks)-1].next > portBlocks[len(portBlocks)-1].last {
+			block := claimPorts(os.Getpid())
+			if block == nil {
+				ginkgo.Fail("no ports are free")
+			}
+			portBlocks = append(portBlocks, block)
 		}
-		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", nextPort)); err == nil {
+		block := portBlocks[len(portBlocks)-1]
+		port := block.next
+		block.next++
+		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
 			defer func() { _ = l.Close() }()
 			return l.Addr().(*net.TCPAddr).AddrPort()
 		}
 	}
-	ginkgo.Fail("no port is free")
-	return netip.AddrPort{}
+}
+
+// TestPortsAreOfOneProcess guards against two runs of these tests at the same time of which one
+// gives a port of the other's killed node to a node of its own.
+func TestPortsAreOfOneProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	seen := map[int]bool{}
+	for range 4 {
+		block := claimPorts(os.Getpid())
+		g.Expect(block).NotTo(gomega.BeNil())
+		defer func() { _ = block.guard.Close() }()
+		for port := block.next - 1; port <= block.last; port++ {
+			g.Expect(seen).NotTo(gomega.HaveKey(port))
+			seen[port] = true
+		}
+	}
 }
 
 // platformDeployment is three keepers and two entries that run for a platform,
