--- a/e2e/upgrade_test.go
+++ b/e2e/upgrade_test.go
@@ -131,7 +131,7 @@
 	}
 	known := slices.DeleteFunc(slices.Clone(before), func(path string) bool { return mayLack(path) && !k.other[path] })
 	if version != otherBinary() {
-		known = append(known, addedNames...)
+		known = append(known, slices.DeleteFunc(slices.Clone(addedNames), func(path string) bool { return slices.Contains(known, path) })...)
 	}
 	return known
 }
