load: Bound the head of an answer

A load run read up to 10 MiB of each answer's head, net/http's default, and held 19 to 40 MB of heap for one request whose entry sends a head without end; it has hundreds of requests open.

--- a/load/run.go
+++ b/load/run.go
@@ -78,10 +78,7 @@
 		return nil, errors.New("a run needs an entry and a trace")
 	}
 	c := newCollector()
-	client := &http.Client{
-		Timeout:   requestTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 512},
-	}
+	client := newClient()
 	began := time.Now()
 	var wg sync.WaitGroup
 	stop := c.startProgress(ctx, o.Progress)
@@ -97,6 +94,13 @@
 	return c.report(), nil
 }
 
+func newClient() *http.Client {
+	return &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 512, MaxResponseHeaderBytes: maxHeadBytes},
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	t := time.NewTimer(time.Until(at))
 	defer t.Stop()
@@ -134,8 +138,11 @@
 	return o
 }
 
-// maxProblemBytes bounds what is read of an error.
-const maxProblemBytes = 16 << 10
+// What is read of an entry's answer at most, in bytes: its head, and the body of an error.
+const (
+	maxHeadBytes    = 16 << 10
+	maxProblemBytes = 16 << 10
+)
 
 // hasNotRun reports whether an error of an entry says that the request hasn't run.
 func hasNotRun(body io.Reader) bool {
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/cuttest"
 )
 
 // TestOnlyWhatHasNotRunIsRefused guards against a report that counts an upstream's own error as a
@@ -31,3 +33,22 @@
 		}
 	}
 }
+
+// TestAnswersWithoutEndFitIntoALoadRun guards against a load run that runs out of memory by what
+// entries send.
+func TestAnswersWithoutEndFitIntoALoadRun(t *testing.T) {
+	// What each of some hundred requests at once may take.
+	const maxHeapGrowth = 4 << 20
+	for name, head := range cuttest.EndlessHeads {
+		for _, a := range []Arrival{{Service: "s", Path: "/"}, {Model: "m", Stream: true}} {
+			t.Run(fmt.Sprint(name, " to ", a.Model), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				entry := cuttest.StartEndless(t, head, cuttest.Repeat("more"))
+				g.Expect(cuttest.HeapPeak(func() {
+					o := send(t.Context(), newClient(), entry, a)
+					g.Expect(o.refused).To(gomega.BeFalse())
+				})).To(gomega.BeNumerically("<", maxHeapGrowth))
+			})
+		}
+	}
+}
