exchange: Test bytes without end on an idle connection

What an upstream sends while it hasn't been asked had been answered by reading: it stays in the kernel's buffer until the connection is to be used or expires. The test shows it, with copies of the next request's answer, and passes on the code as it is.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -201,3 +202,28 @@
 	g.Expect(int64(heapBytes()) - int64(before)).To(gomega.BeNumerically("<", maxHeapGrowth))
 	response.Close()
 }
+
+// TestBytesWithoutARequestAreNotRead guards against a client that keeps, or takes for an answer,
+// what an upstream sends without end on an idle connection.
+func TestBytesWithoutARequestAreNotRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const answer = "HTTP/1.1 200 OK\nX-Id: %s\nContent-Length: 2\n\nok"
+	unasked := make(chan struct{})
+	s := startServer(t, func(c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("X-Id")
+		if id == "2" {
+			return writeCRLF(c, fmt.Sprintf(answer, id))
+		}
+		defer close(unasked)
+		return writeEndlessly(c, fmt.Sprintf(answer, id), fmt.Sprintf(answer, "2"))
+	})
+	c := New(func() {})
+	g.Expect(fetch(t, c, s, newRequest("1"))).To(gomega.Equal("ok"))
+	runtime.GC()
+	before := heapBytes()
+	g.Consistently(unasked).ShouldNot(gomega.BeClosed(), "the upstream can't get rid of its bytes")
+	g.Expect(int64(heapBytes()) - int64(before)).To(gomega.BeNumerically("<", maxHeapGrowth))
+	g.Expect(fetch(t, c, s, newRequest("2"))).To(gomega.Equal("ok"))
+	g.Expect(s.accepted.Load()).To(gomega.Equal(int64(2)), "a new connection")
+	g.Eventually(unasked).Should(gomega.BeClosed())
+}
