detour, ingress: Judge paths to upstreams by answers

Callers of an entry whose way to the upstreams accepts connections and then holds all bytes, the large packets or those of one direction were served by none of their first attempts until the way was whole again, while other entries served all. Cause: a path was whole if a dial succeeded, so that a middlebox that answers for the upstream proved it whole, and ended an isolation twice a second.

A connection proves nothing now, an answer does. The way back is judged by an answer too; after three in a row all paths are whole again, so that questions are bounded to four a second whatever the number of upstreams.

The cases of the usual cuts pass as before. TestStandstillIsNoBrokenPath: a pause of all upstreams for 1.5 s breaks no path; it fails without the grace, and failed once beside the checks as the grace ended with the question's own time, which is mended. The way back took longer than a second once, since questions that were asked before it counted against it: mended, with a test in detour.

--- a/config/revision.go
+++ b/config/revision.go
@@ -75,6 +75,8 @@
 // Service is a group of upstreams that can serve the same requests.
 type Service struct {
 	Name string
+	// HealthPath is where its upstreams answer GET requests of no caller; "" if they don't.
+	HealthPath string
 	// Engine is set for model engines.
 	Engine *Engine
 	// Autoscale is set if the leader of the keepers scales the service.
--- a/detour/table.go
+++ b/detour/table.go
@@ -14,8 +14,8 @@
 
 // Times and bounds of a Table.
 const (
-	// probeInterval is the time between two direct dials to an upstream whose path is
-	// broken, or to one of them while the entry is isolated.
+	// probeInterval is the least time between two direct questions to an upstream whose path
+	// is broken, or to one of them while the entry is isolated.
 	probeInterval = 500 * time.Millisecond
 	// downTime is how long an upstream that no helper reaches isn't looked for again.
 	downTime = time.Second
@@ -24,14 +24,27 @@
 	// minUnreached is the number of upstreams that can't be dialled, with none that was
 	// reached in between, from which on helpers are asked.
 	minUnreached = 2
-	// isolationFaults is the number of upstreams with a broken path, with none that was
-	// reached directly in between, from which on the entry counts as isolated.
+	// isolationFaults is the number of upstreams with a broken path, with no answer on a new
+	// direct connection in between, from which on the entry counts as isolated.
 	isolationFaults = 3
 	// maxTried is the number of helpers that one request may be sent through, one after
 	// the other.
 	maxTried = 3
-	// checkInterval is the time between two checks of upstreams that are silent together.
+	// judgedFaults is what a path counts for that carries no answers while a helper's does:
+	// unlike a dial, that is seen from both sides.
+	judgedFaults = 2
+	// returnAnswers is the number of broken paths that carry answers again, with none that
+	// doesn't in between, from which on all count as whole.
+	returnAnswers = 3
+	// checkInterval is the time between two checks of upstreams that are silent together, and
+	// maxSuspects the number of upstreams that one looks at.
 	checkInterval = time.Second
+	maxSuspects   = 2
+	// judgeQuestions is the number of questions that judge one path: its own and a helper's.
+	judgeQuestions = 2
+	// maxQuestions bounds the questions to upstreams within questionWindow.
+	maxQuestions   = 4
+	questionWindow = time.Second
 	// listAge is the age at which the list of helpers is asked for again.
 	listAge = 5 * time.Second
 	// shortListAge is the same for a list that may have more helpers by now.
@@ -55,12 +68,18 @@
 	turn int
 	// restUntil is when helpers that failed may come first again.
 	restUntil map[netip.AddrPort]clock.Instant
-	// unreached are the upstreams that couldn't be dialled since one was last reached
-	// directly, and faults counts the paths that broke since then.
+	// unreached are the upstreams that couldn't be dialled since one was last dialled or
+	// answered, and faults counts the paths that broke since a new connection was answered.
 	unreached map[netip.AddrPort]bool
 	faults    int
 	isolated  bool
-	// nextProbe is when the next direct dial of an isolated entry is due, and nextCheck
+	// returned counts the broken paths that carry answers again, the first one since
+	// returningSince.
+	returned       int
+	returningSince clock.Instant
+	// askedAt are the times of the questions within the last questionWindow.
+	askedAt []clock.Instant
+	// nextProbe is when the next direct question of an isolated entry is due, and nextCheck
 	// when upstreams that are silent together may be checked again.
 	nextProbe, nextCheck clock.Instant
 	// listedAt is when the list of helpers was set, 0 if it never was.
@@ -71,7 +90,7 @@
 type path struct {
 	// broken says that a helper reaches the upstream and this entry doesn't.
 	broken bool
-	// nextProbe is when the next direct dial is due while the path is broken, and
+	// nextProbe is when the next direct question is due while the path is broken, and
 	// downUntil when an upstream that no helper reached may be looked for again.
 	nextProbe, downUntil clock.Instant
 	usedAt               clock.Instant
@@ -125,14 +144,34 @@
 	return false
 }
 
+// mayAsk reports whether so many questions may be asked now, and counts them if so.
+func (t *Table) mayAsk(now clock.Instant, questions int) bool {
+	t.askedAt = slices.DeleteFunc(t.askedAt, func(at clock.Instant) bool { return now-at >= questionWindow })
+	if len(t.askedAt)+questions > maxQuestions {
+		return false
+	}
+	for range questions {
+		t.askedAt = append(t.askedAt, now)
+	}
+	return true
+}
+
 // Suspects returns those of the upstreams that are silent together whose paths are to be
-// checked now.
+// judged now: each by a question of this entry, and the same one by way of a helper.
 func (t *Table) Suspects(now clock.Instant, silent []netip.AddrPort) []netip.AddrPort {
 	if len(silent) == 0 || t.isolated || len(t.helpers) == 0 || now < t.nextCheck {
 		return nil
 	}
-	t.nextCheck = now + checkInterval
-	return slices.DeleteFunc(slices.Clone(silent), func(address netip.AddrPort) bool { return t.path(now, address).broken })
+	var due []netip.AddrPort
+	for _, address := range silent {
+		if len(due) < maxSuspects && !t.path(now, address).broken && t.mayAsk(now, judgeQuestions) {
+			due = append(due, address)
+		}
+	}
+	if len(due) > 0 {
+		t.nextCheck = now + checkInterval
+	}
+	return due
 }
 
 // Isolated reports whether the entry reaches no upstream directly while others do.
@@ -185,20 +224,52 @@
 	return ""
 }
 
-// Reached records that the upstream was reached directly. It reports whether the entry
-// was isolated until now.
+// Reached records that the upstream answered a question directly, on a new connection. It
+// reports whether the entry was isolated until now.
 func (t *Table) Reached(now clock.Instant, upstream netip.AddrPort) (wasIsolated bool) {
 	p := t.path(now, upstream)
+	if p.broken {
+		if t.returned++; t.returned == 1 {
+			t.returningSince = now
+		}
+	}
 	p.broken, p.downUntil = false, 0
 	wasIsolated = t.isolated
 	t.faults, t.isolated = 0, false
 	clear(t.unreached)
+	if t.returned >= returnAnswers {
+		t.returned = 0
+		for _, p := range t.upstreams {
+			p.broken = false
+		}
+	}
 	return wasIsolated
 }
 
-// Answered records an answer on a direct connection. It says nothing of new connections,
-// as those that are open may live on, but others are reached.
-func (t *Table) Answered() { clear(t.unreached) }
+// Unanswered records that a question to an upstream with a broken path, asked at that time, got no
+// answer directly.
+func (t *Table) Unanswered(askedAt clock.Instant) {
+	if askedAt >= t.returningSince {
+		t.returned = 0
+	}
+}
+
+// Connected records that the upstream was dialled directly. Whether the path carries anything
+// isn't known by that.
+func (t *Table) Connected(now clock.Instant, upstream netip.AddrPort) {
+	t.path(now, upstream).downUntil = 0
+	clear(t.unreached)
+}
+
+// Answered records an answer to a request on a direct connection, and whether it was the first
+// one there. Others say nothing of new connections, as those that are open may live on, but
+// their upstream is reached.
+func (t *Table) Answered(now clock.Instant, upstream netip.AddrPort, first bool) {
+	clear(t.unreached)
+	if first && !t.isolated && !t.path(now, upstream).broken {
+		t.faults = 0
+	}
+}
 
 // Unreached records that the upstream couldn't be dialled directly, and reports whether to
 // ask helpers for it. One upstream alone is probably down, and all entries would ask.
@@ -212,13 +283,24 @@
 // Helped records that a helper reached the upstream after this entry had failed to. It
 // reports whether the entry counts as isolated from now on.
 func (t *Table) Helped(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
+	return t.fault(now, upstream, 1)
+}
+
+// Judged records that the upstream answered a helper and not this entry, to which it was silent.
+// It reports whether the entry counts as isolated from now on.
+func (t *Table) Judged(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
+	return t.fault(now, upstream, judgedFaults)
+}
+
+func (t *Table) fault(now clock.Instant, upstream netip.AddrPort, weight int) (nowIsolated bool) {
 	p := t.path(now, upstream)
 	p.downUntil = 0
 	if p.broken {
 		return false
 	}
 	p.broken, p.nextProbe = true, now+probeInterval
-	if t.faults++; t.faults < isolationFaults || t.isolated {
+	t.returned = 0
+	if t.faults += weight; t.faults < isolationFaults || t.isolated {
 		return false
 	}
 	t.isolated, t.nextProbe = true, now+probeInterval
@@ -235,8 +317,8 @@
 	t.restUntil[helper] = now + helperRest
 }
 
-// Probes returns the upstreams that are to be dialled directly now, to find out whether
-// their paths work again: each with a broken path, or only one while the entry is isolated.
+// Probes returns the upstreams that are to be asked directly now, to find out whether their paths
+// work again: those with a broken path in turn, or only one while the entry is isolated.
 func (t *Table) Probes(now clock.Instant) []netip.AddrPort {
 	var due []netip.AddrPort
 	for address, p := range t.upstreams {
@@ -260,7 +342,11 @@
 	if t.isolated && len(due) > 1 {
 		due = due[:1]
 	}
-	for _, address := range due {
+	for i, address := range due {
+		if !t.mayAsk(now, 1) {
+			due = due[:i]
+			break
+		}
 		t.upstreams[address].nextProbe = now + probeInterval
 	}
 	if t.isolated {
--- a/detour/table_test.go
+++ b/detour/table_test.go
@@ -103,6 +103,91 @@
 	g.Expect(checks).To(gomega.Equal(2))
 }
 
+// TestQuestionsAreBounded guards against an entry that asks upstreams of which it knows nothing
+// bad, or asks many at once when many paths are broken.
+func TestQuestionsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	silent := []netip.AddrPort{address(1), address(2), address(3), address(4), address(5)}
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		table, asked := tableWithHelpers(), []clock.Instant{}
+		ask := func(now clock.Instant, questions int) {
+			for range questions {
+				asked = append(asked, now)
+			}
+			if n := len(asked); n > maxQuestions {
+				g.Expect(now-asked[n-1-maxQuestions]).To(gomega.BeNumerically(">=", questionWindow), "seed %d", seed)
+			}
+		}
+		for now := clock.Instant(0); now < 20*time.Second; now += 50 * time.Millisecond {
+			trouble := now > 2*time.Second
+			for _, a := range table.Probes(now) {
+				ask(now, 1)
+				if random.IntN(3) == 0 {
+					table.Reached(now, a)
+				} else {
+					table.Unanswered(now)
+				}
+			}
+			if !trouble {
+				table.Answered(now, address(random.IntN(30)), true)
+				table.Connected(now, address(random.IntN(30)))
+				continue
+			}
+			for _, a := range table.Suspects(now, silent) {
+				ask(now, judgeQuestions)
+				if random.IntN(2) == 0 {
+					table.Judged(now, a)
+				}
+			}
+			if random.IntN(10) == 0 {
+				table.Helped(now, address(random.IntN(30)))
+			}
+		}
+		g.Expect(asked[0]).To(gomega.BeNumerically(">", 2*time.Second), "nothing was wrong before")
+	}
+}
+
+// TestPathsThatCarryAnswersAgainReturnTogether guards against an entry that goes on through
+// helpers for as long as it takes to ask all upstreams, and against one that takes all paths
+// for whole as a few are.
+func TestPathsThatCarryAnswersAgainReturnTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const broken = 160
+	table := tableWithHelpers()
+	for n := range broken {
+		table.Judged(0, address(n))
+	}
+	g.Expect(table.Isolated()).To(gomega.BeTrue())
+	for n := range 2 * returnAnswers {
+		table.Reached(0, address(n))
+		if n%2 == 1 {
+			table.Unanswered(0)
+		}
+	}
+	g.Expect(table.Broken()).To(gomega.Equal(broken - 2*returnAnswers))
+	for n := range returnAnswers {
+		table.Reached(time.Second, address(broken-1-n))
+		table.Unanswered(time.Second - 1)
+	}
+	g.Expect(table.Broken()).To(gomega.BeZero(), "what was asked before says nothing of the paths now")
+}
+
+// TestDialsProveNothing guards against an entry that takes a path for whole as it accepts
+// connections, and against one that is isolated by faults that were long ago.
+func TestDialsProveNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := tableWithHelpers()
+	g.Expect(table.Judged(0, address(1))).To(gomega.BeFalse())
+	table.Connected(0, address(1))
+	table.Answered(0, address(1), true)
+	g.Expect(table.Direct(0, address(1))).To(gomega.BeFalse())
+	table.Answered(0, address(2), true)
+	g.Expect(table.Judged(0, address(3))).To(gomega.BeFalse(), "another one answered in between")
+	table.Connected(0, address(2))
+	g.Expect(table.Judged(0, address(4))).To(gomega.BeTrue())
+}
+
 // TestHelpersThatFailComeLast guards against requests that wait for a helper that is gone.
 func TestHelpersThatFailComeLast(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -193,7 +278,7 @@
 				if random.IntN(4) == 0 {
 					table.Reached(0, address(n))
 				} else {
-					table.Answered()
+					table.Answered(0, address(n), false)
 				}
 				break
 			}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -391,6 +391,9 @@
 	return tcp
 }
 
+// First reports whether the response is the first one on its connection.
+func (r *Response) First() bool { return !r.conn.used }
+
 // Await reads the body ahead until enough says that the bytes so far suffice, or the body
 // ends. Read returns them again. The error is that of a body that broke off.
 func (r *Response) Await(enough func(ahead []byte) bool) error {
--- a/fleet/fleet__path.go
+++ b/fleet/fleet__path.go
@@ -60,3 +60,13 @@
 	f.scheduleAll(now)
 	return f.takeActions()
 }
+
+// HealthPath returns the path of the health check of the upstream at the address; "" if there
+// is none.
+func (f *Fleet) HealthPath(address netip.AddrPort) string {
+	u, ok := f.atAddress(address)
+	if !ok || len(u.Services) == 0 {
+		return ""
+	}
+	return f.service(u.Services[0]).config.HealthPath
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -364,7 +364,7 @@
 		return nil, head, o
 	}
 	if response.Direct() {
-		in.paths.Answered()
+		in.paths.Answered(grant.Upstream.Address, response.First())
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
 	head = responseHead{response.StatusCode, answer}
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -101,7 +101,7 @@
 	upstreamClient := exchange.New(func() {})
 	m := newMeters(metrics.NewRegistry())
 	in = &Ingress{
-		paths:          newPathDialer(ctx, clock.System(), exchange.DialDirect, &m, func(bool) {}),
+		paths:          newPathDialer(ctx, clock.System(), exchange.DialDirect, &m, noPathHooks),
 		options:        Options{Clock: clock.System(), Settings: settings.Ingress{UsageWindow: time.Second}},
 		dispatcher:     newDispatcher(ctx, clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1, DrainWithin: time.Second}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -55,7 +55,7 @@
 	upstreamClient := exchange.New(func() {})
 	m := newMeters(metrics.NewRegistry())
 	in := &Ingress{
-		paths:          newPathDialer(t.Context(), read, exchange.DialDirect, &m, func(bool) {}),
+		paths:          newPathDialer(t.Context(), read, exchange.DialDirect, &m, noPathHooks),
 		options:        Options{Clock: read, Settings: settings.Ingress{UsageWindow: time.Second}},
 		dispatcher:     newDispatcher(t.Context(), read, fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1}), upstreamClient.Refuses),
 		upstreamClient: upstreamClient,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -120,13 +120,13 @@
 		origins: origin.New(),
 	}
 	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
-	in.paths = newPathDialer(ctx, o.Clock, o.DialUpstream, &in.meters, in.pathsChanged)
+	in.paths = newPathDialer(ctx, o.Clock, o.DialUpstream, &in.meters, in.pathHooks())
 	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
 		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
 	}), in.upstreamClient.Refuses)
-	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, stopping: in.stopping.Load, meters: &in.meters}
+	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
 	o.Server.Handle(tunnelPattern, in.tunnels)
 	go in.watchForSilence(ctx)
 	in.link = link.New(ctx, link.Options{
@@ -261,6 +261,40 @@
 	return &in.options.Server.Address
 }
 
+// questionBytes is the least size of the head of a question to an upstream: a path that holds
+// packets of the usual size carries no requests either.
+const questionBytes = 2 << 10
+
+func (in *Ingress) pathHooks() pathHooks {
+	return pathHooks{
+		question: in.question,
+		onBroken: func(upstream netip.AddrPort) { in.upstreamClient.CloseIdle(upstream) },
+		onChange: in.pathsChanged,
+	}
+}
+
+// errNoQuestion is the error of an upstream that is gone, leaves, or wants no requests for a time.
+var errNoQuestion = errors.New("the upstream isn't to be asked now")
+
+// question returns a health check of the upstream, nil if its service has none.
+func (in *Ingress) question(address netip.AddrPort) (*exchange.Request, error) {
+	path, accepts := "", false
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+		path, accepts = f.HealthPath(address), f.Accepts(now, address)
+		return nil
+	})
+	switch {
+	case !accepts:
+		return nil, errNoQuestion
+	case path == "":
+		return nil, nil
+	}
+	return &exchange.Request{
+		Method: http.MethodGet, Target: path, Host: address.String(), Header: platform.EncodeHealthCheck(questionBytes),
+		Matches: func(*http.Response, bool) bool { return true },
+	}, nil
+}
+
 // pathsChanged is called when upstreams are reached by another way than before.
 func (in *Ingress) pathsChanged(isolated bool) {
 	if isolated {
--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -41,6 +41,13 @@
 "services":[{"name":"s","healthPath":"/healthz","maxConns":900}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
 
+// noPathHooks judge paths by connections, and tell nobody.
+var noPathHooks = pathHooks{
+	question: func(netip.AddrPort) (*exchange.Request, error) { return nil, nil },
+	onBroken: func(netip.AddrPort) {},
+	onChange: func(bool) {},
+}
+
 // cutKeeper is a keeper that gives entries a configuration and a directory.
 type cutKeeper struct {
 	address netip.AddrPort
@@ -117,8 +124,33 @@
 	hangs
 	// refusesNew refuses new connections; those that are open live on.
 	refusesNew
+	// The others accept connections, as a middlebox does that answers for the upstream, and hold
+	// all bytes, those of a message above a size and all after it, or those of one direction.
+	holds
+	holdsLarge
+	holdsRequests
+	holdsAnswers
 )
 
+// maxSmall is the size, in bytes, up to which messages pass while a path holds larger ones.
+const maxSmall = 1400
+
+// lets reports whether a message passes, to the upstream or from it.
+func (m cutMode) lets(toUpstream bool, bytes int) bool {
+	switch m {
+	case hangs, holds:
+		return false
+	case holdsLarge:
+		return bytes <= maxSmall
+	case holdsRequests:
+		return !toUpstream
+	case holdsAnswers:
+		return toUpstream
+	case whole, resets, refusesNew:
+	}
+	return true
+}
+
 // cutPath is the path of one entry to the upstreams, by a proxy for each connection.
 type cutPath struct {
 	mode atomic.Int32
@@ -150,7 +182,7 @@
 		defer cancel()
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: "tcp4", Err: ctx.Err()}
-	case whole:
+	case whole, holds, holdsLarge, holdsRequests, holdsAnswers:
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -172,21 +204,24 @@
 	p.mu.Lock()
 	p.conns[proxied] = true
 	p.mu.Unlock()
-	go p.copy(far, proxied)
-	go p.copy(proxied, far)
+	go p.copy(far, proxied, true)
+	go p.copy(proxied, far, false)
 	return near, nil
 }
 
-// copy passes bytes on until one side ends; while the path hangs it drops them.
-func (p *cutPath) copy(to, from net.Conn) {
+// copy passes bytes on until one side ends. Those that the path holds are lost, and so is what
+// follows them on the connection.
+func (p *cutPath) copy(to, from net.Conn, toUpstream bool) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
 	}()
 	buffer := make([]byte, 8<<10)
+	held := false
 	for {
 		n, err := from.Read(buffer)
-		if cutMode(p.mode.Load()) != hangs {
+		held = held || n > 0 && !cutMode(p.mode.Load()).lets(toUpstream, n)
+		if !held {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -224,8 +259,8 @@
 }
 
 // first sends a request once and reports whether it was served whole.
-func (e *cutEntry) first(path, id string) bool {
-	request, err := http.NewRequest(http.MethodPost, e.url+path, strings.NewReader("{}"))
+func (e *cutEntry) first(path, id, body string) bool {
+	request, err := http.NewRequest(http.MethodPost, e.url+path, strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -236,15 +271,18 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(body), event(3))
+	answer, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(answer), event(3))
 }
 
-// startCutUpstream starts an upstream that answers each request with a few events.
-func startCutUpstream(t *testing.T) netip.AddrPort {
+// startCutUpstream starts an upstream that answers each request with a few events, and none
+// while still is locked.
+func startCutUpstream(t *testing.T, still *sync.RWMutex) netip.AddrPort {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		still.RLock()
+		defer still.RUnlock()
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Replica-Seal", "s")
 		for n := 1; n <= 3; n++ {
@@ -256,34 +294,89 @@
 	return server.Listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// startCutEntries starts upstreams, and three entries that know each other as helpers.
+func startCutEntries(t *testing.T, upstreams int, still *sync.RWMutex) ([]upstream.Member, []*cutEntry) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	var members []upstream.Member
+	for i := range upstreams {
+		members = append(members, upstream.Member{Announcement: upstream.Announcement{
+			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t, still), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
+		}})
+	}
+	k := startCutKeeper(t, members)
+	entries := []*cutEntry{startCutEntry(t, "cut", k), startCutEntry(t, "near", k), startCutEntry(t, "far", k)}
+	g.Eventually(func() bool {
+		return !slices.ContainsFunc(entries, func(e *cutEntry) bool {
+			e.paths.mu.Lock()
+			defer e.paths.mu.Unlock()
+			return len(e.paths.table.Helpers(e.options.Clock(), members[0].Address)) < len(entries)-1
+		})
+	}, 5*time.Second).Should(gomega.BeTrue())
+	return members, entries
+}
+
+// TestStandstillIsNoBrokenPath guards against entries that go through others, or open any
+// connection but a few, as all upstreams stand still for a moment.
+func TestStandstillIsNoBrokenPath(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const (
+		standstill = 1500 * time.Millisecond
+		// maxQuestions is four a second.
+		maxQuestions = 8
+	)
+	var still sync.RWMutex
+	_, entries := startCutEntries(t, 6, &still)
+	still.Lock()
+	var requests sync.WaitGroup
+	for n := range 30 {
+		requests.Go(func() { entries[0].first("/ask/x", fmt.Sprint("still-", n), "{}") })
+	}
+	<-time.After(standstill)
+	g.Expect(entries[0].meters.questions.Count()).To(gomega.BeNumerically(">", 0), "the paths were judged")
+	still.Unlock()
+	requests.Wait()
+	g.Consistently(func() int { return entries[0].paths.Broken() }, questionTimeout).Should(gomega.BeZero())
+	g.Expect(entries[0].paths.Isolated()).To(gomega.BeFalse())
+	g.Expect(entries[0].meters.tunnels.Count()).To(gomega.BeZero())
+	g.Expect(entries[0].meters.questions.Count()).To(gomega.BeNumerically("<=", maxQuestions))
+	asked := entries[0].meters.questions.Count()
+	for n := range 20 {
+		g.Expect(entries[0].first("/look/x", fmt.Sprint("after-", n), "{}")).To(gomega.BeTrue())
+	}
+	g.Expect(entries[0].meters.questions.Count()).To(gomega.Equal(asked), "all is well")
+}
+
 // TestEntriesWithoutAPathServeTheirCallers guards against an entry that serves nobody while its
 // paths to all upstreams are cut, though other entries reach them.
 func TestEntriesWithoutAPathServeTheirCallers(t *testing.T) {
 	const (
 		upstreams = 6
-		cutFor    = 3 * time.Second
-		// detection is the time for which requests may fail after the cut began.
-		detection = time.Second
+		cutFor    = 2 * time.Second
 		interval  = 10 * time.Millisecond
 		minServed = 0.95
+		small     = "{}"
 	)
-	for name, mode := range map[string]cutMode{"resets": resets, "hangs": hangs, "refuses new connections": refusesNew} {
+	large := strings.Repeat("x", 4<<10)
+	for name, tc := range map[string]struct {
+		mode cutMode
+		body string
+		// detection is the time for which requests may fail after the cut began.
+		detection time.Duration
+	}{
+		"resets":                  {resets, small, time.Second},
+		"hangs":                   {hangs, small, time.Second},
+		"refuses new connections": {refusesNew, small, time.Second},
+		"holds all bytes":         {holds, small, 2 * time.Second},
+		"holds large messages":    {holdsLarge, large, 2 * time.Second},
+		"holds requests":          {holdsRequests, small, 2 * time.Second},
+		"holds answers":           {holdsAnswers, small, 2 * time.Second},
+	} {
 		t.Run(name, func(t *testing.T) {
+			mode := tc.mode
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			var members []upstream.Member
-			for i := range upstreams {
-				members = append(members, upstream.Member{Announcement: upstream.Announcement{
-					ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
-				}})
-			}
-			k := startCutKeeper(t, members)
-			entries := []*cutEntry{startCutEntry(t, "cut", k), startCutEntry(t, "near", k), startCutEntry(t, "far", k)}
-			g.Eventually(func() int {
-				k.mu.Lock()
-				defer k.mu.Unlock()
-				return len(k.reports)
-			}, 5*time.Second).Should(gomega.Equal(len(entries)))
+			_, entries := startCutEntries(t, upstreams, &sync.RWMutex{})
 
 			var sent, served [2]atomic.Int64
 			var requests sync.WaitGroup
@@ -291,17 +384,17 @@
 			defer ticker.Stop()
 			began := time.Now()
 			cut := false
-			for n := 0; time.Since(began) < cutFor; n++ {
+			for n := 0; time.Since(began) < tc.detection+cutFor; n++ {
 				<-ticker.C
 				if !cut && n == 50 {
 					entries[0].path.set(mode)
 					began, cut = time.Now(), true
 				}
-				counts := cut && time.Since(began) > detection
+				counts := cut && time.Since(began) > tc.detection
 				for i, e := range entries[:2] {
 					path := []string{"/ask/x", "/book/x", "/look/x"}[n%3]
 					requests.Go(func() {
-						ok := e.first(path, fmt.Sprintf("%s-%d-%d", name, i, n))
+						ok := e.first(path, fmt.Sprintf("%s-%d-%d", name, i, n), tc.body)
 						if counts {
 							sent[i].Add(1)
 							if ok {
@@ -324,7 +417,7 @@
 			g.Eventually(entries[0].paths.Broken, time.Second).Should(gomega.BeZero(), "the way back")
 			tunnels := entries[0].meters.tunnels.Count()
 			for n := range 50 {
-				g.Expect(entries[0].first("/look/x", fmt.Sprintf("%s-back-%d", name, n))).To(gomega.BeTrue())
+				g.Expect(entries[0].first("/look/x", fmt.Sprintf("%s-back-%d", name, n), tc.body)).To(gomega.BeTrue())
 			}
 			g.Expect(entries[0].meters.tunnels.Count()).To(gomega.Equal(tunnels))
 		})
@@ -335,26 +428,12 @@
 // entry reaches any upstream: they are refused at once, as not run, with a time to return.
 func TestNoPathAtAllIsRefusedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	var members []upstream.Member
-	for i := range 4 {
-		members = append(members, upstream.Member{Announcement: upstream.Announcement{
-			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
-		}})
-	}
-	k := startCutKeeper(t, members)
-	entries := []*cutEntry{startCutEntry(t, "first", k), startCutEntry(t, "second", k), startCutEntry(t, "third", k)}
-	g.Eventually(func() bool {
-		return !slices.ContainsFunc(entries, func(e *cutEntry) bool {
-			e.paths.mu.Lock()
-			defer e.paths.mu.Unlock()
-			return len(e.paths.table.Helpers(e.options.Clock(), members[0].Address)) < len(entries)-1
-		})
-	}, 5*time.Second).Should(gomega.BeTrue())
+	_, entries := startCutEntries(t, 4, &sync.RWMutex{})
 	// The entries lose their paths in turn, so that each has been another's helper.
 	for i, e := range entries {
 		e.path.set(resets)
 		for n := range 10 {
-			g.Expect(e.first("/look/x", fmt.Sprintf("turn-%d-%d", i, n))).To(gomega.Equal(i < len(entries)-1))
+			g.Expect(e.first("/look/x", fmt.Sprintf("turn-%d-%d", i, n), "{}")).To(gomega.Equal(i < len(entries)-1))
 		}
 	}
 	for i, e := range entries {
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -30,6 +30,8 @@
 	// tunnels counts the connections to upstreams through other entries, and
 	// tunnelsServed those that others had through this one.
 	tunnels, tunnelsServed metrics.Counter
+	// questions counts the health checks that judge a path.
+	questions metrics.Counter
 
 	// panics counts requests whose handler panicked.
 	panics metrics.Counter
@@ -52,6 +54,7 @@
 		tunnels:    metrics.GetOrRegisterCounter("ingress.tunnels", r),
 
 		tunnelsServed: metrics.GetOrRegisterCounter("ingress.tunnelsServed", r),
+		questions:     metrics.GetOrRegisterCounter("ingress.pathQuestions", r),
 
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
 		unstated:   metrics.GetOrRegisterCounter("ingress.unstatedRefusal", r),
--- a/ingress/path.go
+++ b/ingress/path.go
@@ -18,24 +18,44 @@
 // pathCheckInterval is the time between two looks for paths that have to be dialled.
 const pathCheckInterval = 100 * time.Millisecond
 
+// Times of the questions that judge a path.
+const (
+	// questionTimeout bounds a question with its answer by way of a helper.
+	questionTimeout = time.Second
+	// judgeGrace is how much later than a helper's the answer to this entry may come.
+	judgeGrace = 300 * time.Millisecond
+	// returnTimeout bounds the question to an upstream with a broken path.
+	returnTimeout = 500 * time.Millisecond
+)
+
+// pathHooks are what a pathDialer needs of its entry.
+type pathHooks struct {
+	// question returns a small request that the upstream answers; nil if none is known, and
+	// its path is judged by a connection. The error says why it may not be asked now.
+	question func(upstream netip.AddrPort) (*exchange.Request, error)
+	// onBroken is called when the path to an upstream turns out to carry no answers.
+	onBroken func(upstream netip.AddrPort)
+	// onChange is called when no upstream is reached directly any more, and when one
+	// is again.
+	onChange func(isolated bool)
+}
+
 // pathDialer connects to upstreams, directly or through another entry.
 type pathDialer struct {
+	pathHooks
 	clock  clock.Clock
 	direct exchange.Dial
-	// onChange is called when no upstream is reached directly any more, and when one
-	// is again.
-	onChange func(isolated bool)
-	meters   *meters
+	meters *meters
 
 	mu    sync.Mutex
 	table *detour.Table
-	// checked are the upstreams that are being checked in the background.
+	// checked are the upstreams that are being asked in the background.
 	checked map[netip.AddrPort]bool
 }
 
 // newPathDialer returns a dialer that checks broken paths until ctx ends.
-func newPathDialer(ctx context.Context, c clock.Clock, direct exchange.Dial, m *meters, onChange func(isolated bool)) *pathDialer {
-	p := &pathDialer{clock: c, direct: direct, meters: m, onChange: onChange, table: detour.New(), checked: map[netip.AddrPort]bool{}}
+func newPathDialer(ctx context.Context, c clock.Clock, direct exchange.Dial, m *meters, h pathHooks) *pathDialer {
+	p := &pathDialer{pathHooks: h, clock: c, direct: direct, meters: m, table: detour.New(), checked: map[netip.AddrPort]bool{}}
 	go func() {
 		t := time.NewTicker(pathCheckInterval)
 		defer t.Stop()
@@ -46,7 +66,7 @@
 				due := p.table.Probes(p.clock())
 				p.mu.Unlock()
 				for _, address := range due {
-					p.check(ctx, address)
+					p.check(ctx, address, p.askDirectly)
 				}
 			case <-ctx.Done():
 				return
@@ -70,16 +90,13 @@
 	return p.table.WantsHelpers(now)
 }
 
-// maxSuspects is the number of paths that are checked at once as all upstreams are silent.
-const maxSuspects = 4
-
-// Suspect checks the paths to upstreams that have fallen silent together.
+// Suspect judges the paths to upstreams that have fallen silent together.
 func (p *pathDialer) Suspect(ctx context.Context, upstreams []netip.AddrPort) {
 	p.mu.Lock()
 	due := p.table.Suspects(p.clock(), upstreams)
 	p.mu.Unlock()
-	for _, address := range due[:min(len(due), maxSuspects)] {
-		p.check(ctx, address)
+	for _, address := range due {
+		p.check(ctx, address, p.judge)
 	}
 }
 
@@ -107,19 +124,25 @@
 	if !direct {
 		return p.dialThrough(ctx, upstream)
 	}
-	return p.probe(ctx, upstream)
+	return p.dialDirectly(ctx, upstream)
 }
 
-// Answered records an answer on a direct connection.
-func (p *pathDialer) Answered() {
+// Answered records an answer on a direct connection, and whether it was the first one there.
+func (p *pathDialer) Answered(upstream netip.AddrPort, first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.Answered()
+	p.table.Answered(p.clock(), upstream, first)
 }
 
-// check dials an upstream in the background to learn how it is reached, unless that is
-// under way.
-func (p *pathDialer) check(ctx context.Context, upstream netip.AddrPort) {
+// BrokenTo reports whether the upstream is known to be reached through other entries only.
+func (p *pathDialer) BrokenTo(upstream netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.table.Direct(p.clock(), upstream)
+}
+
+// check asks an upstream in the background how it is reached, unless that is under way.
+func (p *pathDialer) check(ctx context.Context, upstream netip.AddrPort, ask func(ctx context.Context, upstream netip.AddrPort)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.checked[upstream] {
@@ -127,34 +150,118 @@
 	}
 	p.checked[upstream] = true
 	go func() {
-		if conn, err := p.probe(ctx, upstream); err == nil {
+		ctx, cancel := context.WithTimeout(ctx, questionTimeout+judgeGrace)
+		defer cancel()
+		ask(ctx, upstream)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.checked, upstream)
+	}()
+}
+
+// ask sends an upstream its question on a new connection, and returns nil if it is answered,
+// whatever the answer is.
+func (p *pathDialer) ask(ctx context.Context, dial exchange.Dial, upstream netip.AddrPort) error {
+	question, err := p.question(upstream)
+	switch {
+	case err != nil:
+		return err
+	case question == nil:
+		conn, err := dial(ctx, upstream)
+		if err == nil {
 			_ = conn.Close()
 		}
+		return err
+	}
+	p.meters.questions.Inc(1)
+	client := exchange.NewWithDial(dial, func() {})
+	defer client.CloseAllIdle()
+	response, err := client.Do(ctx, upstream, question)
+	if err == nil {
+		response.Close()
+	}
+	return err
+}
+
+// askDirectly finds out whether a broken path works again.
+func (p *pathDialer) askDirectly(ctx context.Context, upstream netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	askedAt := p.clock()
+	if err := p.ask(ctx, p.direct, upstream); err != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.checked, upstream)
+		p.table.Unanswered(askedAt)
+		return
+	}
+	p.reached(upstream)
+}
+
+// judge finds out whether a silent upstream stands still or the path to it is broken: it asks
+// directly and through another entry at the same time.
+func (p *pathDialer) judge(ctx context.Context, upstream netip.AddrPort) {
+	var helper netip.AddrPort
+	direct, through := make(chan error, 1), make(chan error, 1)
+	go func() { direct <- p.ask(ctx, p.direct, upstream) }()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+		defer cancel()
+		through <- p.ask(ctx, func(ctx context.Context, upstream netip.AddrPort) (conn net.Conn, err error) {
+			conn, helper, err = p.openTunnel(ctx, upstream)
+			return conn, err
+		}, upstream)
 	}()
+	select {
+	case err := <-direct:
+		if err == nil {
+			p.reached(upstream)
+			return
+		}
+		if <-through != nil {
+			return
+		}
+	case err := <-through:
+		var grace <-chan time.Time
+		if err == nil {
+			grace = time.After(judgeGrace)
+		}
+		select {
+		case directErr := <-direct:
+			if directErr == nil {
+				p.reached(upstream)
+			}
+			if directErr == nil || err != nil {
+				return
+			}
+		case <-grace:
+		}
+	}
+	p.mu.Lock()
+	isolated := p.table.Judged(p.clock(), upstream)
+	p.mu.Unlock()
+	klog.InfoS("upstream answers another entry and not this one", "address", upstream, "helper", helper)
+	p.onBroken(upstream)
+	p.changed(isolated, upstream, helper)
 }
 
-// probe dials an upstream directly, and then through other entries if there is reason to.
-func (p *pathDialer) probe(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
+// dialDirectly dials an upstream directly, and then through other entries if there is reason to.
+func (p *pathDialer) dialDirectly(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
 	conn, err := p.direct(ctx, upstream)
+	p.mu.Lock()
+	suspicious := false
 	switch {
 	case err == nil:
-		p.reached(upstream)
-		return conn, nil
-	case ctx.Err() != nil:
-		return nil, err
+		p.table.Connected(p.clock(), upstream)
+	case ctx.Err() == nil:
+		suspicious = p.table.Unreached(upstream)
 	}
-	p.mu.Lock()
-	suspicious := p.table.Unreached(upstream)
 	p.mu.Unlock()
 	if suspicious {
 		if conn, throughErr := p.dialThrough(ctx, upstream); throughErr == nil {
 			return conn, nil
 		}
 	}
-	return nil, err
+	return conn, err
 }
 
 // reached records that an upstream was reached directly.
@@ -173,19 +280,26 @@
 
 // dialThrough connects to an upstream through another entry.
 func (p *pathDialer) dialThrough(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
+	conn, helper, err := p.openTunnel(ctx, upstream)
+	if err == nil {
+		p.helped(upstream, helper)
+	}
+	return conn, err
+}
+
+// openTunnel connects to an upstream through the first helper that reaches it.
+func (p *pathDialer) openTunnel(ctx context.Context, upstream netip.AddrPort) (conn net.Conn, helper netip.AddrPort, err error) {
 	p.mu.Lock()
 	helpers := p.table.Helpers(p.clock(), upstream)
 	p.mu.Unlock()
-	var err error = errNoHelper
+	err = errNoHelper
 	down := false
-	for _, helper := range helpers {
-		var conn net.Conn
+	for _, helper = range helpers {
 		if conn, err = dialTunnel(ctx, helper, upstream); err == nil {
-			p.helped(upstream, helper)
-			return conn, nil
+			return conn, helper, nil
 		}
 		if ctx.Err() != nil {
-			return nil, err
+			return nil, helper, err
 		}
 		p.mu.Lock()
 		switch {
@@ -202,7 +316,7 @@
 		p.table.Down(p.clock(), upstream)
 		p.mu.Unlock()
 	}
-	return nil, err
+	return nil, helper, err
 }
 
 // helped records that a helper reaches the upstream.
@@ -211,6 +325,11 @@
 	p.mu.Lock()
 	isolated := p.table.Helped(p.clock(), upstream)
 	p.mu.Unlock()
+	p.changed(isolated, upstream, helper)
+}
+
+// changed tells the entry that it has become isolated, if it has.
+func (p *pathDialer) changed(isolated bool, upstream, helper netip.AddrPort) {
 	if isolated {
 		klog.InfoS("no upstream is reached directly; using other entries", "address", upstream, "helper", helper)
 		p.onChange(true)
--- a/ingress/report_test.go
+++ b/ingress/report_test.go
@@ -39,7 +39,7 @@
 	o := Options{Clock: read, Settings: settings.Default().Ingress, Peers: settings.Peer{Advertise: keeper.Address}}
 	upstreamClient := exchange.New(func() {})
 	in := &Ingress{options: o, usage: usage.NewMeter()}
-	in.paths = newPathDialer(t.Context(), read, nil, &in.meters, in.pathsChanged)
+	in.paths = newPathDialer(t.Context(), read, nil, &in.meters, in.pathHooks())
 	in.dispatcher = newDispatcher(t.Context(), read, fleet.New(fleet.Options{Zone: "a", Entries: 1}), upstreamClient.Refuses)
 	l := link.New(t.Context(), link.Options{
 		Name: "e", Zone: "a", Clock: read, PeerClient: peer.NewClient(), Seeds: []netip.AddrPort{keeper.Address},
--- a/ingress/silence_fuzz_test.go
+++ b/ingress/silence_fuzz_test.go
@@ -628,7 +628,7 @@
 		origins:        origin.New(),
 		unreadable:     rate.NewLimiter(rate.Inf, 1),
 	}
-	in.paths = newPathDialer(ctx, now, dial, &m, in.pathsChanged)
+	in.paths = newPathDialer(ctx, now, dial, &m, in.pathHooks())
 	return in
 }
 
--- a/ingress/tunnel.go
+++ b/ingress/tunnel.go
@@ -115,8 +115,10 @@
 type tunnels struct {
 	dispatcher *dispatcher
 	direct     exchange.Dial
-	stopping   func() bool
-	meters     *meters
+	// broken reports whether this entry doesn't reach the upstream itself.
+	broken   func(upstream netip.AddrPort) bool
+	stopping func() bool
+	meters   *meters
 
 	mu   sync.Mutex
 	open int
@@ -140,6 +142,9 @@
 	case !accepts:
 		http.Error(w, "the upstream wants no requests of this entry now", http.StatusConflict)
 		return
+	case t.broken(upstream):
+		http.Error(w, "upstream not reached", http.StatusBadGateway)
+		return
 	case t.stopping() || !t.begin():
 		http.Error(w, "no further tunnels now", http.StatusServiceUnavailable)
 		return
--- a/ingress/tunnel_test.go
+++ b/ingress/tunnel_test.go
@@ -36,7 +36,7 @@
 	d.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		return f.Merge(now, []upstream.Member{{Announcement: upstream.Announcement{ID: "u", Incarnation: 1, Sequence: 1, Address: address, Zone: "a", Slots: 8, Services: []string{"s"}, Lease: time.Minute}}})
 	})
-	h := &tunnels{dispatcher: d, direct: exchange.DialDirect, stopping: func() bool { return false }, meters: &m}
+	h := &tunnels{dispatcher: d, direct: exchange.DialDirect, broken: func(netip.AddrPort) bool { return false }, stopping: func() bool { return false }, meters: &m}
 	server.Handle(tunnelPattern, h)
 	return h, server.Address
 }
@@ -225,7 +225,7 @@
 	defer func() { _, _ = near.Close(), far.Close() }()
 	direct := func(context.Context, netip.AddrPort) (net.Conn, error) { return near, nil }
 	m := newMeters(metrics.NewRegistry())
-	paths := newPathDialer(b.Context(), clock.System(), direct, &m, func(bool) {})
+	paths := newPathDialer(b.Context(), clock.System(), direct, &m, noPathHooks)
 	address := netip.MustParseAddrPort("127.0.0.1:9")
 	for name, dial := range map[string]exchange.Dial{"direct": direct, "paths": paths.Dial} {
 		b.Run(name, func(b *testing.B) {
