ingress: Soak paths that break in all ways, in series

Two of three entries lose their ways to all upstreams, in seven forms (resets, hangs, refused dials, and ways that accept connections and hold all bytes, large ones or one direction), again and again and at the same time; callers are served from two seconds after each change on, and calls that may not repeat run once. One seed runs in the checks, more by HYSSOPLADDER_PATH_SOAK.

--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -275,14 +277,26 @@
 	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(string(answer), event(3))
 }
 
-// startCutUpstream starts an upstream that answers each request with a few events, and none
-// while still is locked.
-func startCutUpstream(t *testing.T, still *sync.RWMutex) netip.AddrPort {
+// cutUpstreams are what upstreams have in common.
+type cutUpstreams struct {
+	// still is locked while they stand still.
+	still sync.RWMutex
+
+	mu sync.Mutex
+	// runs are by the requests' IDs.
+	runs map[string]int
+}
+
+// startCutUpstream starts an upstream that answers each request with a few events.
+func startCutUpstream(t *testing.T, u *cutUpstreams) netip.AddrPort {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		still.RLock()
-		defer still.RUnlock()
+		u.still.RLock()
+		defer u.still.RUnlock()
+		u.mu.Lock()
+		u.runs[r.Header.Get("X-Request-Id")]++
+		u.mu.Unlock()
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Replica-Seal", "s")
 		for n := 1; n <= 3; n++ {
@@ -295,13 +309,14 @@
 }
 
 // startCutEntries starts upstreams, and three entries that know each other as helpers.
-func startCutEntries(t *testing.T, upstreams int, still *sync.RWMutex) ([]upstream.Member, []*cutEntry) {
+func startCutEntries(t *testing.T, upstreams int) (*cutUpstreams, []*cutEntry) {
 	t.Helper()
 	g := gomega.NewWithT(t)
+	u := &cutUpstreams{runs: map[string]int{}}
 	var members []upstream.Member
 	for i := range upstreams {
 		members = append(members, upstream.Member{Announcement: upstream.Announcement{
-			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t, still), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
+			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t, u), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
 		}})
 	}
 	k := startCutKeeper(t, members)
@@ -313,7 +328,7 @@
 			return len(e.paths.table.Helpers(e.options.Clock(), members[0].Address)) < len(entries)-1
 		})
 	}, 5*time.Second).Should(gomega.BeTrue())
-	return members, entries
+	return u, entries
 }
 
 // TestStandstillIsNoBrokenPath guards against entries that go through others, or open any
@@ -325,16 +340,15 @@
 		// maxQuestions is four a second.
 		maxQuestions = 8
 	)
-	var still sync.RWMutex
-	_, entries := startCutEntries(t, 6, &still)
-	still.Lock()
+	u, entries := startCutEntries(t, 6)
+	u.still.Lock()
 	var requests sync.WaitGroup
 	for n := range 30 {
 		requests.Go(func() { entries[0].first("/ask/x", fmt.Sprint("still-", n), "{}") })
 	}
 	<-time.After(standstill)
 	g.Expect(entries[0].meters.questions.Count()).To(gomega.BeNumerically(">", 0), "the paths were judged")
-	still.Unlock()
+	u.still.Unlock()
 	requests.Wait()
 	g.Consistently(func() int { return entries[0].paths.Broken() }, questionTimeout).Should(gomega.BeZero())
 	g.Expect(entries[0].paths.Isolated()).To(gomega.BeFalse())
@@ -376,7 +390,7 @@
 			mode := tc.mode
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			_, entries := startCutEntries(t, upstreams, &sync.RWMutex{})
+			_, entries := startCutEntries(t, upstreams)
 
 			var sent, served [2]atomic.Int64
 			var requests sync.WaitGroup
@@ -428,7 +442,7 @@
 // entry reaches any upstream: they are refused at once, as not run, with a time to return.
 func TestNoPathAtAllIsRefusedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, entries := startCutEntries(t, 4, &sync.RWMutex{})
+	_, entries := startCutEntries(t, 4)
 	// The entries lose their paths in turn, so that each has been another's helper.
 	for i, e := range entries {
 		e.path.set(resets)
@@ -450,3 +464,93 @@
 		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
 	}
 }
+
+// pathSeeds are the seeds of the soak of path faults; the variable adds more.
+var pathSeeds = []uint64{1}
+
+const pathSeedsVariable = "HYSSOPLADDER_PATH_SOAK"
+
+// TestPathFaultsInSeries guards against entries that take a path for whole or broken by what an
+// earlier fault has left behind. Two entries lose their paths in all ways, again and again, also at
+// the same time.
+func TestPathFaultsInSeries(t *testing.T) {
+	const (
+		faults = 4
+		// detection is the time for which requests may fail after a fault began.
+		detection = 2 * time.Second
+		interval  = 15 * time.Millisecond
+		minServed = 0.95
+	)
+	more, _ := strconv.ParseUint(os.Getenv(pathSeedsVariable), 10, 32)
+	for seed := range more {
+		pathSeeds = append(pathSeeds, 100+seed)
+	}
+	large := strings.Repeat("x", 4<<10)
+	for _, seed := range pathSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			u, entries := startCutEntries(t, 6)
+			var requests, disruptions sync.WaitGroup
+			var stopping atomic.Bool
+			for i, e := range entries {
+				// faultAt is when the entry's paths last changed, and goodFrom since when its
+				// callers are to be served, in nanoseconds.
+				var faultAt, goodFrom, sent, served atomic.Int64
+				began := time.Now()
+				now := func() int64 { return int64(time.Since(began)) }
+				if i < 2 {
+					random := rand.New(rand.NewPCG(seed, uint64(i)))
+					disruptions.Go(func() {
+						for range faults {
+							<-time.After(time.Duration(random.IntN(1500)) * time.Millisecond)
+							mode := cutMode(1 + random.IntN(int(holdsAnswers)))
+							goodFrom.Store(now() + int64(detection))
+							faultAt.Store(now())
+							e.path.set(mode)
+							<-time.After(detection + time.Duration(500+random.IntN(2000))*time.Millisecond)
+							// The way back may take requests along that were sent into the fault.
+							goodFrom.Store(now() + int64(detection))
+							faultAt.Store(now())
+							e.path.set(whole)
+						}
+						<-time.After(detection + time.Second)
+					})
+				}
+				requests.Go(func() {
+					var sending sync.WaitGroup
+					ticker := time.NewTicker(interval)
+					defer ticker.Stop()
+					for n := 0; !stopping.Load(); n++ {
+						<-ticker.C
+						sentAt := now()
+						sending.Go(func() {
+							ok := e.first([]string{"/ask/x", "/book/x", "/look/x"}[n%3], fmt.Sprintf("series%d-%d-%d", seed, i, n), large)
+							if sentAt < goodFrom.Load() || faultAt.Load() > sentAt {
+								return
+							}
+							sent.Add(1)
+							if ok {
+								served.Add(1)
+							}
+						})
+					}
+					sending.Wait()
+					t.Logf("entry %d served %d of %d", i, served.Load(), sent.Load())
+					g.Expect(float64(served.Load())).To(gomega.BeNumerically(">=", minServed*float64(sent.Load())), "entry %d", i)
+				})
+			}
+			disruptions.Wait()
+			stopping.Store(true)
+			requests.Wait()
+			for id, n := range u.runs {
+				if number, _ := strconv.Atoi(id[strings.LastIndex(id, "-")+1:]); strings.HasPrefix(id, "series") && number%3 == 1 {
+					g.Expect(n).To(gomega.Equal(1), id)
+				}
+			}
+			for _, e := range entries {
+				g.Expect(e.paths.Broken()).To(gomega.BeZero())
+			}
+		})
+	}
+}
