--- a/common/cuttest/cuttest.go
+++ b/common/cuttest/cuttest.go
@@ -75,7 +75,7 @@
 func Each(t *testing.T, head, body string, test func(t *testing.T, server netip.AddrPort, c *Cut)) {
 	t.Helper()
 	var next atomic.Pointer[Cut]
-	server := start(t, &next)
+	server := Serve(t, func(c net.Conn, _ *http.Request) { next.Load().Write(c) })
 	for framing, cuts := range Of(head, body) {
 		t.Run(framing, func(t *testing.T) {
 			for _, c := range cuts {
@@ -86,8 +86,9 @@
 	}
 }
 
-// start starts a server that answers each request by the next cut.
-func start(t *testing.T, next *atomic.Pointer[Cut]) netip.AddrPort {
+// Serve starts a server that reads one request of each connection, calls answer, and closes the
+// connection.
+func Serve(t *testing.T, answer func(c net.Conn, r *http.Request)) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,18 +101,16 @@
 			if err != nil {
 				return
 			}
-			go answer(c, next)
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				answer(c, r)
+			}()
 		}
 	}()
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
-
-func answer(c net.Conn, next *atomic.Pointer[Cut]) {
-	defer func() { _ = c.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	next.Load().Write(c)
-}
--- a/common/cuttest/endless.go
+++ b/common/cuttest/endless.go
@@ -1,7 +1,6 @@
 package cuttest
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -17,35 +16,16 @@
 func StartEndless(t *testing.T, head string, block func(n int) []byte) netip.AddrPort {
 	t.Helper()
 	const enough = 128 << 20
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	return Serve(t, func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, head)
+		for n, written := 0, 0; written < enough; n++ {
+			m, err := c.Write(block(n))
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				// A response before its request isn't read by net/http's client at all.
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, head)
-				for n, written := 0, 0; written < enough; n++ {
-					m, err := c.Write(block(n))
-					if err != nil {
-						return
-					}
-					written += m
-				}
-			}()
+			written += m
 		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	})
 }
 
 // Repeat returns blocks of some 64 KiB of the text.
--- a/ingress/forward_test.go
+++ b/ingress/forward_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/cuttest"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/exchange"
@@ -44,29 +45,7 @@
 // startUpstream starts an upstream that calls answer for each request.
 func startUpstream(t *testing.T, answer func(c net.Conn, r *http.Request)) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				answer(c, r)
-			}()
-		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return cuttest.Serve(t, answer)
 }
 
 // startEntry serves one route by the upstreams, the first of which is preferred,
