--- a/detour/table.go
+++ b/detour/table.go
@@ -30,9 +30,6 @@
 	// maxTried is the number of helpers that one request may be sent through, one after
 	// the other.
 	maxTried = 3
-	// judgedFaults is what a path counts for that carries no answers while a helper's does:
-	// unlike a dial, that is seen from both sides.
-	judgedFaults = 2
 	// returnAnswers is the number of broken paths that carry answers again, with none that
 	// doesn't in between, from which on all count as whole.
 	returnAnswers = 3
@@ -64,8 +61,8 @@
 type Table struct {
 	upstreams map[netip.AddrPort]*path
 	helpers   []Helper
-	// turn counts the requests for helpers, so that they take turns.
-	turn int
+	// turn and judgeTurn count the requests for helpers, so that they take turns.
+	turn, judgeTurn int
 	// restUntil is when helpers that failed may come first again.
 	restUntil map[netip.AddrPort]clock.Instant
 	// unreached are the upstreams that couldn't be dialled since one was last dialled or
@@ -189,7 +186,31 @@
 	if now < t.path(now, upstream).downUntil {
 		return nil
 	}
-	var fresh, resting []netip.AddrPort
+	fresh, resting := t.byRest(now)
+	t.rotate(fresh)
+	all := append(fresh, resting...)
+	return all[:min(len(all), maxTried)]
+}
+
+// JudgeHelpers returns the helpers by way of which to ask the upstream that is to be judged, in
+// order. Of two that are judged one after the other, the second is asked through another zone: the
+// helpers of the entry's own may have lost their ways too.
+func (t *Table) JudgeHelpers(now clock.Instant, upstream netip.AddrPort) []netip.AddrPort {
+	if now < t.path(now, upstream).downUntil {
+		return nil
+	}
+	fresh, resting := t.byRest(now)
+	if n := len(fresh); n > 1 {
+		first := t.judgeTurn * (n - 1) % n
+		fresh = slices.Concat(fresh[first:], fresh[:first])
+		t.judgeTurn++
+	}
+	all := append(fresh, resting...)
+	return all[:min(len(all), maxTried)]
+}
+
+// byRest returns the helpers that have and those that haven't helped, as far as is known.
+func (t *Table) byRest(now clock.Instant) (fresh, resting []netip.AddrPort) {
 	for _, h := range t.helpers {
 		if now < t.restUntil[h.Address] {
 			resting = append(resting, h.Address)
@@ -197,9 +218,7 @@
 			fresh = append(fresh, h.Address)
 		}
 	}
-	t.rotate(fresh)
-	all := append(fresh, resting...)
-	return all[:min(len(all), maxTried)]
+	return fresh, resting
 }
 
 // rotate lets the helpers of the first one's zone come first in turn.
@@ -283,16 +302,23 @@
 // Helped records that a helper reached the upstream after this entry had failed to. It
 // reports whether the entry counts as isolated from now on.
 func (t *Table) Helped(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
-	return t.fault(now, upstream, 1)
+	if !t.breaks(now, upstream) {
+		return false
+	}
+	if t.faults++; t.faults < isolationFaults {
+		return false
+	}
+	return t.isolate(now)
 }
 
-// Judged records that the upstream answered a helper and not this entry, to which it was silent.
-// It reports whether the entry counts as isolated from now on.
+// Judged records that the upstream answered a helper and not this entry, while all upstreams with
+// work were silent to it. It reports whether the entry counts as isolated from now on.
 func (t *Table) Judged(now clock.Instant, upstream netip.AddrPort) (nowIsolated bool) {
-	return t.fault(now, upstream, judgedFaults)
+	return t.breaks(now, upstream) && t.isolate(now)
 }
 
-func (t *Table) fault(now clock.Instant, upstream netip.AddrPort, weight int) (nowIsolated bool) {
+// breaks records that the path to the upstream is broken, and reports whether that is new.
+func (t *Table) breaks(now clock.Instant, upstream netip.AddrPort) bool {
 	p := t.path(now, upstream)
 	p.downUntil = 0
 	if p.broken {
@@ -300,7 +326,12 @@
 	}
 	p.broken, p.nextProbe = true, now+probeInterval
 	t.returned = 0
-	if t.faults += weight; t.faults < isolationFaults || t.isolated {
+	return true
+}
+
+// isolate reports whether the entry wasn't isolated before.
+func (t *Table) isolate(now clock.Instant) bool {
+	if t.isolated {
 		return false
 	}
 	t.isolated, t.nextProbe = true, now+probeInterval
--- a/ingress/path.go
+++ b/ingress/path.go
@@ -200,6 +200,9 @@
 // judge finds out whether a silent upstream stands still or the path to it is broken: it asks
 // directly and through another entry at the same time.
 func (p *pathDialer) judge(ctx context.Context, upstream netip.AddrPort) {
+	p.mu.Lock()
+	helpers := p.table.JudgeHelpers(p.clock(), upstream)
+	p.mu.Unlock()
 	var helper netip.AddrPort
 	direct, through := make(chan error, 1), make(chan error, 1)
 	go func() { direct <- p.ask(ctx, p.direct, upstream) }()
@@ -207,7 +210,7 @@
 		ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 		defer cancel()
 		through <- p.ask(ctx, func(ctx context.Context, upstream netip.AddrPort) (conn net.Conn, err error) {
-			conn, helper, err = p.openTunnel(ctx, upstream)
+			conn, helper, err = p.openTunnel(ctx, upstream, helpers)
 			return conn, err
 		}, upstream)
 	}()
@@ -280,7 +283,10 @@
 
 // dialThrough connects to an upstream through another entry.
 func (p *pathDialer) dialThrough(ctx context.Context, upstream netip.AddrPort) (net.Conn, error) {
-	conn, helper, err := p.openTunnel(ctx, upstream)
+	p.mu.Lock()
+	helpers := p.table.Helpers(p.clock(), upstream)
+	p.mu.Unlock()
+	conn, helper, err := p.openTunnel(ctx, upstream, helpers)
 	if err == nil {
 		p.helped(upstream, helper)
 	}
@@ -288,10 +294,7 @@
 }
 
 // openTunnel connects to an upstream through the first helper that reaches it.
-func (p *pathDialer) openTunnel(ctx context.Context, upstream netip.AddrPort) (conn net.Conn, helper netip.AddrPort, err error) {
-	p.mu.Lock()
-	helpers := p.table.Helpers(p.clock(), upstream)
-	p.mu.Unlock()
+func (p *pathDialer) openTunnel(ctx context.Context, upstream netip.AddrPort, helpers []netip.AddrPort) (conn net.Conn, helper netip.AddrPort, err error) {
 	err = errNoHelper
 	down := false
 	for _, helper = range helpers {
