exchange: Send unasked bytes once the connection is idle

Traced: the bytes without end could reach the client together with the answer before them. It then closes the connection instead of keeping it, so that nothing was idle, and the upstream's write failed at once. The upstream waits until the answer has been read now.

--- a/exchange/endless_test.go
+++ b/exchange/endless_test.go
@@ -208,17 +208,20 @@
 func TestBytesWithoutARequestAreNotRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const answer = "HTTP/1.1 200 OK\nX-Id: %s\nContent-Length: 2\n\nok"
-	unasked := make(chan struct{})
+	idle, unasked := make(chan struct{}), make(chan struct{})
 	s := startServer(t, func(c net.Conn, r *http.Request) bool {
 		id := r.Header.Get("X-Id")
 		if id == "2" {
 			return writeCRLF(c, fmt.Sprintf(answer, id))
 		}
 		defer close(unasked)
-		return writeEndlessly(c, fmt.Sprintf(answer, id), fmt.Sprintf(answer, "2"))
+		writeCRLF(c, fmt.Sprintf(answer, id))
+		<-idle
+		return writeEndlessly(c, "", fmt.Sprintf(answer, "2"))
 	})
 	c := New(func() {})
 	g.Expect(fetch(t, c, s, newRequest("1"))).To(gomega.Equal("ok"))
+	close(idle)
 	runtime.GC()
 	before := heapBytes()
 	g.Consistently(unasked).ShouldNot(gomega.BeClosed(), "the upstream can't get rid of its bytes")
