ingress: Keep the list of path seeds as it is

TestPathFaultsInSeries added the seeds of the environment to the package's own list, so that each further run of -count added them again. It takes a copy now; seeds, bounds and checks are the same.

--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -350,7 +350,7 @@
 	g.Expect(entries[0].meters.questions.Count()).To(gomega.BeNumerically(">", 0), "the paths were judged")
 	u.still.Unlock()
 	requests.Wait()
-	g.Consistently(func() int { return entries[0].paths.Broken() }, questionTimeout).Should(gomega.BeZero())
+	g.Consistently(entries[0].paths.Broken, questionTimeout).Should(gomega.BeZero())
 	g.Expect(entries[0].paths.Isolated()).To(gomega.BeFalse())
 	g.Expect(entries[0].meters.tunnels.Count()).To(gomega.BeZero())
 	g.Expect(entries[0].meters.questions.Count()).To(gomega.BeNumerically("<=", maxQuestions))
@@ -481,12 +481,13 @@
 		interval  = 15 * time.Millisecond
 		minServed = 0.95
 	)
+	seeds := slices.Clone(pathSeeds)
 	more, _ := strconv.ParseUint(os.Getenv(pathSeedsVariable), 10, 32)
 	for seed := range more {
-		pathSeeds = append(pathSeeds, 100+seed)
+		seeds = append(seeds, 100+seed)
 	}
 	large := strings.Repeat("x", 4<<10)
-	for _, seed := range pathSeeds {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
