--- a/admission/scheduler_test.go
+++ b/admission/scheduler_test.go
@@ -190,6 +190,9 @@
 				if _, known := waiting[r.ID]; !known {
 					t.Fatalf("request %d was returned twice or never accepted", r.ID)
 				}
+				if r.OverShare && c.FreeOverShare <= 0 {
+					t.Fatalf("request %d over its caller's share got a slot that is kept free of them", r.ID)
+				}
 				delete(waiting, r.ID)
 			},
 			"remove": func(t *rapid.T) {
--- a/dispatch/onset_test.go
+++ b/dispatch/onset_test.go
@@ -37,3 +37,32 @@
 		})
 	}
 }
+
+// TestCallerBackWithinItsShareLeavesShortQueues guards against a backlog that is sent at once:
+// what a caller had waiting since it was over its share no longer found an upstream that fitted
+// once it wasn't, and went to any without regard to free slots.
+func TestCallerBackWithinItsShareLeavesShortQueues(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots, draft, waiting = 4, 1, 20
+	d := newDispatcher("x", "y")
+	report := func(entry string, rate float64) share.Report {
+		return share.Report{Entry: entry, Service: "s", Demands: []share.Demand{{Key: share.Key{Rank: draft, Caller: "c"}, Rate: rate}}}
+	}
+	sent := 0
+	submitDrafts := func(first, last uint64) {
+		for id := first; id <= last; id++ {
+			for _, a := range d.Submit(0, Ticket{ID: id, Service: "s", Caller: "c", Rank: draft, Cost: 10, Repeatable: true, Fingerprint: id}) {
+				if _, ok := a.(Grant); ok {
+					sent++
+				}
+			}
+		}
+	}
+	d.SetDemands(0, "e1", "s", []share.Report{report("e1", 1000), report("e2", 1000)})
+	submitDrafts(1, waiting)
+	g.Expect(sent).To(gomega.BeNumerically("<=", slots))
+	d.SetDemands(0, "e1", "s", []share.Report{report("e1", 1), report("e2", 1)})
+	submitDrafts(waiting+1, waiting+2)
+	const upstreams = 2
+	g.Expect(sent).To(gomega.BeNumerically("<=", slots+upstreams))
+}
