keeper, wal, gossip: Found a cluster by a majority of the seeds

A first start found no cluster for as long as one of the three seeds was missing, whichever it was: the one with the lowest address founded, and only once all were alive. Changes were refused after 8 s by "isn't the leader", ran unknown, and no log said what was missing.

The seeds agree by package founding now. Words are stored in the identity of the folder, and travel in the node's gossip record. A keeper without a cluster logs every 5 s which seeds are missing, shows it in its status, and refuses changes by that, ran no.

e2e "A first start": three of its four specs failed before, without each seed in turn; all pass now: two seeds accept a change within 5 s, and the third joins them.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/wire"
+	"github.com/hyssopladder/hyssopladder/founding"
 	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
@@ -96,6 +97,7 @@
 		id      string
 		cluster uint64
 	}
+	setFounding     struct{ state founding.State }
 	setSeeds        struct{ seeds []netip.AddrPort }
 	leave           struct{}
 	exchangeRequest struct {
@@ -195,6 +197,10 @@
 // SetLevels publishes the highest level that this node's keeper reads, and the one in force.
 func (h *Host) SetLevels(reads, inForce level.Level) { h.ref.Send(setLevels{reads, inForce}) }
 
+// SetFounding publishes this node's part in the founding of a cluster, without waiting for the
+// next round.
+func (h *Host) SetFounding(s founding.State) { h.ref.Send(setFounding{s}) }
+
 // SetKeeperStopped announces that this node's keeper has stopped after a failure.
 func (h *Host) SetKeeperStopped() { h.ref.Send(setKeeperStopped{}) }
 
@@ -285,6 +291,10 @@
 	case setLevels:
 		h.options.Node.Reads, h.options.Node.Level = m.reads, m.inForce
 		h.refresh(now)
+	case setFounding:
+		h.options.Node.Founding = &m.state
+		h.refresh(now)
+		h.push(now)
 	case setSeeds:
 		h.options.Seeds = m.seeds
 	case leave:
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -56,7 +56,7 @@
 func (c *Client) Apply(ctx context.Context, change document.Change) (document.Reply, error) {
 	reply, err := c.propose(ctx, Command{Change: &change}, applyTimeout)
 	if err != nil {
-		return document.Reply{}, result.New(result.NoQuorum, result.RanUnknown,
+		return document.Reply{}, result.New(result.NoQuorum, result.From(err).Ran,
 			"no majority of keepers answered: %v; send the same change ID again", err).WithRetry(time.Second)
 	}
 	return *reply.Change, nil
@@ -66,7 +66,7 @@
 func (c *Client) Put(ctx context.Context, p config.Put) (config.Outcome, error) {
 	reply, err := c.propose(ctx, Command{Put: &p}, applyTimeout)
 	if err != nil {
-		return 0, result.New(result.NoQuorum, result.RanUnknown, "no majority of keepers answered: %v", err).WithRetry(time.Second)
+		return 0, result.New(result.NoQuorum, result.From(err).Ran, "no majority of keepers answered: %v", err).WithRetry(time.Second)
 	}
 	return reply.Put, nil
 }
@@ -104,6 +104,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var lastErr error
+	// ran is "no" while no keeper may have taken the command.
+	ran := result.RanNo
 	// unanswered counts the attempts that a keeper hasn't answered.
 	unanswered := map[consensus.ID]int{}
 	for {
@@ -114,11 +116,15 @@
 				return reply, nil
 			}
 			c.setLeader(reply.Leader)
-			lastErr = err
-			if err != nil {
+			switch {
+			case err != nil:
 				unanswered[to]++
-			} else {
-				lastErr = result.New(result.NoQuorum, result.RanUnknown, "keeper %v isn't the leader %s", to, reply.Detail)
+				ran, lastErr = result.RanUnknown, err
+			case reply.Code == result.NoQuorum:
+				lastErr = result.New(result.NoQuorum, ran, "keeper %v belongs to no cluster: %s", to, reply.Detail)
+			default:
+				ran = result.RanUnknown
+				lastErr = result.New(result.NoQuorum, ran, "keeper %v isn't the leader %s", to, reply.Detail)
 			}
 			if reply.Leader != consensus.None && reply.Leader != to {
 				break
@@ -128,9 +134,10 @@
 		case <-time.After(retryDelay):
 		case <-ctx.Done():
 			if lastErr == nil {
-				lastErr = result.New(result.NoQuorum, result.RanUnknown, "no keeper is known")
+				lastErr = result.New(result.NoQuorum, ran, "no keeper is known")
 			}
-			return Reply{}, lastErr
+			last := result.From(lastErr)
+			return Reply{}, result.New(last.Code, ran, "%s", last.Detail)
 		}
 	}
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -107,6 +107,7 @@
 	// wasLeader says that this keeper led at the last tick.
 	wasLeader  bool
 	membership *membershipPolicy
+	foundState
 	// alive lists this cluster's living keepers, as gossip reports them, and
 	// those that belong to no cluster yet; unclustered lists only the latter.
 	alive, unclustered []consensus.ID
@@ -172,8 +173,10 @@
 	Claims   int         `json:"claims"`
 	LogBytes int64       `json:"logBytes"`
 	// DiskFullMs is for how long the disk has had no room.
-	DiskFullMs int64  `json:"diskFullMs,omitempty"`
-	Failed     string `json:"failed,omitempty"`
+	DiskFullMs int64 `json:"diskFullMs,omitempty"`
+	// Waiting says what a keeper without a cluster waits for.
+	Waiting string `json:"waiting,omitempty"`
+	Failed  string `json:"failed,omitempty"`
 }
 
 // New starts a keeper from its journal. The keeper ends with ctx.
@@ -204,6 +207,7 @@
 		return nil, result.New(result.JournalDamaged, result.RanNo, "%v", err)
 	}
 	k.node = node
+	k.foundState = newFoundState(o)
 	k.membership = newMembershipPolicy(o.Settings.ReplaceAfter, o.Settings.Voters, func(id consensus.ID) string { return k.zones[id] })
 	if err := checkStored(k.machine.reads, o.Stored); err != nil {
 		return nil, err
@@ -331,6 +335,7 @@
 		Claims:     k.machine.claims.Len(),
 		LogBytes:   k.options.Journal.Size(),
 		DiskFullMs: k.fullFor().Milliseconds(),
+		Waiting:    k.waiting,
 	}
 	if k.failure != nil {
 		s.Failed = k.failure.Error()
@@ -399,6 +404,9 @@
 	case m.command.Level != nil || m.command.needed() > k.machine.level:
 		m.reply <- Reply{NotLeader: true, Code: result.LevelNotRead, Detail: "the command is of a level that is not in force"}
 		return
+	case k.waiting != "":
+		m.reply <- Reply{NotLeader: true, Code: result.NoQuorum, Detail: k.waiting}
+		return
 	case k.refusesForFullDisk():
 		m.reply <- Reply{NotLeader: true, Code: result.JournalFull, Detail: "the disk of this keeper is full"}
 		return
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/netip"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -53,7 +52,11 @@
 	})
 	slices.Sort(k.alive)
 	slices.Sort(k.unclustered)
-	k.bootstrap(own)
+	if k.options.Settings.FoundBySeeds {
+		k.found(own, nodes)
+	} else {
+		k.bootstrap(own)
+	}
 	k.campaignOnMajority()
 	if due := k.changeMembers(); k.failure == nil {
 		raiseLevel(k.machine, k.node, k.levelNodes, !due)
@@ -84,11 +87,20 @@
 	if k.failure != nil || own.Cluster != 0 || !s.Bootstrap || k.foreignKeeper || !slices.Contains(k.unclustered, own.ID) {
 		return
 	}
-	voters := k.initialVoters(own.ID)
-	if voters == nil {
-		return
+	voters := []consensus.ID{own.ID}
+	for _, id := range k.unclustered {
+		if id != own.ID && len(voters) < s.InitialVoters {
+			voters = append(voters, id)
+		}
 	}
-	if err := k.options.Journal.Join(randomID()); wal.IsFull(err) {
+	if len(voters) == s.InitialVoters {
+		k.create(randomID(), voters)
+	}
+}
+
+// create joins a new cluster and writes the first entry of its log.
+func (k *Keeper) create(cluster uint64, voters []consensus.ID) {
+	if err := k.options.Journal.Join(cluster); wal.IsFull(err) {
 		k.noteFull(err)
 		return
 	} else if err != nil {
@@ -104,37 +116,6 @@
 	k.announceCluster()
 }
 
-// initialVoters returns the voters of a new cluster, or nil if this keeper may
-// not create it, or not yet. If the seeds create it, the one with the lowest
-// address does so, once all of them are alive.
-func (k *Keeper) initialVoters(own consensus.ID) []consensus.ID {
-	s := k.options.Settings
-	candidates := k.unclustered
-	count := s.InitialVoters
-	if s.FoundBySeeds {
-		seeds := slices.Clone(k.options.Seeds)
-		slices.SortFunc(seeds, netip.AddrPort.Compare)
-		if len(seeds) == 0 || seeds[0] != k.options.Address {
-			return nil
-		}
-		count = len(seeds)
-		candidates = slices.DeleteFunc(slices.Clone(k.unclustered), func(id consensus.ID) bool {
-			address, _ := k.outbox.addressOf(id)
-			return !slices.Contains(seeds, address)
-		})
-	}
-	voters := []consensus.ID{own}
-	for _, id := range candidates {
-		if id != own && len(voters) < count {
-			voters = append(voters, id)
-		}
-	}
-	if len(voters) < count {
-		return nil
-	}
-	return voters
-}
-
 // announceCluster publishes the keeper's cluster by gossip.
 func (k *Keeper) announceCluster() {
 	identity := k.options.Journal.Identity()
--- a/member/node.go
+++ b/member/node.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/founding"
 	"github.com/hyssopladder/hyssopladder/level"
 )
 
@@ -32,6 +33,8 @@
 	// of an earlier version.
 	Version string `json:"version,omitempty"`
 	Formats string `json:"formats,omitempty"`
+	// Founding is the node's part in the founding of a cluster; nil if it takes none.
+	Founding *founding.State `json:"founding,omitempty"`
 }
 
 // Check verifies a decoded NodeInfo.
@@ -39,6 +42,9 @@
 	if n.Name == "" || !n.Address.IsValid() {
 		return errors.New("node: a name and an address are needed")
 	}
+	if n.Founding != nil {
+		return n.Founding.Check()
+	}
 	return nil
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -120,8 +120,8 @@
 	// Bootstrap makes this keeper found the cluster. Without FoundBySeeds, only
 	// one keeper may have it set.
 	Bootstrap bool
-	// FoundBySeeds makes the keepers at the seeds' addresses found the cluster
-	// together, whichever starts first; Bootstrap is then set on all of them.
+	// FoundBySeeds makes a majority of the keepers at the seeds' addresses found the cluster
+	// together; Bootstrap is then set on all of them.
 	FoundBySeeds bool
 	// QuotaSlack is the number of units by which all entries together may
 	// exceed an organisation's quota.
--- a/wal/journal.go
+++ b/wal/journal.go
@@ -14,6 +14,7 @@
 
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/founding"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -31,6 +32,8 @@
 	// Cluster identifies the cluster that the folder belongs to; 0 before it
 	// has joined one.
 	Cluster uint64 `json:"c,omitempty"`
+	// Word is what the folder's keeper has given its word for in a founding; nil if nothing.
+	Word *founding.Word `json:"w,omitempty"`
 }
 
 // Check validates a decoded identity.
@@ -38,6 +41,9 @@
 	if i.ID == consensus.None {
 		return errors.New("identity without an ID")
 	}
+	if i.Word != nil {
+		return i.Word.Check()
+	}
 	return nil
 }
 
@@ -272,10 +278,24 @@
 	}
 	joined := j.identity
 	joined.Cluster = cluster
-	if err := j.replaceFile(identityFile, wire.MustEncode(&joined)); err != nil {
+	return j.replaceIdentity(joined)
+}
+
+// GiveWord permanently records what the folder's keeper has given its word for.
+func (j *Journal) GiveWord(w founding.Word) error {
+	if j.failure != nil {
+		return j.failure
+	}
+	given := j.identity
+	given.Word = &w
+	return j.replaceIdentity(given)
+}
+
+func (j *Journal) replaceIdentity(next Identity) error {
+	if err := j.replaceFile(identityFile, wire.MustEncode(&next)); err != nil {
 		return j.recordFailure(err)
 	}
-	j.identity = joined
+	j.identity = next
 	return nil
 }
 
