keeper: Write the first entry again after a crash while founding

A voter that ended after it had joined the new cluster, and before its first entry was on the disk, had a cluster without a log; if all voters ended so, as with a loss of power at the first start, no keeper could ever lead. The stored word holds the voters, so that the entry, which is the same at all of them, is written again at the start.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -208,6 +208,7 @@
 	}
 	k.node = node
 	k.foundState = newFoundState(o)
+	k.restoreFirstEntry()
 	k.membership = newMembershipPolicy(o.Settings.ReplaceAfter, o.Settings.Voters, func(id consensus.ID) string { return k.zones[id] })
 	if err := checkStored(k.machine.reads, o.Stored); err != nil {
 		return nil, err
--- a/keeper/keeper__found.go
+++ b/keeper/keeper__found.go
@@ -47,6 +47,20 @@
 	return f
 }
 
+// restoreFirstEntry writes the first entry of the log once more, if the keeper ended between
+// joining the cluster that it agreed to and storing the entry. All voters write the same one.
+func (k *Keeper) restoreFirstEntry() {
+	identity, stored := k.options.Journal.Identity(), k.options.Stored
+	if identity.Word == nil || identity.Word.Proposal == nil || stored.State.Term > 0 || len(stored.Entries) > 0 || stored.Snapshot.Index > 0 {
+		return
+	}
+	if plan := identity.Word.Proposal.Plan; plan.Cluster == identity.Cluster && slices.Contains(plan.Voters, identity.ID) {
+		if err := k.node.Bootstrap(plan.Voters); err != nil {
+			klog.ErrorS(err, "bootstrap failed", "instance", k.options.Name)
+		}
+	}
+}
+
 // found takes part in the founding of a cluster by the seeds, while this keeper belongs to
 // none.
 func (k *Keeper) found(own wal.Identity, nodes []member.NodeInfo) {
