keeper: Let a seed go on founding after a restart without bootstrap

A platform sets bootstrap only at the first start of all, so that a seed which was started anew before there was a cluster took no part any more; two such seeds of three left none for ever. A seed stores an empty word as it begins, and takes part while it has one.

e2e "A first start needs two seeds of three" restarts the first seed so: all three specs fail on the build before, and pass.

--- a/e2e/founding_test.go
+++ b/e2e/founding_test.go
@@ -32,12 +32,16 @@
 		options = append(options, nodeOptions{
 			name: fmt.Sprintf("seed-%d", i), zone: string(rune('a' + i)), roles: "keeper", peers: seed, seeds: seeds,
 			dataFolder: ginkgo.GinkgoT().TempDir(),
-			extra:      "[keeper]\nbootstrap = true\nfoundBySeeds = true\nreplaceAfter = 1s\n",
+			extra:      seedSettings(true),
 		})
 	}
 	return options
 }
 
+func seedSettings(bootstrap bool) string {
+	return fmt.Sprintf("[keeper]\nbootstrap = %t\nfoundBySeeds = true\nreplaceAfter = 1s\n", bootstrap)
+}
+
 func applyBooking(n *process, changeID string, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
@@ -71,6 +75,11 @@
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(options[missing].peers.String())))
 			gomega.Expect(result.From(err).Ran).To(gomega.Equal(result.RanNo))
 
+			// A platform starts a seed anew without bootstrap.
+			first.stop()
+			first.options.extra = seedSettings(false)
+			first = first.restart()
+
 			nodes := []*process{first, startNode(second)}
 			began := time.Now()
 			gomega.Expect(applyBooking(first, "founded", foundLimit)).To(gomega.Succeed())
--- a/keeper/keeper__found.go
+++ b/keeper/keeper__found.go
@@ -37,7 +37,8 @@
 		return foundState{}
 	}
 	f := foundState{waiting: "this keeper has just started"}
-	if o.Settings.Bootstrap {
+	// A seed that was started for the founding once takes part in it until it is over.
+	if o.Settings.Bootstrap || identity.Word != nil {
 		var word founding.Word
 		if identity.Word != nil {
 			word = *identity.Word
@@ -87,7 +88,9 @@
 // disk took it.
 func (k *Keeper) giveWord(others []founding.Seed) bool {
 	f := &k.foundState
-	if next, changed := f.founder.Update(k.options.Clock(), others, !k.foreignKeeper); changed {
+	next, changed := f.founder.Update(k.options.Clock(), others, !k.foreignKeeper)
+	// An empty word marks the folder as one that takes part, also after a restart.
+	if changed || k.options.Journal.Identity().Word == nil {
 		if err := k.options.Journal.GiveWord(next); wal.IsFull(err) {
 			k.noteFull(err)
 			return false
