--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -109,12 +109,22 @@
 	}
 }
 
+// TestStatusWithoutACluster guards against an operator who can't tell what a first start waits for.
+func TestStatusWithoutACluster(t *testing.T) {
+	var out bytes.Buffer
+	c := &cli{out: &out, format: "text"}
+	s := operator.Status{Instance: "keeper-a", Zone: "a", Waiting: "2 of the seeds have to be in touch to found a cluster; [10.0.0.2:7000] are missing"}
+	gomega.NewWithT(t).Expect(c.printStatus(s)).To(gomega.Succeed())
+	golden(t, "status-waiting", out.String())
+}
+
 // TestNodes guards against a mixed cluster in which an operator can't tell the versions.
 func TestNodes(t *testing.T) {
 	nodes := []member.NodeInfo{
 		{Name: "entry-a0", Zone: "a", Roles: []string{"entry"}},
 		{Name: "keeper-a", Zone: "a", Roles: []string{"keeper", "control"}, Version: "0.1.0", Formats: formats.Text()},
 		{Name: "keeper-b", Zone: "b", Roles: []string{"keeper"}, Version: "0.2.0", Formats: strings.Replace(formats.Text(), "log/1", "log/2", 1), KeeperStopped: true},
+		{Name: "keeper-c", Zone: "c", Roles: []string{"keeper"}, Version: "0.1.0", Formats: formats.Text(), KeeperID: "c"},
 	}
 	var out bytes.Buffer
 	c := &cli{out: &out, format: "text"}
--- a/commands/state.go
+++ b/commands/state.go
@@ -64,8 +64,11 @@
 	_, _ = fmt.Fprintln(w, "NODE\tZONE\tROLES\tVERSION\tFORMATS\tNOTE")
 	for _, n := range nodes {
 		note := "ok"
-		if n.KeeperStopped {
+		switch {
+		case n.KeeperStopped:
 			note = "the keeper has stopped"
+		case n.KeeperID != "" && n.Cluster == 0:
+			note = "the keeper belongs to no cluster yet"
 		}
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", n.Name, n.Zone, strings.Join(n.Roles, ","), cmp.Or(n.Version, "unknown"), formats.Difference(n.Formats), note)
 	}
@@ -77,6 +80,9 @@
 		return c.printJSON(s)
 	}
 	_, _ = fmt.Fprintf(c.out, "instance %s, zone %s, ready %t, %d nodes alive\n\n", s.Instance, s.Zone, s.Ready, len(s.Nodes))
+	if s.Waiting != "" {
+		_, _ = fmt.Fprintf(c.out, "no cluster yet: %s\n\n", s.Waiting)
+	}
 	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "SERVICE\tREVISION\tUPSTREAMS\tFREE/SLOTS\tWAITING\tIN TIME\tNOTE")
 	for _, service := range s.Services {
--- a/e2e/founding_test.go
+++ b/e2e/founding_test.go
@@ -75,6 +75,10 @@
 			gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(options[missing].peers.String())))
 			gomega.Expect(result.From(err).Ran).To(gomega.Equal(result.RanNo))
 
+			status, err := first.operator().Status(context.Background())
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(status.Waiting).To(gomega.ContainSubstring(options[missing].peers.String()))
+
 			// A platform starts a seed anew without bootstrap.
 			first.stop()
 			first.options.extra = seedSettings(false)
--- a/operator/api.go
+++ b/operator/api.go
@@ -22,6 +22,7 @@
 	"github.com/hyssopladder/hyssopladder/document"
 	"github.com/hyssopladder/hyssopladder/formats"
 	"github.com/hyssopladder/hyssopladder/gossip"
+	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/service"
@@ -42,13 +43,14 @@
 // changeIDHeader carries the ID of a change, which identifies a resent one.
 const changeIDHeader = "X-Change-Id"
 
-// API handles the requests of operators. It has no entry on a node without the
-// entry role.
+// API handles the requests of operators. It has no entry and no keeper on a node without these
+// roles.
 type API struct {
 	node      member.NodeInfo
 	gossip    *gossip.Host
 	documents Documents
 	entry     Entry
+	keeper    *keeper.Keeper
 	metrics   metrics.Registry
 	dump      func() ([]byte, error)
 	drain     func()
@@ -205,6 +207,8 @@
 	Ready    bool                    `json:"ready"`
 	Nodes    []member.NodeInfo       `json:"nodes"`
 	Services []dispatch.ServiceState `json:"services"`
+	// Waiting says what the node's keeper waits for, while it belongs to no cluster.
+	Waiting string `json:"waiting,omitempty"`
 }
 
 func (a *API) status(r *http.Request) (any, error) {
@@ -213,6 +217,9 @@
 		s.Ready = a.entry.Ready(r.Context())
 		s.Services = a.entry.Services(r.Context())
 	}
+	if a.keeper != nil {
+		s.Waiting = a.keeper.Status(r.Context()).Waiting
+	}
 	return s, nil
 }
 
