--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -97,7 +97,7 @@
 		id      string
 		cluster uint64
 	}
-	setFounding     struct{ state founding.State }
+	setFounding     struct{ state *founding.State }
 	setSeeds        struct{ seeds []netip.AddrPort }
 	leave           struct{}
 	exchangeRequest struct {
@@ -198,8 +198,8 @@
 func (h *Host) SetLevels(reads, inForce level.Level) { h.ref.Send(setLevels{reads, inForce}) }
 
 // SetFounding publishes this node's part in the founding of a cluster, without waiting for the
-// next round.
-func (h *Host) SetFounding(s founding.State) { h.ref.Send(setFounding{s}) }
+// next round; nil if it takes none.
+func (h *Host) SetFounding(s *founding.State) { h.ref.Send(setFounding{s}) }
 
 // SetKeeperStopped announces that this node's keeper has stopped after a failure.
 func (h *Host) SetKeeperStopped() { h.ref.Send(setKeeperStopped{}) }
@@ -292,7 +292,7 @@
 		h.options.Node.Reads, h.options.Node.Level = m.reads, m.inForce
 		h.refresh(now)
 	case setFounding:
-		h.options.Node.Founding = &m.state
+		h.options.Node.Founding = m.state
 		h.refresh(now)
 		h.push(now)
 	case setSeeds:
--- a/keeper/keeper__found.go
+++ b/keeper/keeper__found.go
@@ -68,6 +68,11 @@
 	f := &k.foundState
 	if k.failure != nil || own.Cluster != 0 {
 		f.waiting = ""
+		if f.published != nil && k.node.Applied() > 0 {
+			// The log has a majority of the voters, so that no seed needs this one's word.
+			f.published = nil
+			k.options.Gossip.SetFounding(nil)
+		}
 		return
 	}
 	others := k.otherSeeds(own, nodes)
@@ -104,7 +109,7 @@
 	state := f.founder.State()
 	if data := wire.MustEncode(&state); !bytes.Equal(data, f.published) {
 		f.published = data
-		k.options.Gossip.SetFounding(state)
+		k.options.Gossip.SetFounding(&state)
 	}
 	return true
 }
