e2e: Restart the nodes of the soaks as either of two versions

With HYSSOPLADDER_OTHER both soaks start all nodes by one version and restart each by either, so that nodes are replaced and go back in any order beside kills, freezes, stops, cut paths and changes of the configuration, under all their checks.

--- a/e2e/disruption_test.go
+++ b/e2e/disruption_test.go
@@ -333,6 +333,7 @@
 		gomega.Expect(p.ExitCode()).To(gomega.Equal(0), "%s stopped", p.options.name)
 		record(s.stops)
 	}
+	p.options.program = s.program(random)
 	next := p.restart()
 	s.mu.Lock()
 	(*list)[i] = next
@@ -553,7 +554,9 @@
 	for _, seed := range withExtraSeeds(disruptionSeeds, 2000) {
 		ginkgo.It(fmt.Sprintf("lose no request with seed %d", seed), func() {
 			random := rand.New(rand.NewPCG(seed, 0))
-			s := &disruptionSoak{platformDeployment: startPlatform(), seed: seed, faulty: make([][]*faultyReplica, 2), stops: make([][]period, 2), kills: make([][]period, 2)}
+			s := &disruptionSoak{platformDeployment: &platformDeployment{}, seed: seed, faulty: make([][]*faultyReplica, 2), stops: make([][]period, 2), kills: make([][]period, 2)}
+			s.mixVersions(random)
+			s.platformDeployment.start()
 			s.nodes = append(slices.Clone(s.keepers), s.entries...)
 			s.paths = &paths{faults: map[int]pathFault{}, healed: map[int]chan struct{}{}, conns: map[*faultyConn]bool{}}
 			ginkgo.DeferCleanup(s.keepLogs)
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,8 +68,10 @@
 	options nodeOptions
 }
 
-func startProcess(args ...string) *gexec.Session {
-	s, err := gexec.Start(exec.Command(binary, args...), ginkgo.GinkgoWriter, ginkgo.GinkgoWriter)
+func startProcess(args ...string) *gexec.Session { return startProgram(binary, args...) }
+
+func startProgram(program string, args ...string) *gexec.Session {
+	s, err := gexec.Start(exec.Command(program, args...), ginkgo.GinkgoWriter, ginkgo.GinkgoWriter)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(func() {
 		s.Kill().Wait(stopLimit)
@@ -95,6 +98,8 @@
 	seeds                    []netip.AddrPort
 	dataFolder               string
 	advertise                netip.AddrPort
+	// program is the binary to run, if it isn't the one that is tested.
+	program string
 }
 
 func (o *nodeOptions) settings() string {
@@ -131,7 +136,7 @@
 	}
 	path := filepath.Join(ginkgo.GinkgoT().TempDir(), o.name+".ini")
 	gomega.Expect(os.WriteFile(path, []byte(o.settings()), 0o600)).To(gomega.Succeed())
-	p := &process{Session: startProcess("node", "--settings", path), options: o}
+	p := &process{Session: startProgram(cmp.Or(o.program, binary), "node", "--settings", path), options: o}
 	readFirstLine(p.Session, &p.NodeAddresses)
 	return p
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -310,11 +310,19 @@
 type platformDeployment struct {
 	keepers, entries []*process
 	callers, ready   []netip.AddrPort
+	// programs are the binaries that nodes are restarted by, if there are several.
+	programs []string
 }
 
 func startPlatform() *platformDeployment {
 	ginkgo.GinkgoHelper()
 	d := &platformDeployment{}
+	d.start()
+	return d
+}
+
+func (d *platformDeployment) start() {
+	ginkgo.GinkgoHelper()
 	var seeds []netip.AddrPort
 	for range 3 {
 		seeds = append(seeds, freeAddress())
@@ -334,7 +342,6 @@
 			extra: fmt.Sprintf("[ingress]\nlisten = %s\nready = %s\n", callers, ready),
 		}))
 	}
-	return d
 }
 
 func (d *platformDeployment) putConfig(keeper int, body string) int {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -85,6 +85,7 @@
 		pause()
 		s.processesMu.Lock()
 		defer s.processesMu.Unlock()
+		p.options.program = s.program(s.random)
 		(*processes)[i] = p.restart()
 		return "kill " + p.options.name
 	case 2:
@@ -255,7 +256,9 @@
 var _ = ginkgo.Describe("Random faults", func() {
 	for _, seed := range withExtraSeeds(soakSeeds, 1000) {
 		ginkgo.It(fmt.Sprintf("break no guarantee with seed %d", seed), func() {
-			s := &soak{platformDeployment: startPlatform(), random: rand.New(rand.NewPCG(seed, 0))}
+			s := &soak{platformDeployment: &platformDeployment{}, random: rand.New(rand.NewPCG(seed, 0))}
+			s.mixVersions(s.random)
+			s.start()
 			gomega.Eventually(func() int { return s.putConfig(1, platformConfig(3, 1000, "key-m")) }, startLimit).Should(gomega.Equal(http.StatusOK))
 			heartbeatKeepers := slices.Clone(s.keepers)
 			for i := range 3 {
--- a/e2e/upgrade_test.go
+++ b/e2e/upgrade_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -39,6 +40,25 @@
 	return path
 }
 
+// mixVersions has the platform's nodes run either of two versions from now on, at random, if
+// there is another one: they are replaced and go back in any order.
+func (d *platformDeployment) mixVersions(random *rand.Rand) {
+	other := os.Getenv(otherBinaryVariable)
+	if other == "" {
+		return
+	}
+	d.programs = []string{binary, other}
+	useBinary(d.program(random))
+}
+
+// program returns the binary of the next node, "" for the one that is tested.
+func (d *platformDeployment) program(random *rand.Rand) string {
+	if len(d.programs) == 0 {
+		return ""
+	}
+	return d.programs[random.IntN(len(d.programs))]
+}
+
 // useBinary sets the binary of the processes that are started next, until the end
 // of the spec.
 func useBinary(path string) {
