--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -388,7 +388,6 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			mode := tc.mode
-			t.Parallel()
 			g := gomega.NewWithT(t)
 			_, entries := startCutEntries(t, upstreams)
 
