--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -107,7 +107,7 @@
 	// wasLeader says that this keeper led at the last tick.
 	wasLeader  bool
 	membership *membershipPolicy
-	foundState
+	foundingState
 	// alive lists this cluster's living keepers, as gossip reports them, and
 	// those that belong to no cluster yet; unclustered lists only the latter.
 	alive, unclustered []consensus.ID
@@ -207,7 +207,7 @@
 		return nil, result.New(result.JournalDamaged, result.RanNo, "%v", err)
 	}
 	k.node = node
-	k.foundState = newFoundState(o)
+	k.foundingState = newFoundingState(o)
 	k.restoreFirstEntry()
 	k.membership = newMembershipPolicy(o.Settings.ReplaceAfter, o.Settings.Voters, func(id consensus.ID) string { return k.zones[id] })
 	if err := checkStored(k.machine.reads, o.Stored); err != nil {
--- a/keeper/keeper__found.go
+++ b/keeper/keeper__founding.go
@@ -16,11 +16,11 @@
 	"github.com/hyssopladder/hyssopladder/wal"
 )
 
-// foundLogInterval is the time between two log lines of a keeper without a cluster.
-const foundLogInterval = 5 * time.Second
+// waitingLogInterval is the time between two log lines of a keeper without a cluster.
+const waitingLogInterval = 5 * time.Second
 
-// foundState is the keeper's part in the founding of its cluster by the seeds.
-type foundState struct {
+// foundingState is the keeper's part in the founding of its cluster by the seeds.
+type foundingState struct {
 	// founder is nil if this keeper isn't a seed, or founds nothing.
 	founder *founding.Founder
 	// published is the encoded state that the others may know.
@@ -31,12 +31,12 @@
 	loggedAt clock.Instant
 }
 
-func newFoundState(o Options) foundState {
+func newFoundingState(o Options) foundingState {
 	identity := o.Journal.Identity()
 	if !o.Settings.FoundBySeeds || identity.Cluster != 0 {
-		return foundState{}
+		return foundingState{}
 	}
-	f := foundState{waiting: "this keeper has just started"}
+	f := foundingState{waiting: "this keeper has just started"}
 	// A seed that was started for the founding once takes part in it until it is over.
 	if o.Settings.Bootstrap || identity.Word != nil {
 		var word founding.Word
@@ -62,10 +62,10 @@
 	}
 }
 
-// found takes part in the founding of a cluster by the seeds, while this keeper belongs to
+// takePart takes part in the founding of a cluster by the seeds, while this keeper belongs to
 // none.
-func (k *Keeper) found(own wal.Identity, nodes []member.NodeInfo) {
-	f := &k.foundState
+func (k *Keeper) takePart(own wal.Identity, nodes []member.NodeInfo) {
+	f := &k.foundingState
 	if k.failure != nil || own.Cluster != 0 {
 		f.waiting = ""
 		if f.published != nil && k.node.Applied() > 0 {
@@ -92,7 +92,7 @@
 // giveWord stores and publishes what the keeper now gives its word for. It reports whether the
 // disk took it.
 func (k *Keeper) giveWord(others []founding.Seed) bool {
-	f := &k.foundState
+	f := &k.foundingState
 	next, changed := f.founder.Update(k.options.Clock(), others, !k.foreignKeeper)
 	// An empty word marks the folder as one that takes part, also after a restart.
 	if changed || k.options.Journal.Identity().Word == nil {
@@ -131,7 +131,7 @@
 
 // noteWaiting records what the keeper waits for, and logs it at intervals.
 func (k *Keeper) noteWaiting(others []founding.Seed) {
-	f := &k.foundState
+	f := &k.foundingState
 	var missing []netip.AddrPort
 	needed := 0
 	if f.founder != nil {
@@ -148,7 +148,7 @@
 		f.waiting = "the seeds in touch are agreeing on a cluster"
 	}
 	now := k.options.Clock()
-	if f.loggedAt != 0 && now-f.loggedAt < foundLogInterval {
+	if f.loggedAt != 0 && now-f.loggedAt < waitingLogInterval {
 		return
 	}
 	f.loggedAt = now
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -53,7 +53,7 @@
 	slices.Sort(k.alive)
 	slices.Sort(k.unclustered)
 	if k.options.Settings.FoundBySeeds {
-		k.found(own, nodes)
+		k.takePart(own, nodes)
 	} else {
 		k.bootstrap(own)
 	}
