--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -379,14 +379,9 @@
 	}
 	own := k.options.Journal.Identity().Cluster
 	if own == 0 {
-		if err := k.options.Journal.Join(b.cluster()); wal.IsFull(err) {
-			k.noteFull(err)
-			return
-		} else if err != nil {
-			k.fail(err)
+		if !k.saved(k.options.Journal.Join(b.cluster())) {
 			return
 		}
-		k.noteSaved()
 		k.announceCluster()
 	} else if own != b.cluster() {
 		klog.ErrorS(nil, "dropping messages of another cluster", "instance", k.options.Name, "own", own, "theirs", b.cluster())
--- a/keeper/keeper__flush.go
+++ b/keeper/keeper__flush.go
@@ -105,6 +105,21 @@
 
 func (k *Keeper) updateFullGauge() { k.diskFullMs.Update(k.fullFor().Milliseconds()) }
 
+// saved handles the outcome of a write to the journal that is tried again if the disk is full,
+// and reports whether it succeeded.
+func (k *Keeper) saved(err error) bool {
+	switch {
+	case err == nil:
+		k.noteSaved()
+		return true
+	case wal.IsFull(err):
+		k.noteFull(err)
+	default:
+		k.fail(err)
+	}
+	return false
+}
+
 // noteSaved records that the disk has room.
 func (k *Keeper) noteSaved() {
 	if k.fullSince != 0 {
--- a/keeper/keeper__founding.go
+++ b/keeper/keeper__founding.go
@@ -76,10 +76,10 @@
 		return
 	}
 	others := k.otherSeeds(own, nodes)
-	if f.founder != nil && !k.giveWord(others) {
-		return
-	}
 	if f.founder != nil {
+		if !k.giveWord(others) {
+			return
+		}
 		if plan := f.founder.Agreed(others); plan != nil && slices.Contains(plan.Voters, own.ID) {
 			f.waiting = ""
 			k.create(plan.Cluster, plan.Voters)
@@ -96,14 +96,9 @@
 	next, changed := f.founder.Update(k.options.Clock(), others, !k.foreignKeeper)
 	// An empty word marks the folder as one that takes part, also after a restart.
 	if changed || k.options.Journal.Identity().Word == nil {
-		if err := k.options.Journal.GiveWord(next); wal.IsFull(err) {
-			k.noteFull(err)
-			return false
-		} else if err != nil {
-			k.fail(err)
+		if !k.saved(k.options.Journal.GiveWord(next)) {
 			return false
 		}
-		k.noteSaved()
 		f.founder.Stored(next)
 	}
 	state := f.founder.State()
--- a/keeper/keeper__members.go
+++ b/keeper/keeper__members.go
@@ -100,14 +100,9 @@
 
 // create joins a new cluster and writes the first entry of its log.
 func (k *Keeper) create(cluster uint64, voters []consensus.ID) {
-	if err := k.options.Journal.Join(cluster); wal.IsFull(err) {
-		k.noteFull(err)
-		return
-	} else if err != nil {
-		k.fail(err)
+	if !k.saved(k.options.Journal.Join(cluster)) {
 		return
 	}
-	k.noteSaved()
 	if err := k.node.Bootstrap(voters); err != nil {
 		klog.ErrorS(err, "bootstrap failed", "instance", k.options.Name)
 		return
