--- a/detour/table.go
+++ b/detour/table.go
@@ -183,34 +183,22 @@
 // Helpers returns the helpers through which to try the upstream, in order; none while it
 // is known to be down.
 func (t *Table) Helpers(now clock.Instant, upstream netip.AddrPort) []netip.AddrPort {
-	if now < t.path(now, upstream).downUntil {
-		return nil
-	}
-	fresh, resting := t.byRest(now)
-	t.rotate(fresh)
-	all := append(fresh, resting...)
-	return all[:min(len(all), maxTried)]
+	return t.ordered(now, upstream, t.rotate)
 }
 
 // JudgeHelpers returns the helpers by way of which to ask the upstream that is to be judged, in
-// order. Of two that are judged one after the other, the second is asked through another zone: the
-// helpers of the entry's own may have lost their ways too.
+// order; none while it is known to be down.
 func (t *Table) JudgeHelpers(now clock.Instant, upstream netip.AddrPort) []netip.AddrPort {
+	return t.ordered(now, upstream, t.rotateZones)
+}
+
+// ordered returns the helpers, those that failed a moment ago last; rotate changes the order of
+// the others.
+func (t *Table) ordered(now clock.Instant, upstream netip.AddrPort, rotate func(helpers []netip.AddrPort)) []netip.AddrPort {
 	if now < t.path(now, upstream).downUntil {
 		return nil
 	}
-	fresh, resting := t.byRest(now)
-	if n := len(fresh); n > 1 {
-		first := t.judgeTurn * (n - 1) % n
-		fresh = slices.Concat(fresh[first:], fresh[:first])
-		t.judgeTurn++
-	}
-	all := append(fresh, resting...)
-	return all[:min(len(all), maxTried)]
-}
-
-// byRest returns the helpers that may come first, and those that failed a moment ago.
-func (t *Table) byRest(now clock.Instant) (fresh, resting []netip.AddrPort) {
+	var fresh, resting []netip.AddrPort
 	for _, h := range t.helpers {
 		if now < t.restUntil[h.Address] {
 			resting = append(resting, h.Address)
@@ -218,7 +206,19 @@
 			fresh = append(fresh, h.Address)
 		}
 	}
-	return fresh, resting
+	rotate(fresh)
+	all := append(fresh, resting...)
+	return all[:min(len(all), maxTried)]
+}
+
+// rotateZones lets, of two upstreams that are judged one after the other, the second be asked
+// through another zone: the helpers of the entry's own may have lost their ways too.
+func (t *Table) rotateZones(helpers []netip.AddrPort) {
+	if n := len(helpers); n > 1 {
+		first := t.judgeTurn * (n - 1) % n
+		copy(helpers, slices.Concat(helpers[first:], helpers[:first]))
+		t.judgeTurn++
+	}
 }
 
 // rotate lets the helpers of the first one's zone come first in turn.
