dispatch, e2e: Share what two tests of one kind set up

The two tests of queues submit drafts by one function, and the specs of first starts take the keepers of a platform.

--- a/dispatch/onset_test.go
+++ b/dispatch/onset_test.go
@@ -9,11 +9,26 @@
 	"github.com/hyssopladder/hyssopladder/share"
 )
 
+// sendDrafts submits drafts of one caller with the IDs from first to last, and returns how many
+// requests are sent to upstreams by that.
+func sendDrafts(d *Dispatcher, first, last uint64) int {
+	const draft = 1
+	sent := 0
+	for id := first; id <= last; id++ {
+		for _, a := range d.Submit(0, Ticket{ID: id, Service: "s", Caller: "c", Rank: draft, Cost: 10, Repeatable: true, Fingerprint: id}) {
+			if _, ok := a.(Grant); ok {
+				sent++
+			}
+		}
+	}
+	return sent
+}
+
 // TestOnsetOfAFloodLeavesShortQueues guards against a request of the highest rank that waits behind
 // the drafts of all entries: those that know nothing of each other's demand yet send to the
 // same free slots. An upstream may get one request of each entry beyond its slots.
 func TestOnsetOfAFloodLeavesShortQueues(t *testing.T) {
-	const upstreams, slots, draft, draftsOfEach = 2, 2, 1, 10
+	const upstreams, slots, draftsOfEach = 2, 2, 10
 	for _, entries := range []int{2, 4, 8} {
 		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -25,13 +40,7 @@
 			for i := range entries {
 				d := newDispatcher("x", "y")
 				d.SetDemands(0, fmt.Sprint("e", i), "s", reports)
-				for id := range uint64(draftsOfEach) {
-					for _, a := range d.Submit(0, Ticket{ID: id + 1, Service: "s", Caller: "c", Rank: draft, Cost: 10, Repeatable: true, Fingerprint: id}) {
-						if _, ok := a.(Grant); ok {
-							sent++
-						}
-					}
-				}
+				sent += sendDrafts(d, 1, draftsOfEach)
 			}
 			g.Expect(sent).To(gomega.BeNumerically("<=", upstreams*(slots+entries)))
 		})
@@ -48,21 +57,11 @@
 	report := func(entry string, rate float64) share.Report {
 		return share.Report{Entry: entry, Service: "s", Demands: []share.Demand{{Key: share.Key{Rank: draft, Caller: "c"}, Rate: rate}}}
 	}
-	sent := 0
-	submitDrafts := func(first, last uint64) {
-		for id := first; id <= last; id++ {
-			for _, a := range d.Submit(0, Ticket{ID: id, Service: "s", Caller: "c", Rank: draft, Cost: 10, Repeatable: true, Fingerprint: id}) {
-				if _, ok := a.(Grant); ok {
-					sent++
-				}
-			}
-		}
-	}
 	d.SetDemands(0, "e1", "s", []share.Report{report("e1", 1000), report("e2", 1000)})
-	submitDrafts(1, waiting)
+	sent := sendDrafts(d, 1, waiting)
 	g.Expect(sent).To(gomega.BeNumerically("<=", slots))
 	d.SetDemands(0, "e1", "s", []share.Report{report("e1", 1), report("e2", 1)})
-	submitDrafts(waiting+1, waiting+2)
+	sent += sendDrafts(d, waiting+1, waiting+2)
 	const upstreams = 2
 	g.Expect(sent).To(gomega.BeNumerically("<=", slots+upstreams))
 }
--- a/e2e/founding_test.go
+++ b/e2e/founding_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -20,28 +19,6 @@
 // changes.
 const foundLimit = 5 * time.Second
 
-// seedOptions returns the options of three keepers that are the seeds.
-func seedOptions() []nodeOptions {
-	ginkgo.GinkgoHelper()
-	var seeds []netip.AddrPort
-	for range 3 {
-		seeds = append(seeds, freeAddress())
-	}
-	var options []nodeOptions
-	for i, seed := range seeds {
-		options = append(options, nodeOptions{
-			name: fmt.Sprintf("seed-%d", i), zone: string(rune('a' + i)), roles: "keeper", peers: seed, seeds: seeds,
-			dataFolder: ginkgo.GinkgoT().TempDir(),
-			extra:      seedSettings(true),
-		})
-	}
-	return options
-}
-
-func seedSettings(bootstrap bool) string {
-	return fmt.Sprintf("[keeper]\nbootstrap = %t\nfoundBySeeds = true\nreplaceAfter = 1s\n", bootstrap)
-}
-
 func applyBooking(n *process, changeID string, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -305,6 +305,28 @@
 	}
 }
 
+// seedOptions returns the options of three keepers of a platform, which are the seeds.
+func seedOptions() []nodeOptions {
+	ginkgo.GinkgoHelper()
+	var seeds []netip.AddrPort
+	for range 3 {
+		seeds = append(seeds, freeAddress())
+	}
+	var options []nodeOptions
+	for i, seed := range seeds {
+		options = append(options, nodeOptions{
+			name: fmt.Sprintf("keeper-%d", i), zone: string(rune('a' + i)), roles: "keeper, control", peers: seed, seeds: seeds,
+			dataFolder: ginkgo.GinkgoT().TempDir(),
+			extra:      seedSettings(true),
+		})
+	}
+	return options
+}
+
+func seedSettings(bootstrap bool) string {
+	return fmt.Sprintf("[keeper]\nbootstrap = %t\nfoundBySeeds = true\nreplaceAfter = 1s\n", bootstrap)
+}
+
 // platformDeployment is three keepers and two entries that run for a platform,
 // with the entries' addresses for callers and for readiness checks.
 type platformDeployment struct {
@@ -323,22 +345,15 @@
 
 func (d *platformDeployment) start() {
 	ginkgo.GinkgoHelper()
-	var seeds []netip.AddrPort
-	for range 3 {
-		seeds = append(seeds, freeAddress())
-	}
-	for i, seed := range seeds {
-		d.keepers = append(d.keepers, startNode(nodeOptions{
-			name: fmt.Sprintf("keeper-%d", i), zone: string(rune('a' + i)), roles: "keeper, control", peers: seed, seeds: seeds,
-			dataFolder: ginkgo.GinkgoT().TempDir(),
-			extra:      "[keeper]\nbootstrap = true\nfoundBySeeds = true\nreplaceAfter = 1s\n",
-		}))
+	options := seedOptions()
+	for _, o := range options {
+		d.keepers = append(d.keepers, startNode(o))
 	}
 	for i := range 2 {
 		callers, ready := freeAddress(), freeAddress()
 		d.callers, d.ready = append(d.callers, callers), append(d.ready, ready)
 		d.entries = append(d.entries, startNode(nodeOptions{
-			name: fmt.Sprintf("entry-%d", i), zone: string(rune('a' + i)), roles: "ingress", seeds: seeds,
+			name: fmt.Sprintf("entry-%d", i), zone: string(rune('a' + i)), roles: "ingress", seeds: options[0].seeds,
 			extra: fmt.Sprintf("[ingress]\nlisten = %s\nready = %s\n", callers, ready),
 		}))
 	}
