--- a/admission/queue.go
+++ b/admission/queue.go
@@ -125,6 +125,7 @@
 	q.virtualTime = max(q.virtualTime, c.startTag)
 	c.finishTag = c.startTag + r.Cost/c.weight
 	q.removeAt(c, 0)
+	// The request may have waited since the caller's share was another.
 	r.OverShare = c.overShare
 	return r
 }
--- a/operator/plugin.go
+++ b/operator/plugin.go
@@ -38,9 +38,7 @@
 	if e, ok := kernel.Find[*entry.Entry](h); ok {
 		a.entry = e
 	}
-	if k, ok := kernel.Find[*keeper.Keeper](h); ok {
-		a.keeper = k
-	}
+	a.keeper, _ = kernel.Find[*keeper.Keeper](h)
 	if a.documents, err = kernel.Require[*keeper.Client](h); err != nil {
 		return nil, err
 	}
