--- a/control/message.go
+++ b/control/message.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopladder/hyssopladder/detour"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/limit"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/suspect"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
@@ -38,6 +39,8 @@
 	// received from this keeper.
 	Source     uint64 `json:"s,omitempty"`
 	Generation uint64 `json:"g,omitempty"`
+	// Rollouts is the version of the rollouts' view that the entry holds.
+	Rollouts uint64 `json:"o,omitempty"`
 	// Probe asks whether the keeper reaches a majority. It answers as soon as it knows,
 	// without upstreams.
 	Probe bool `json:"b,omitempty"`
@@ -80,6 +83,8 @@
 	Members []upstream.Member `json:"m,omitempty"`
 	// Config is set if it is newer than the entry's.
 	Config *config.Put `json:"c,omitempty"`
+	// Rollouts is set if it is newer than the entry's.
+	Rollouts *rollout.View `json:"o,omitempty"`
 	// ConfirmedConfig is the number of the configuration that a majority
 	// confirmed as the newest at some time after the request arrived; 0 if
 	// none did.
@@ -168,6 +173,10 @@
 	Helper *netip.AddrPort `json:"h,omitempty"`
 	// WantsHelpers asks for a list of entries that open tunnels.
 	WantsHelpers bool `json:"k,omitempty"`
+	// Releases is what the entry has seen of the releases of running rollouts, nil without any,
+	// and RolloutVersion the version of the view in force at the entry.
+	Releases       *rollout.Report `json:"f,omitempty"`
+	RolloutVersion uint64          `json:"rv,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -179,6 +188,11 @@
 	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Observation).Check); err != nil {
 		return err
 	}
+	if r.Releases != nil {
+		if err := r.Releases.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,18 @@
 	// DrainWithin is the time for which an upstream still serves after it has said that
 	// it leaves.
 	DrainWithin time.Duration
+	// Rollouts bounds what a new release may get until it is known to be good.
+	Rollouts Rollouts
+}
+
+// Rollouts bounds what a bad release may get. Without ExposeShare there are no rollouts.
+type Rollouts struct {
+	// ExposeShare is the fraction of the service's requests between the order and its
+	// deadline, and ExposeSlack a number of requests beyond that.
+	ExposeShare, ExposeSlack float64
+	// RevertWithin is the time after the 50th bad answer from which on the release gets no
+	// request.
+	RevertWithin time.Duration
 }
 
 // Cloud holds the settings of the calls to a platform's API.
@@ -137,6 +149,8 @@
 	// ReplaceAfter is how long a voter may be unreachable before another keeper
 	// replaces it.
 	ReplaceAfter time.Duration
+	// Rollouts are the same bounds as the entries'.
+	Rollouts Rollouts
 }
 
 // The roles that settings may name.
@@ -361,6 +375,13 @@
 	r.positiveInt("assumedEntries", &i.AssumedEntries)
 	r.positiveDuration("usageWindow", &i.UsageWindow)
 	r.positiveDuration("drainWithin", &i.DrainWithin)
+	i.Rollouts.read(r)
+}
+
+func (o *Rollouts) read(r *sectionReader) {
+	r.nonNegative("exposeShare", &o.ExposeShare)
+	r.nonNegative("exposeSlack", &o.ExposeSlack)
+	r.positiveDuration("revertWithin", &o.RevertWithin)
 }
 
 func (c *Cloud) read(r *sectionReader) {
@@ -381,6 +402,7 @@
 	r.positiveInt("initialVoters", &k.InitialVoters)
 	r.positiveInt("voters", &k.Voters)
 	r.positiveDuration("replaceAfter", &k.ReplaceAfter)
+	k.Rollouts.read(r)
 }
 
 func (p *Peer) read(r *sectionReader) {
