keeper, result: Hold the rollouts at level 1 of the log

Keepers whose settings have rollouts read level 1, apply its commands to a rollout.Store and publish the state in their View. Later.Apply returns a reply that reaches the proposer, and Later.Verify refuses a command before it is written that would stop every keeper. A client tells a level that isn't in force from a command that may have been taken. Keepers without these settings stay at level 0.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -122,6 +122,9 @@
 				ran, lastErr = result.RanUnknown, err
 			case reply.Code == result.NoQuorum:
 				lastErr = result.New(result.NoQuorum, ran, "keeper %v belongs to no cluster: %s", to, reply.Detail)
+			case reply.Code == result.LevelNotRead:
+				// It has refused the command before it looked whether it leads.
+				lastErr = result.New(result.LevelNotRead, ran, "keeper %v: %s", to, reply.Detail)
 			default:
 				ran = result.RanUnknown
 				lastErr = result.New(result.NoQuorum, ran, "keeper %v isn't the leader %s", to, reply.Detail)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -222,7 +222,7 @@
 	k.outbox = newOutbox(ctx, o.Server.Client, k.machine.reads)
 	k.announceLevel()
 	k.confirmRequests = make(chan chan<- bool, maxPending)
-	k.view = newViewPublisher()
+	k.view = newViewPublisher(View{Rollouts: k.machine.rollouts(), Restored: k.machine.restored})
 	k.ref = actors.Spawn(ctx, o.Actors, "keeper", k.receive)
 	o.Server.On(peer.Read, k.serveRead)
 	o.Server.On(peer.Step, k.serveStep)
@@ -410,6 +410,12 @@
 		m.reply <- Reply{NotLeader: true, Code: result.Overloaded, Detail: "too many proposals are pending"}
 		return
 	}
+	if later := m.command.Later; later != nil {
+		if err := k.machine.later.Verify(*later); err != nil {
+			m.reply <- Reply{NotLeader: true, Code: result.BadRequest, Detail: err.Error()}
+			return
+		}
+	}
 	index, term, ok := k.node.Propose(wire.MustEncode(&m.command))
 	if !ok {
 		m.reply <- Reply{NotLeader: true, Leader: k.node.Leader()}
--- a/keeper/keeper__read.go
+++ b/keeper/keeper__read.go
@@ -13,7 +13,9 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
+	"github.com/hyssopladder/hyssopladder/level"
 	"github.com/hyssopladder/hyssopladder/peer"
+	"github.com/hyssopladder/hyssopladder/rollout"
 )
 
 // confirmTimeout bounds one confirmation. A round of messages between keepers
@@ -57,6 +59,13 @@
 	Leader netip.AddrPort
 	// UsageWindow is the number of the newest recorded usage window.
 	UsageWindow uint64
+	// Level is that of the log in force.
+	Level level.Level
+	// Rollouts are those of all services, nil if this keeper has none. It is replaced with
+	// each change and never modified.
+	Rollouts *rollout.View
+	// Restored counts the snapshots from which this keeper has restored its state.
+	Restored int
 }
 
 // viewPublisher holds the newest View and notifies those who wait for changes.
@@ -66,7 +75,9 @@
 	changed chan struct{}
 }
 
-func newViewPublisher() *viewPublisher { return &viewPublisher{changed: make(chan struct{})} }
+func newViewPublisher(first View) *viewPublisher {
+	return &viewPublisher{current: first, changed: make(chan struct{})}
+}
 
 // View returns the keeper's current View, and a channel that is closed when it
 // changes.
@@ -84,12 +95,16 @@
 		Term:        s.Term,
 		Leader:      k.leaderAddress(),
 		UsageWindow: k.machine.usage.Newest(),
+		Level:       k.machine.level,
+		Rollouts:    k.machine.rollouts(),
+		Restored:    k.machine.restored,
 	}
 	k.view.mu.Lock()
 	defer k.view.mu.Unlock()
 	current := k.view.current
 	if current.Config.Number == next.Config.Number && current.Applied == next.Applied && current.Leading == next.Leading &&
-		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow {
+		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow &&
+		current.Level == next.Level && current.Rollouts == next.Rollouts && current.Restored == next.Restored {
 		return
 	}
 	if current.Leading != next.Leading || current.Term != next.Term || current.Leader != next.Leader {
--- a/keeper/level_test.go
+++ b/keeper/level_test.go
@@ -36,9 +36,11 @@
 func (*notes) NeedsAll(level.Level) bool { return false }
 func (*notes) Check() error              { return nil }
 
-func (n *notes) Apply(c LaterCommand) error {
+func (*notes) Verify(LaterCommand) error { return nil }
+
+func (n *notes) Apply(c LaterCommand) ([]byte, error) {
 	n.Notes = append(n.Notes, string(c.Data))
-	return nil
+	return nil, nil
 }
 func (n *notes) Snapshot() ([]byte, error) { return wire.Encode(n) }
 
--- a/keeper/plugin.go
+++ b/keeper/plugin.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/wal"
 )
@@ -47,6 +48,10 @@
 	if h.Settings.Keeper.RestartOnFault {
 		onFailure = h.Fail
 	}
+	var later Later
+	if rollout.Limits(h.Settings.Keeper.Rollouts).Enabled() {
+		later = NewRollouts()
+	}
 	k, err := New(ctx, Options{
 		Name:      h.Settings.Node.Name,
 		Settings:  h.Settings.Keeper,
@@ -60,6 +65,7 @@
 		Clock:     h.Clock,
 		Actors:    h.Actors,
 		Metrics:   h.Metrics,
+		Later:     later,
 	})
 	if err != nil {
 		return nil, err
--- a/keeper/statemachine.go
+++ b/keeper/statemachine.go
@@ -1,6 +1,7 @@
 // Package keeper implements the keepers: the nodes that agree on the cluster's
 // durable state and store it. That state is the accepted documents, the claims
-// of idempotent calls, the newest configuration and the recorded usage windows.
+// of idempotent calls, the newest configuration, the recorded usage windows and
+// the rollouts.
 // A Keeper replicates commands by consensus, writes them to its journal and
 // applies them to a state machine; a Client on any node sends commands to the
 // keeper that leads. Voters decide on the log; a learner receives it until it
@@ -79,6 +80,8 @@
 	// Usage is the window as recorded. It differs from the command's if another
 	// was recorded first.
 	Usage *usage.Window `json:"u,omitempty"`
+	// Later is the reply of a command above level 0.
+	Later []byte `json:"x,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -137,6 +140,8 @@
 	level, reads level.Level
 	// later is the state above level 0; nil if the keeper reads no more.
 	later Later
+	// restored counts the snapshots that were restored.
+	restored int
 }
 
 func newStateMachine(later Later) *stateMachine {
@@ -169,7 +174,8 @@
 	case c.Level != nil:
 		return Reply{}, nil, m.raise(c.Level.To)
 	case c.Later != nil:
-		return Reply{}, nil, m.applyLater(*c.Later)
+		reply, err := m.applyLater(*c.Later)
+		return reply, nil, err
 	default:
 		reply := m.claims.Apply(*c.Claim)
 		return Reply{Claim: &reply}, nil, nil
@@ -212,6 +218,7 @@
 }
 
 func (m *stateMachine) restore(data []byte) error {
+	m.restored++
 	data, err := m.restoreAboveZero(data)
 	if err != nil {
 		return err
--- a/keeper/statemachine__level.go
+++ b/keeper/statemachine__level.go
@@ -46,7 +46,11 @@
 	// NeedsAll reports whether all nodes in touch have to read the level before it is
 	// in force, and not only the members.
 	NeedsAll(l level.Level) bool
-	Apply(c LaterCommand) error
+	// Verify returns an error for a command that Apply can't carry out, so that it isn't
+	// written: each keeper would stop at it.
+	Verify(c LaterCommand) error
+	// Apply carries out a command and returns the reply to it.
+	Apply(c LaterCommand) ([]byte, error)
 	Snapshot() ([]byte, error)
 	Restore(data []byte) error
 }
@@ -74,11 +78,12 @@
 	return nil
 }
 
-func (m *stateMachine) applyLater(c LaterCommand) error {
+func (m *stateMachine) applyLater(c LaterCommand) (Reply, error) {
 	if err := level.Check(m.reads, c.Level); err != nil {
-		return err
+		return Reply{}, err
 	}
-	return m.later.Apply(c)
+	reply, err := m.later.Apply(c)
+	return Reply{Later: reply}, err
 }
 
 // readable reports whether a keeper takes the batch: it has to read the sender's log, and
--- a/result/code.go
+++ b/result/code.go
@@ -47,6 +47,11 @@
 	ConfigInvalid       Code = 5007
 	ConfigConflict      Code = 5008
 	AnnouncementInvalid Code = 5009
+	RolloutInvalid      Code = 5010
+	RolloutRefused      Code = 5011
+	RolloutConflict     Code = 5012
+	RolloutNotFound     Code = 5013
+	RolloutsNotReady    Code = 5014
 	SettingsInvalid     Code = 6001
 	JournalDamaged      Code = 7001
 	JournalSyncFailed   Code = 7002
@@ -105,6 +110,11 @@
 	ConfigInvalid:       {"configInvalid", 400, false},
 	ConfigConflict:      {"configConflict", 409, false},
 	AnnouncementInvalid: {"announcementInvalid", 400, false},
+	RolloutInvalid:      {"rolloutInvalid", 400, false},
+	RolloutRefused:      {"rolloutRefused", 422, false},
+	RolloutConflict:     {"rolloutConflict", 409, false},
+	RolloutNotFound:     {"rolloutNotFound", 404, false},
+	RolloutsNotReady:    {"rolloutsNotReady", 503, true},
 	SettingsInvalid:     {"settingsInvalid", 400, false},
 	JournalDamaged:      {"journalDamaged", 500, false},
 	JournalSyncFailed:   {"journalSyncFailed", 500, false},
