control: Serve orders of rollouts and carry them out

Replies to Sync carry a newer view at once; an entry that holds none, which may be an older build, is not answered at once each time.

--- a/control/account.go
+++ b/control/account.go
@@ -8,14 +8,13 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
-	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/detour"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/limit"
-	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/suspect"
 )
 
@@ -37,6 +36,8 @@
 	limits   map[string]float64
 	// lastArrivals is when each service last had requests.
 	lastArrivals map[string]clock.Instant
+	// judge decides on the rollouts, by the reports of this term.
+	judge *rollout.Judge
 }
 
 // entryKey identifies one run of an entry.
@@ -90,7 +91,14 @@
 	if err := state.setConfig(v.Config); err != nil {
 		return nil, err
 	}
-	return state.applyReport(now, request), nil
+	if request.Releases != nil {
+		state.judge.Observe(now, request.Entry, request.Incarnation, *request.Releases)
+	}
+	reply := state.applyReport(now, request)
+	if runs(v.Rollouts) {
+		reply.NextReport = rolloutReportInterval
+	}
+	return reply, nil
 }
 
 // serveReserve takes a request's cost from its organisation's pool, if this
@@ -124,6 +132,7 @@
 func (c *Control) leaderStateFor(now clock.Instant, view keeper.View) *leaderState {
 	if c.leaderState == nil || c.leaderState.term != view.Term {
 		c.leaderState = newLeaderState(now, view.Term, c.options.QuotaSlack)
+		c.leaderState.judge = rollout.NewJudge(c.options.Rollouts)
 		klog.InfoS("leader starts to collect the entries' reports", "instance", c.options.Name, "term", view.Term)
 	}
 	return c.leaderState
@@ -135,11 +144,7 @@
 	if put.Number == 0 || (s.revision != nil && s.revision.Number == put.Number) {
 		return nil
 	}
-	body, err := pack.Inflate(put.Packed, config.MaxDocumentBytes)
-	if err != nil {
-		return err
-	}
-	r, err := platform.DecodeConfig(body)
+	r, err := decodePut(put)
 	if err != nil {
 		return err
 	}
@@ -162,8 +167,8 @@
 		s.reports[key] = report
 	}
 	report.AccountRequest, report.receivedAt = request, now
-	// These are stored in work, usageCounts, suspects and named.
-	report.Busy, report.Usage, report.Suspects, report.Limits = nil, nil, nil, nil
+	// These are stored in work, usageCounts, suspects, named and judge.
+	report.Busy, report.Usage, report.Suspects, report.Limits, report.Releases = nil, nil, nil, nil, nil
 	for name, load := range request.Loads {
 		report.promptRates[name] += promptSmoothing * (load.Prompt - report.promptRates[name])
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -22,6 +24,7 @@
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/wal"
@@ -63,6 +66,9 @@
 	QuotaSlack float64
 	// Folder is the keeper's data folder.
 	Folder wal.FS
+	// Rollouts bounds what a new release may get; without bounds there are no rollouts.
+	Rollouts rollout.Limits
+	Metrics  metrics.Registry
 }
 
 // Control serves operators, upstreams and entries on a keeper's instance.
@@ -93,12 +99,16 @@
 	// none were listed yet.
 	cachedPeers   []Peer
 	peersCachedAt clock.Instant
+	// rollouts is nil if the deployment has none.
+	rollouts *rollouts
+	// rolloutsSentAt is when entries that hold no view of the rollouts were last sent one.
+	rolloutsSentAt map[string]clock.Instant
 }
 
 // New registers the handlers and starts the background work, which ends with
 // ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{})}
+	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{}), rolloutsSentAt: map[string]clock.Instant{}}
 	c.newestConfig = func() uint64 {
 		v, _ := o.Keeper.View()
 		return v.Config.Number
@@ -113,6 +123,9 @@
 	o.Server.Handle(platform.DeregisterPattern, http.HandlerFunc(c.serveDeregister))
 	o.Server.Handle(platform.PutConfigPattern, http.HandlerFunc(c.servePutConfig))
 	o.Server.Handle(platform.GetConfigPattern, http.HandlerFunc(c.serveGetConfig))
+	if o.Rollouts.Enabled() {
+		c.rollouts = newRollouts(ctx, c)
+	}
 	if o.Cloud.Address.IsValid() {
 		cloud := platform.NewCloud(o.Cloud.Address)
 		if slices.Contains(o.Cloud.Duties, platform.DutyUsage) {
@@ -335,8 +348,11 @@
 		if v.Config.Number > request.Config {
 			reply.Config = &v.Config
 		}
+		if v.Rollouts != nil && v.Rollouts.Version > request.Rollouts {
+			reply.Rollouts = v.Rollouts
+		}
 		settled := request.Probe && quorum != QuorumUnasked
-		if expired || settled || !request.Probe && (len(reply.Members) > 0 || reply.Config != nil) {
+		if expired || settled || !request.Probe && (len(reply.Members) > 0 || reply.Config != nil || reply.Rollouts != nil && c.sendsRollouts(&request)) {
 			reply.ConfirmedConfig, reply.Quorum = confirmedConfig, quorum
 			reply.Leader, reply.Term = v.Leader, v.Term
 			reply.Peers = c.livePeers(ctx)
@@ -364,6 +380,24 @@
 	}
 }
 
+// sendsRollouts reports whether an entry is sent a view of the rollouts at once. One that
+// holds none may not know of them, and would ask again at once for ever; it is
+// answered at once only if it was sent none for as long as a request is held.
+func (c *Control) sendsRollouts(request *SyncRequest) bool {
+	if request.Rollouts > 0 {
+		return true
+	}
+	now := c.options.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, ok := c.rolloutsSentAt[request.Entry]; ok && now-at < maxHoldTime {
+		return false
+	}
+	maps.DeleteFunc(c.rolloutsSentAt, func(_ string, at clock.Instant) bool { return now-at >= maxHoldTime })
+	c.rolloutsSentAt[request.Entry] = now
+	return true
+}
+
 // livePeers returns the keepers that were alive at most peerCacheTime ago.
 func (c *Control) livePeers(ctx context.Context) []Peer {
 	now := c.options.Clock()
--- a/control/duty__scale.go
+++ b/control/duty__scale.go
@@ -108,10 +108,8 @@
 func (d *scaleDuty) scale(ctx context.Context, now clock.Instant, v keeper.View) {
 	c := d.control
 	c.mu.Lock()
-	if c.leaderState == nil || c.leaderState.term != d.term {
-		// No entry has reported to this leader yet.
-		c.leaderState = newLeaderState(now, d.term, c.options.QuotaSlack)
-	}
+	// No entry may have reported to this leader yet.
+	c.leaderStateFor(now, v)
 	if err := c.leaderState.setConfig(v.Config); err != nil {
 		klog.ErrorS(err, "stored configuration can't be read", "revision", v.Config.Number)
 	}
@@ -164,6 +162,9 @@
 			klog.InfoS("upstreams planned", "service", service.Name, "need", rounded, "fixed", fixed, "reclaimable", reclaimable, "idle", idle[service.Name],
 				"promptRate", load.Prompt, "running", load.Running, "waiting", load.Waiting, "term", d.term)
 		}
+		if c.rollouts != nil && c.rollouts.holdsScaling(now, v.Rollouts, service.Name, upstreams) {
+			continue
+		}
 		targets := plan.Spread(need, zones, plan.Bounds{Min: service.Autoscale.Min, Max: service.Autoscale.Max, ReclaimablePrice: service.Autoscale.ReclaimablePrice})
 		orders = append(orders, d.dueOrders(now, service.Name, zones, targets)...)
 	}
--- a/control/plugin.go
+++ b/control/plugin.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/kernel"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/settings"
 	"github.com/hyssopladder/hyssopladder/wal"
 )
@@ -44,6 +45,8 @@
 		Cloud:       h.Settings.Cloud,
 		QuotaSlack:  h.Settings.Keeper.QuotaSlack,
 		Folder:      folder,
+		Rollouts:    rollout.Limits(h.Settings.Keeper.Rollouts),
+		Metrics:     h.Metrics,
 	}), nil
 }
 
--- a/control/registry.go
+++ b/control/registry.go
@@ -158,11 +158,13 @@
 	return releases
 }
 
+func (u *registration) usable() bool { return !u.Ended && !u.Leaving && !u.Silent }
+
 // usable returns the upstreams that are neither ended, leaving nor silent.
 func (r *registry) usable() []upstream.Member {
 	var members []upstream.Member
 	for _, u := range r.upstreams {
-		if !u.Ended && !u.Leaving && !u.Silent {
+		if u.usable() {
 			members = append(members, u.Member)
 		}
 	}
