control, keeper: Test rollouts at the keepers

The judge is an interface, so that a test sees what the leader carries out. A view's level and rollouts change only with the applied index, and are compared by that alone.

--- a/control/account.go
+++ b/control/account.go
@@ -37,7 +37,7 @@
 	// lastArrivals is when each service last had requests.
 	lastArrivals map[string]clock.Instant
 	// judge decides on the rollouts, by the reports of this term.
-	judge *rollout.Judge
+	judge rolloutJudge
 }
 
 // entryKey identifies one run of an entry.
--- a/control/rollout__lead.go
+++ b/control/rollout__lead.go
@@ -30,6 +30,12 @@
 	rolloutScaleHold = 15 * time.Second
 )
 
+// rolloutJudge decides on the steps of all rollouts; a *rollout.Judge, but in tests.
+type rolloutJudge interface {
+	Observe(now clock.Instant, entry string, incarnation uint64, r rollout.Report)
+	Decide(now clock.Instant, v rollout.View, state map[string]rollout.ServiceState, elapsed func(rollout.Rollout) time.Duration) []rollout.Command
+}
+
 // runs reports whether any rollout runs.
 func runs(v *rollout.View) bool {
 	return v != nil && slices.ContainsFunc(v.Rollouts, func(r rollout.Rollout) bool { return r.Phase == rollout.Running })
--- a/control/rolloutclock.go
+++ b/control/rolloutclock.go
@@ -38,12 +38,12 @@
 		if !ok || o.number != r.Number {
 			elapsed := r.Elapsed
 			if found {
-				elapsed = max(min(wall.Sub(r.At), 2*r.Within), r.Elapsed)
+				elapsed = min(wall.Sub(r.At), 2*r.Within)
 			}
 			o = &orderTimes{number: r.Number, began: now - elapsed}
 			c.orders[r.Service] = o
 		}
-		// A keeper that got the order late learns by the commands how old it is.
+		// The time of a command is a lower bound, also for a keeper that got the order late.
 		o.began = min(o.began, now-r.Elapsed)
 		if r.Phase != rollout.Running && !o.over {
 			o.over, o.ended = true, now
--- a/keeper/keeper__read.go
+++ b/keeper/keeper__read.go
@@ -103,8 +103,8 @@
 	defer k.view.mu.Unlock()
 	current := k.view.current
 	if current.Config.Number == next.Config.Number && current.Applied == next.Applied && current.Leading == next.Leading &&
-		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow &&
-		current.Level == next.Level && current.Rollouts == next.Rollouts && current.Restored == next.Restored {
+		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow {
+		// Level, Rollouts and Restored change with Applied only.
 		return
 	}
 	if current.Leading != next.Leading || current.Term != next.Term || current.Leader != next.Leader {
