--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -14,8 +14,11 @@
 
 const (
 	longestWindow = 16
-	// ringSize leaves room for the neighbours of the oldest stratum.
-	ringSize = longestWindow + 2
+	// liveSize leaves room for the neighbours of the oldest stratum, and ringSize for the
+	// attempts that its late answers belong to.
+	liveSize = longestWindow + 2
+	maxLag   = 12
+	ringSize = liveSize + maxLag
 )
 
 // stratum holds the counts of one route in one span of time.
@@ -43,7 +46,7 @@
 	newest int64
 	// history is what the first report of each entry told, of an age that isn't known.
 	history stratum
-	// past sums up the strata that have left the ring.
+	// past sums up the strata that are no longer live.
 	past sums
 	// total are the counts since the order.
 	total struct{ old, new counts }
@@ -82,7 +85,7 @@
 
 func (r *routeTally) at(index int64) *stratum { return &r.strata[(index%ringSize+ringSize)%ringSize] }
 
-// roll moves the ring on to the span; it sums up what falls out.
+// roll moves the ring on to the span.
 func (r *routeTally) roll(index int64) {
 	if index-r.newest > 2*ringSize {
 		for range ringSize {
@@ -97,11 +100,9 @@
 }
 
 func (r *routeTally) shift() {
-	oldest := r.newest - ringSize + 1
-	s := r.at(oldest)
-	if s.new.answered > 0 {
-		r.sumStratum(&r.past, oldest, r.reference())
+	if leaving := r.newest - liveSize + 1; r.at(leaving).new.answered > 0 {
+		r.sumStratum(&r.past, leaving, r.reference())
 	}
-	*s = stratum{}
 	r.newest++
+	*r.at(r.newest) = stratum{}
 }
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -322,7 +322,7 @@
 	Sent     uint32 `json:"sent"`
 	Answered uint32 `json:"answered"`
 	Bad      uint32 `json:"bad"`
-	// Median is that of the good answers' times, 0 with less than 20.
+	// Median is that of the good answers' times, 0 with less than 10.
 	Median time.Duration `json:"median"`
 }
 
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -31,7 +31,7 @@
 	// two neighbours.
 	minMatched = 5
 	// minReference is how many answers make up a median.
-	minReference = 20
+	minReference = 10
 )
 
 // Slow answers. A release whose caches are cold may be twice as slow, so that the share of new
@@ -43,10 +43,13 @@
 	slowBuckets = 4 // 4 times the median
 	// slowTests are at 4 times and 8 times the median: with widely spread times only the
 	// second one tells releases apart.
-	slowTests       = 2
-	matchedDrop     = 2
-	unmatchedShift  = 2
-	unmatchedDrop   = 3
+	slowTests      = 2
+	matchedDrop    = 2
+	unmatchedShift = 2
+	unmatchedDrop  = 3
+	// minSlow and maxSlow are the times of slow answers, in medians.
+	minSlow         = 4
+	maxSlow         = 12
 	halfBucket      = 0.5
 	bucketsPerTwice = 2
 )
@@ -57,25 +60,23 @@
 	// release within the null hypothesis has as many.
 	minBad    uint32
 	maxChance float64
+	// maxRemainder is the probability above which the answers without the worst upstreams
+	// don't convict a release.
+	maxRemainder float64
 }
 
 var (
 	// conviction ends a rollout at any time. It is tested ten times a second in five
 	// windows on each route.
-	conviction = rule{4, 1e-4}
+	conviction = rule{4, 1e-4, 0.01}
 	// suspicion delays steps, and decides at the end, where it is tested once.
-	suspicion = rule{2, 1e-3}
+	suspicion = rule{2, 1e-3, 0.02}
 	// doubt takes its place at the end if the answers are too few to clear the release.
-	doubt = rule{2, 1e-2}
+	doubt = rule{2, 3e-2, 0.05}
 )
 
-// maxRemainderChance is the probability above which the answers without the worst upstreams
-// don't convict a release, and minExcluding the number of upstreams from which on the worst is
-// left out.
-const (
-	maxRemainderChance = 1e-2
-	minExcluding       = 3
-)
+// minExcluding is the number of upstreams from which on the worst is left out.
+const minExcluding = 3
 
 // tests are the kinds of bad answers that are tested: failures, and failures together with slow
 // answers by each threshold.
@@ -147,27 +148,53 @@
 func (r *routeTally) sumStratum(into *sums, index int64, ref reference) {
 	s := r.at(index)
 	var old counts
-	for i := max(index-1, r.newest-ringSize+1); i <= min(index+1, r.newest); i++ {
+	oldLagged := 0.0
+	for i := index - 1; i <= min(index+1, r.newest); i++ {
 		old.add(&r.at(i).old)
+		sent, _ := r.lagged(i, ref)
+		oldLagged += sent
+	}
+	_, lagged := r.lagged(index, ref)
+	into.compare(s, &old, ref, 1, lagged, oldLagged)
+}
+
+// lagged returns how many attempts were made when the slow answers of a stratum were asked for,
+// on average. After a change of the share these aren't the attempts of its fast answers.
+func (r *routeTally) lagged(index int64, ref reference) (old, fresh float64) {
+	if !ref.timed {
+		return 0, 0
+	}
+	median := medianTime(ref.median)
+	first, last := int64(minSlow*median/bucketTime), int64((maxSlow*median+reportTime)/bucketTime)+1
+	first, last = min(first, maxLag), min(last, maxLag)
+	for lag := first; lag <= last; lag++ {
+		s := r.at(index - lag)
+		old += float64(s.old.sent)
+		fresh += float64(s.new.sent)
 	}
-	into.compare(s, &old, ref, 1)
+	n := float64(last - first + 1)
+	return old / n, fresh / n
 }
 
 // compare adds a stratum, and what is expected of it by the old answers of the same time.
-func (s *sums) compare(of *stratum, old *counts, ref reference, factor float64) {
+// lagged and oldLagged are the attempts that the slow answers among them belong to.
+func (s *sums) compare(of *stratum, old *counts, ref reference, factor, lagged, oldLagged float64) {
 	margin, shift, drop := rateMargin, 0, matchedDrop
 	s.compared += uint64(of.old.answered)
 	if old.answered < minMatched {
 		old, margin, shift, drop = ref.total, unmatchedMargin, unmatchedShift, unmatchedDrop
+		oldLagged = 0
 		s.compared += uint64(old.answered)
 	}
-	n := float64(of.new.answered)
-	s.answered += of.new.answered
-	rate := func(bad uint32, factor float64) float64 {
-		return min(factor*float64(bad)/max(float64(old.answered), 1)+margin, 1)
+	n, oldN := float64(of.new.answered), max(float64(old.answered), 1)
+	slowN, oldSlowN := max(n, lagged), oldN
+	if oldLagged >= minMatched {
+		oldSlowN = min(oldN, oldLagged)
 	}
+	failures := min(factor*rateFactor*float64(old.bad)/oldN+margin, 1)
+	s.answered += of.new.answered
 	s.bad[0] += of.new.bad
-	s.expected[0] += n * rate(old.bad, factor*rateFactor)
+	s.expected[0] += n * failures
 	for hash, c := range of.upstreams {
 		u := s.upstream(hash)
 		u.answered += c.answered
@@ -176,7 +203,7 @@
 	for i := range slowTests {
 		s.bad[i+1] += of.new.bad
 		if !ref.timed {
-			s.expected[i+1] += n * rate(old.bad, factor*rateFactor)
+			s.expected[i+1] += n * failures
 			for hash, c := range of.upstreams {
 				s.upstream(hash).bad[i+1] += c.bad
 			}
@@ -184,7 +211,8 @@
 		}
 		from := int(math.Ceil(ref.median+halfBucket)) + slowBuckets + shift + i*bucketsPerTwice
 		s.bad[i+1] += of.new.above(from)
-		s.expected[i+1] += n * rate(old.bad+old.above(from-drop), factor*slowRateFactor)
+		slow := factor * slowRateFactor * (float64(old.bad)/oldN + float64(old.above(from-drop))/oldSlowN)
+		s.expected[i+1] += slowN * min(slow+margin, 1)
 		for hash, c := range of.upstreams {
 			s.upstream(hash).bad[i+1] += c.bad + c.above(from)
 		}
@@ -249,7 +277,7 @@
 		ref := r.reference()
 		last := r.newest - int64((slowTime+bucketTime-1)/bucketTime)
 		sent, ringSent := uint32(0), uint32(0)
-		for index := r.newest - ringSize + 1; index <= r.newest; index++ {
+		for index := r.newest - liveSize + 1; index <= r.newest; index++ {
 			n := r.at(index).new.sent
 			ringSent += n
 			if index <= r.newest-longestWindow {
@@ -262,7 +290,7 @@
 		}
 		if all.answered < fewAnswers {
 			s.add(&r.past)
-			s.compare(&r.history, &r.history.old, ref, historyFactor)
+			s.compare(&r.history, &r.history.old, ref, historyFactor, 0, 0)
 			sent += r.total.new.sent - min(ringSent, r.total.new.sent)
 		}
 		if float64(r.total.new.answered) >= clearedRoute*float64(all.answered) && !s.cleared(sent, maxRouteMissed) {
@@ -328,14 +356,14 @@
 			consider(name, window, &s)
 			totals[i].add(&s)
 		}
-		for ; from > r.newest-ringSize+1; from-- {
+		for ; from > r.newest-liveSize+1; from-- {
 			if r.at(from-1).new.answered > 0 {
 				r.sumStratum(&s, from-1, ref)
 			}
 		}
 		s.add(&r.past)
 		if r.history.new.answered > 0 {
-			s.compare(&r.history, &r.history.old, ref, historyFactor)
+			s.compare(&r.history, &r.history.old, ref, historyFactor, 0, 0)
 		}
 		consider(name, 0, &s)
 		totals[len(windows)].add(&s)
@@ -379,7 +407,7 @@
 		bad -= min(u.bad[kind], bad)
 		answered = max(answered-min(u.answered, answered), bad)
 	}
-	return f, bad > 0 && binomialTail(answered, bad, f.Rate) < maxRemainderChance
+	return f, bad > 0 && binomialTail(answered, bad, f.Rate) < by.maxRemainder
 }
 
 // binomialTail is the probability of at least k successes in n trials.
