--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -48,6 +48,8 @@
 	history stratum
 	// past sums up the strata that are no longer live.
 	past sums
+	// sameLoad is that of the tally when it was last tested.
+	sameLoad bool
 	// total are the counts since the order.
 	total struct{ old, new counts }
 }
@@ -55,6 +57,9 @@
 // tally holds the evidence of one rollout. It isn't safe for concurrent use.
 type tally struct {
 	routes map[string]*routeTally
+	// sameLoad says that each upstream of the new release has at most about the load in the
+	// last step that one of the old had.
+	sameLoad bool
 }
 
 func newTally() *tally { return &tally{routes: map[string]*routeTally{}} }
@@ -101,7 +106,7 @@
 
 func (r *routeTally) shift() {
 	if leaving := r.newest - liveSize + 1; r.at(leaving).new.answered > 0 {
-		r.sumStratum(&r.past, leaving, r.reference())
+		r.sumStratum(&r.past, leaving, r.reference(r.sameLoad), false)
 	}
 	r.newest++
 	*r.at(r.newest) = stratum{}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -37,8 +37,8 @@
 // Slow answers. A release whose caches are cold may be twice as slow, so that the share of new
 // answers above a threshold is compared with that of old answers above half the threshold.
 // Without answers of the old release at the same time, the load may have changed too (plain
-// upstreams slow down by four above half of their slots): the threshold is doubled, and
-// compared with a third. Differences of times are in buckets, two to a factor of two.
+// upstreams slow down by four above half of their slots): unless it is known not to, the
+// threshold is doubled, and compared with a third. Differences of times are in buckets, two to a factor of two.
 const (
 	slowBuckets = 4 // 4 times the median
 	// slowTests are at 4 times and 8 times the median: with widely spread times only the
@@ -130,31 +130,40 @@
 	median float64
 	timed  bool
 	total  *counts
+	// sameLoad says that the times may be compared although they aren't of the same seconds.
+	sameLoad bool
 }
 
-func (r *routeTally) reference() reference {
+func (r *routeTally) reference(sameLoad bool) reference {
+	r.sameLoad = sameLoad
 	var recent counts
 	for i := range r.strata {
 		recent.add(&r.strata[i].old)
 	}
 	if median, ok := recent.median(); ok {
-		return reference{median, true, &r.total.old}
+		return reference{median, true, &r.total.old, sameLoad}
 	}
 	median, ok := r.total.old.median()
-	return reference{median, ok, &r.total.old}
+	return reference{median, ok, &r.total.old, sameLoad}
 }
 
-// sumStratum adds the stratum of an index to the sums.
-func (r *routeTally) sumStratum(into *sums, index int64, ref reference) {
+// sumStratum adds the stratum of an index to the sums. shifting says that the share may have
+// changed in the window: then the slow answers may be those of more attempts than the fast ones.
+// Over the whole rollout there are never more slow answers than belong to the attempts.
+func (r *routeTally) sumStratum(into *sums, index int64, ref reference, shifting bool) {
 	s := r.at(index)
 	var old counts
-	oldLagged := 0.0
+	lagged, oldLagged := 0.0, 0.0
 	for i := index - 1; i <= min(index+1, r.newest); i++ {
 		old.add(&r.at(i).old)
-		sent, _ := r.lagged(i, ref)
-		oldLagged += sent
+		if shifting {
+			sent, _ := r.lagged(i, ref)
+			oldLagged += sent
+		}
+	}
+	if shifting {
+		_, lagged = r.lagged(index, ref)
 	}
-	_, lagged := r.lagged(index, ref)
 	into.compare(s, &old, ref, 1, lagged, oldLagged)
 }
 
@@ -182,7 +191,10 @@
 	margin, shift, drop := rateMargin, 0, matchedDrop
 	s.compared += uint64(of.old.answered)
 	if old.answered < minMatched {
-		old, margin, shift, drop = ref.total, unmatchedMargin, unmatchedShift, unmatchedDrop
+		old, margin = ref.total, unmatchedMargin
+		if !ref.sameLoad {
+			shift, drop = unmatchedShift, unmatchedDrop
+		}
 		oldLagged = 0
 		s.compared += uint64(old.answered)
 	}
@@ -263,8 +275,9 @@
 )
 
 // cleared reports whether the answers exclude, on each route, that the new release is bad. A slow
-// answer takes up to slowTime, so that only attempts of that age tell how many are slow.
-func (t *tally) cleared(now clock.Instant, slowTime time.Duration) bool {
+// answer takes up to slowTime, so that only attempts of that age tell how many are slow. If since
+// is set, only what came later counts.
+func (t *tally) cleared(now clock.Instant, slowTime time.Duration, since clock.Instant) bool {
 	_, all := t.sum()
 	if all.answered == 0 {
 		return false
@@ -274,21 +287,21 @@
 	for name := range t.routes {
 		r, _ := t.route(now, name)
 		var s sums
-		ref := r.reference()
+		ref := r.reference(t.sameLoad)
 		last := r.newest - int64((slowTime+bucketTime-1)/bucketTime)
 		sent, ringSent := uint32(0), uint32(0)
 		for index := r.newest - liveSize + 1; index <= r.newest; index++ {
 			n := r.at(index).new.sent
 			ringSent += n
-			if index <= r.newest-longestWindow {
+			if index <= max(r.newest-longestWindow, int64(since/bucketTime)) {
 				continue
 			}
-			r.sumStratum(&s, index, ref)
+			r.sumStratum(&s, index, ref, false)
 			if index <= last {
 				sent += n
 			}
 		}
-		if all.answered < fewAnswers {
+		if since == 0 && all.answered < fewAnswers {
 			s.add(&r.past)
 			s.compare(&r.history, &r.history.old, ref, historyFactor, 0, 0)
 			sent += r.total.new.sent - min(ringSent, r.total.new.sent)
@@ -346,19 +359,20 @@
 			continue
 		}
 		var s sums
-		ref, from := r.reference(), r.newest+1
+		ref, from := r.reference(t.sameLoad), r.newest+1
 		for i, window := range windows {
 			for ; from > r.newest-window+1; from-- {
 				if r.at(from-1).new.answered > 0 {
-					r.sumStratum(&s, from-1, ref)
+					r.sumStratum(&s, from-1, ref, true)
 				}
 			}
 			consider(name, window, &s)
 			totals[i].add(&s)
 		}
-		for ; from > r.newest-liveSize+1; from-- {
-			if r.at(from-1).new.answered > 0 {
-				r.sumStratum(&s, from-1, ref)
+		s = sums{}
+		for index := r.newest - liveSize + 1; index <= r.newest; index++ {
+			if r.at(index).new.answered > 0 {
+				r.sumStratum(&s, index, ref, false)
 			}
 		}
 		s.add(&r.past)
