link: Hand over the rollouts' view and its confirmations

The entry names the version that it holds to keepers. A newer view in a reply goes to OnRollouts, then the instant of a confirmed reply to OnRolloutsConfirmed, both in rising order under one lock: the version is named only once it is in force, so that a reply without a view confirms that one. The view goes before the reply's upstreams.

--- a/link/link.go
+++ b/link/link.go
@@ -25,6 +25,7 @@
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/platform"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
@@ -69,6 +70,11 @@
 	OnMembers func([]upstream.Member)
 	// OnConfig is called with each configuration that comes into force.
 	OnConfig func(*config.Table)
+	// OnRollouts is called with each view of the rollouts that is newer than the one before,
+	// and OnRolloutsConfirmed after it with the instant at which a keeper was asked whose
+	// majority has no newer view. They are called one at a time; nil ones aren't.
+	OnRollouts          func(rollout.View)
+	OnRolloutsConfirmed func(askedAt clock.Instant)
 	// BuildReport returns a report to the leader, where wall is the link's WallTime. OnReply
 	// is called with the leader's reply and with the instant at which the report was built.
 	// All callbacks may be called before New returns.
@@ -86,6 +92,7 @@
 	// have been the newest, in nanoseconds; 0 if it never was.
 	confirmedAt atomic.Int64
 	synced      atomic.Bool
+	rollouts    rolloutView
 
 	mu     sync.Mutex
 	roster *roster
@@ -274,7 +281,7 @@
 func (l *Link) callSync(ctx context.Context, address netip.AddrPort, request control.SyncRequest) (*control.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	request.Entry, request.Config = l.options.Name, l.revisionNumber()
+	request.Entry, request.Config, request.Rollouts = l.options.Name, l.revisionNumber(), l.rolloutVersion()
 	var reply control.SyncReply
 	err := l.options.PeerClient.Call(ctx, address, peer.Sync, &request, &reply)
 	return &reply, err
--- a/link/link__directory.go
+++ b/link/link__directory.go
@@ -84,6 +84,8 @@
 	if err != nil {
 		return err
 	}
+	// Upstreams of a new release aren't used before the view that names it.
+	l.applyRollouts(askedAt, reply)
 	if len(reply.Members) > 0 {
 		l.options.OnMembers(reply.Members)
 	}
--- a/link/link__probe.go
+++ b/link/link__probe.go
@@ -66,5 +66,6 @@
 	if err != nil {
 		return err
 	}
+	l.applyRollouts(askedAt, reply)
 	return l.applyReply(askedAt, address, reply)
 }
