fleet: Place requests by the releases that a rollout allows

A split, behind a narrow interface, assigns each request once; retries and hedges share the assignment. A ticket keeps the split's verdicts by release for one look at the upstreams, so that a placement asks once for each release and, without a rollout, only whether there is one. The preferred release goes before the others unless its upstream has stalled or would miss the target. A request that no release may get waits until its target is missed; one whose releases are gone is refused at once.

Grants are Sent, and each attempt's end is Answered once: Finish, and the failures broken, silent and errored. Refusals, failed dials, callers that left and hedges that were given up say nothing of a release. Health checks that judge a path go to no release that the split keeps requests from.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -108,6 +108,7 @@
 	ID      string   `json:"id"`
 	Service []string `json:"service"`
 	Zone    string   `json:"zone"`
+	Release string   `json:"release,omitempty"`
 	Usable  bool     `json:"usable"`
 	Leaving bool     `json:"leaving"`
 	// ClosedFor is the time for which the upstream wants no requests.
@@ -138,7 +139,7 @@
 			}
 			list = append(list, UpstreamState{
 				Limit: u.limit.rate, Share: share,
-				ID: u.ID, Service: u.Services, Zone: u.Zone, Usable: u.usable(now), Leaving: u.Leaving || u.saidLeaving, ClosedFor: max(u.closedUntil-now, 0), Silent: u.Silent,
+				ID: u.ID, Service: u.Services, Zone: u.Zone, Release: u.Release, Usable: u.usable(now), Leaving: u.Leaving || u.saidLeaving, ClosedFor: max(u.closedUntil-now, 0), Silent: u.Silent,
 				Running: u.running, BacklogTokens: u.backlogTokens, MemoryTokens: u.memoryTokens, OtherWork: u.otherWork, Failures: u.failureRate, SinceProgress: now - u.lastProgress,
 			})
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,13 +33,18 @@
 	// Random returns numbers that are uniform in [0, 1), by which entries don't all do the
 	// same at the same time; nil stands for 0.
 	Random func() float64
+	// Split decides on releases; nil if there are no rollouts.
+	Split Split
 }
 
 // Ticket describes a request that is to be scheduled.
 type Ticket struct {
 	ID      uint64
 	Service string
-	Rank    int
+	// Route is the route's name, and Stream says that its answers are streams of events.
+	Route  string
+	Stream bool
+	Rank   int
 	// MaxRuns bounds the number of upstreams that may run the request.
 	MaxRuns    int
 	Repeatable bool
@@ -123,6 +128,7 @@
 	// expectedFirstToken is the time to the first token that was estimated for
 	// the upstream.
 	expectedFirstToken time.Duration
+	releasePart
 }
 
 type ticketState int
@@ -223,6 +229,7 @@
 		f.mergeMember(now, members[i])
 	}
 	f.forgetEnded(now)
+	f.appeared(now)
 	f.scheduleAll(now)
 	return f.takeActions()
 }
@@ -351,6 +358,7 @@
 		f.refuse(t, err)
 		return f.takeActions()
 	}
+	f.assign(now, t)
 	switch {
 	case !f.anyAccepting(s, t):
 		f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
@@ -381,9 +389,11 @@
 	t.expectedFirstToken = e.firstToken
 	u.start(now, t)
 	u.spendLimit(now)
+	f.observeSent(now, t, u)
 	s.demand.promptTokens += t.prefillTokens
 	f.pending = append(f.pending, Grant{
 		Ticket: t.ID, Upstream: u.Announcement, Attempt: t.attempts, CachedTokens: e.cachedTokens, Estimate: e.ranking,
+		Assignment: t.assignment, Reason: t.releaseReason(u),
 	})
 }
 
@@ -455,6 +465,7 @@
 	if t.state == running {
 		const weight = 0.05
 		t.upstream.end(now, t)
+		f.observeAnswer(now, t, success)
 		f.endTrial(t.upstream, t, true)
 		s.slotTime += time.Duration(weight * float64(now-t.sentAt-s.slotTime))
 		s.recordOutcome(t.upstream, success)
@@ -491,6 +502,7 @@
 	s := f.service(t.Service)
 	if t.state == running {
 		t.upstream.end(now, t)
+		f.observeWithdrawal(now, t)
 		f.endTrial(t.upstream, t, false)
 	}
 	t.dropHedge()
@@ -529,6 +541,7 @@
 		return false
 	}
 	s := f.service(t.Service)
+	f.askSplit(now, t)
 	return s.hasUntried(now, t) && t.Repeatable && t.runs < t.MaxRuns && s.retryBudget.Remaining() >= 1
 }
 
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -37,6 +37,7 @@
 func (f *Fleet) recordFailure(now clock.Instant, t *ticket, failure retry.Failure) {
 	u := t.upstream
 	u.end(now, t)
+	f.observeFailure(now, t, failure)
 	f.endTrial(u, t, failure == retry.Errored)
 	u.failed(now, failure, t.attempts)
 	if failure == retry.Errored {
@@ -59,6 +60,7 @@
 // mayRetry reports whether the ticket may go to another upstream, and spends
 // the retry budget unless nothing was sent.
 func (f *Fleet) mayRetry(now clock.Instant, s *service, t *ticket, failure retry.Failure) bool {
+	f.askSplit(now, t)
 	if f.suspects.Refusal(now, t.traits) != nil || !retry.Allowed(failure, t.Repeatable, t.attempts) || (t.mayHaveRun && !t.Repeatable) {
 		return false
 	}
@@ -84,18 +86,18 @@
 // mayReturnTo reports whether the upstream only fell silent during the ticket, and would get
 // it again. It isn't in backoff for the ticket: nothing else may be left of the request.
 func (t *ticket) mayReturnTo(now clock.Instant, u *upstreamView) bool {
-	return slices.Contains(t.silentOn, u.ID) && u.serves() && !u.closed(now) && t.Fits(&u.Announcement)
+	return slices.Contains(t.silentOn, u.ID) && u.serves() && !u.closed(now) && t.Fits(&u.Announcement) && t.allows(u)
 }
 
 // mayRunOn reports whether the upstream hasn't failed the ticket, doesn't run a hedge of it, and
-// is of the release that the ticket is bound to.
+// is of the release that the ticket is bound to, and of one that the split allows.
 func (t *ticket) mayRunOn(u *upstreamView) bool {
 	for h := t.hedge; h != nil; h = h.hedge {
 		if h.upstream == u {
 			return false
 		}
 	}
-	return !slices.Contains(t.failedOn, u.ID) && t.Fits(&u.Announcement)
+	return !slices.Contains(t.failedOn, u.ID) && t.Fits(&u.Announcement) && t.allows(u)
 }
 
 // finalError is the answer to a ticket that isn't retried.
--- a/fleet/fleet__notice.go
+++ b/fleet/fleet__notice.go
@@ -107,15 +107,15 @@
 			return true
 		}
 	}
-	return false
+	return t.heldBack(s)
 }
 
 // closedFor is the time until the first upstream wants requests that fit the binding of
-// the ticket again; 0 if one does now.
+// the ticket again, and whose release may get it; 0 if one does now.
 func (s *service) closedFor(now clock.Instant, t *ticket) time.Duration {
 	wait := time.Duration(0)
 	for _, u := range s.upstreams {
-		if !u.serves() || !t.Fits(&u.Announcement) {
+		if !u.serves() || !t.Fits(&u.Announcement) || !t.allows(u) {
 			continue
 		}
 		if now >= u.closedUntil {
--- a/fleet/fleet__path.go
+++ b/fleet/fleet__path.go
@@ -14,7 +14,7 @@
 }
 
 // Accepts reports whether the upstream at the address may get a request of another entry
-// by way of this one.
+// by way of this one. The other entry has assigned the request to a release and counts it.
 func (f *Fleet) Accepts(now clock.Instant, address netip.AddrPort) bool {
 	u, ok := f.atAddress(address)
 	return ok && u.serves() && !u.closed(now)
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -11,6 +11,9 @@
 
 // saturatedError is the answer to a ticket that would wait for too long.
 func (f *Fleet) saturatedError(s *service, t *ticket, wait time.Duration) *result.Error {
+	if t.heldBack(s) {
+		return heldBackError(t)
+	}
 	return result.New(result.Saturated, result.RanNo, "%d requests are already waiting for %q", len(s.queue), t.Service).WithRetry(wait)
 }
 
@@ -27,6 +30,10 @@
 // expectedWait estimates the time until the ticket starts, from the number of
 // tickets ahead and the measured slot time, or until an upstream wants requests again.
 func (s *service) expectedWait(now clock.Instant, t *ticket) time.Duration {
+	if t.heldBack(s) {
+		// The split may say otherwise at any moment.
+		return 0
+	}
 	if wait := s.closedFor(now, t); wait > 0 {
 		return wait
 	}
@@ -37,7 +44,7 @@
 		}
 	}
 	for _, u := range s.upstreams {
-		if u.serves() && now >= u.closedUntil {
+		if u.serves() && now >= u.closedUntil && t.allows(u) {
 			slots += s.usableSlots(u)
 		}
 	}
--- /dev/null
+++ b/fleet/fleet__rollout.go
@@ -0,0 +1,239 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/result"
+	"github.com/hyssopladder/hyssopladder/retry"
+	"github.com/hyssopladder/hyssopladder/rollout"
+)
+
+// Split decides which releases of a service a request may go to, and is told what came of it.
+// *rollout.Split describes its methods.
+type Split interface {
+	Active(now clock.Instant, service string) bool
+	Appeared(now clock.Instant, service, release string)
+	Assign(now clock.Instant, service string) rollout.Assignment
+	Allows(now clock.Instant, service string, a rollout.Assignment, release string, bound bool, attempt int) bool
+	Prefers(service string, a rollout.Assignment, release string) bool
+	Sent(now clock.Instant, service, route, release, upstream string)
+	Answered(now clock.Instant, service, route, release, upstream string, good bool, took time.Duration)
+}
+
+var _ Split = (*rollout.Split)(nil)
+
+// ReleaseReason says why a request was given to an upstream of its release.
+type ReleaseReason string
+
+const (
+	// ReleaseAny means that the split has no say on the service.
+	ReleaseAny ReleaseReason = ""
+	// ReleaseByShare means that the request is one of the new release's share.
+	ReleaseByShare ReleaseReason = "share"
+	// ReleaseByRemainder means that it isn't.
+	ReleaseByRemainder ReleaseReason = "remainder"
+	// ReleaseByFallback means that the release to which the request was assigned had no room
+	// or failed it.
+	ReleaseByFallback ReleaseReason = "fallback"
+	// ReleaseByStream means that the release has begun the request's stream.
+	ReleaseByStream ReleaseReason = "stream"
+)
+
+// heldBackRetryAfter is the Retry-After of a request that no release may get: keepers confirm the
+// state of the rollouts, or change it, within about a second.
+const heldBackRetryAfter = time.Second
+
+// gatedReleases is the number of releases of which a gate keeps the verdicts; a service has two or
+// three at a time.
+const gatedReleases = 4
+
+// releaseGate is what the split says of a ticket at an instant. The zero value lets it go to any
+// upstream.
+type releaseGate struct {
+	// split is nil if it has no say on the service.
+	split    Split
+	now      clock.Instant
+	verdicts [gatedReleases]releaseVerdict
+	known    int
+}
+
+type releaseVerdict struct {
+	release            string
+	allowed, preferred bool
+}
+
+// releasePart is the part of rollouts in a ticket.
+type releasePart struct {
+	assignment rollout.Assignment
+	gate       releaseGate
+	// observed says that the split was told of the present attempt and not yet of its end.
+	observed bool
+}
+
+// askSplit renews the ticket's gate, by which its upstreams are chosen.
+func (f *Fleet) askSplit(now clock.Instant, t *ticket) {
+	if f.options.Split == nil {
+		return
+	}
+	t.gate.split, t.gate.known = nil, 0
+	if f.options.Split.Active(now, t.Service) {
+		t.gate.split, t.gate.now = f.options.Split, now
+	}
+}
+
+// assign assigns a new ticket to a release.
+func (f *Fleet) assign(now clock.Instant, t *ticket) {
+	if f.askSplit(now, t); t.gate.split != nil {
+		t.assignment = t.gate.split.Assign(now, t.Service)
+	}
+}
+
+// verdict is what the split says of the release. All upstreams of a release have the same one.
+func (t *ticket) verdict(release string) releaseVerdict {
+	for i := range t.gate.known {
+		if t.gate.verdicts[i].release == release {
+			return t.gate.verdicts[i]
+		}
+	}
+	v := releaseVerdict{
+		release:   release,
+		allowed:   t.gate.split.Allows(t.gate.now, t.Service, t.assignment, release, t.Bound && t.Release == release, t.attempts),
+		preferred: t.gate.split.Prefers(t.Service, t.assignment, release),
+	}
+	if t.gate.known < gatedReleases {
+		t.gate.verdicts[t.gate.known] = v
+		t.gate.known++
+	}
+	return v
+}
+
+// allows reports whether the ticket may go to the upstream's release.
+func (t *ticket) allows(u *upstreamView) bool {
+	return t.gate.split == nil || t.verdict(u.Release).allowed
+}
+
+// prefers reports whether the upstream's release goes before others that are allowed.
+func (t *ticket) prefers(u *upstreamView) bool {
+	return t.gate.split == nil || t.verdict(u.Release).preferred
+}
+
+// goesFirst reports whether the upstream goes before those of other releases, whatever their
+// rankings: it is of the preferred release, answers, and will do so in time.
+func (s *service) goesFirst(now clock.Instant, u *upstreamView, t *ticket, e estimate) bool {
+	return t.gate.split == nil || t.prefers(u) && !u.stalled(now) && s.meetsTarget(now, t, e)
+}
+
+// heldBack reports whether upstreams serve to which the ticket may go only once the split says
+// otherwise. A stream isn't held back, as its release may never get requests again, and nor is a
+// ticket that may go to a release whose upstreams are gone.
+func (t *ticket) heldBack(s *service) bool {
+	if t.gate.split == nil || t.Bound {
+		return false
+	}
+	serving := false
+	for _, u := range s.upstreams {
+		if t.allows(u) {
+			return false
+		}
+		serving = serving || u.serves() && !slices.Contains(t.failedOn, u.ID)
+	}
+	return serving
+}
+
+// heldBackError is the answer to a ticket that was held back for too long.
+func heldBackError(t *ticket) *result.Error {
+	return result.New(result.Saturated, result.RanNo, "no release of %q that serves may get the request now", t.Service).WithRetry(heldBackRetryAfter)
+}
+
+// releaseReason says why the ticket goes to the upstream.
+func (t *ticket) releaseReason(u *upstreamView) ReleaseReason {
+	switch {
+	case t.gate.split == nil:
+		return ReleaseAny
+	case t.Bound:
+		return ReleaseByStream
+	case !t.prefers(u):
+		return ReleaseByFallback
+	case t.assignment.New:
+		return ReleaseByShare
+	}
+	return ReleaseByRemainder
+}
+
+// observeSent tells the split of an attempt that begins.
+func (f *Fleet) observeSent(now clock.Instant, t *ticket, u *upstreamView) {
+	if t.observed = t.gate.split != nil; t.observed {
+		t.gate.split.Sent(now, t.Service, t.Route, u.Release, u.ID)
+	}
+}
+
+// observeAnswer tells the split how the present attempt of the ticket ended, once.
+func (f *Fleet) observeAnswer(now clock.Instant, t *ticket, good bool) {
+	if !t.observed {
+		return
+	}
+	t.observed = false
+	took := now - t.sentAt
+	if t.Stream && t.answerBegan {
+		took = t.beganAt - t.sentAt
+	}
+	f.options.Split.Answered(now, t.Service, t.Route, t.upstream.Release, t.upstream.ID, good, took)
+}
+
+// observeFailure tells the split of a failed attempt, unless the failure says nothing of the
+// upstream's release: the request didn't run there.
+func (f *Fleet) observeFailure(now clock.Instant, t *ticket, failure retry.Failure) {
+	switch failure {
+	case retry.Broken, retry.Silent, retry.Errored:
+		f.observeAnswer(now, t, false)
+	default:
+		t.observed = false
+	}
+}
+
+// observeWithdrawal tells the split of an attempt that had no whole answer when the request's
+// deadline passed, if it had the time in which answers are due. Other attempts that are
+// withdrawn are the caller's doing, or another attempt has answered.
+func (f *Fleet) observeWithdrawal(now clock.Instant, t *ticket) {
+	if now >= t.Deadline && now-t.sentAt >= max(t.Target, minServiceTime) {
+		f.observeAnswer(now, t, false)
+	}
+	t.observed = false
+}
+
+// appeared tells the split which releases serve.
+func (f *Fleet) appeared(now clock.Instant) {
+	if f.options.Split == nil {
+		return
+	}
+	for _, s := range f.services {
+		var seen []string
+		for _, u := range s.upstreams {
+			if u.serves() && !slices.Contains(seen, u.Release) {
+				seen = append(seen, u.Release)
+				f.options.Split.Appeared(now, s.name, u.Release)
+			}
+		}
+	}
+}
+
+// SplitChanged schedules the waiting tickets anew after a change of the split.
+func (f *Fleet) SplitChanged(now clock.Instant) []Action {
+	f.scheduleAll(now)
+	return f.takeActions()
+}
+
+// MayAsk reports whether the upstream at the address may get a request of this entry's own, such
+// as a health check. A release gets none before a rollout gives it traffic, as these count too.
+func (f *Fleet) MayAsk(now clock.Instant, address netip.AddrPort) bool {
+	u, ok := f.atAddress(address)
+	if !ok || !f.Accepts(now, address) {
+		return false
+	}
+	split := f.options.Split
+	return split == nil || len(u.Services) == 0 || !split.Active(now, u.Services[0]) ||
+		split.Allows(now, u.Services[0], rollout.Assignment{}, u.Release, false, 0)
+}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -273,11 +273,12 @@
 // preferred upstream is assumed to have cached.
 const preferredCachedFraction = 0.9
 
-// choose returns the usable upstream with room that has the lowest ranking, or
-// nil.
+// choose returns the usable upstream with room that has the lowest ranking, those of the
+// ticket's preferred release first, or nil.
 func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
+	f.askSplit(now, t)
 	var best *upstreamView
-	allLeave := !s.anyServing(t)
+	allLeave, bestFirst := !s.anyServing(t), false
 	var bestEstimate estimate
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
@@ -296,8 +297,8 @@
 		if u.limitOutdated(now) {
 			e.ranking -= outdatedLimitBonus
 		}
-		if best == nil || e.ranking < bestEstimate.ranking {
-			best, bestEstimate = u, e
+		if first := s.goesFirst(now, u, t, e); best == nil || first && !bestFirst || first == bestFirst && e.ranking < bestEstimate.ranking {
+			best, bestEstimate, bestFirst = u, e, first
 		}
 	}
 	return best, bestEstimate
@@ -337,12 +338,14 @@
 	})
 	var best *upstreamView
 	var highest uint64
+	bestFirst := false
 	for _, u := range s.upstreams {
-		if !u.serves() || u.closed(now) || !u.hasLimitLeft(now) {
+		if !u.serves() || u.closed(now) || !u.hasLimitLeft(now) || !t.allows(u) {
 			continue
 		}
-		if h := mixHash(xxhash.Sum64String(u.ID) ^ seed); best == nil || h > highest {
-			best, highest = u, h
+		first := t.prefers(u)
+		if h := mixHash(xxhash.Sum64String(u.ID) ^ seed); best == nil || first && !bestFirst || first == bestFirst && h > highest {
+			best, highest, bestFirst = u, h, first
 		}
 	}
 	return best, tokens
