ingress: Carry out the keepers' rollouts

Views and confirmations of the keepers go to the split under the dispatcher's lock, and waiting requests are scheduled anew with each view. Reports to the leader hold the evidence and the version in force. Without the settings there is no split.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -95,6 +95,8 @@
 	stopping       atomic.Bool
 	stop           drain.Stop
 	meters         meters
+	// rollouts is nil if the deployment has none.
+	rollouts *rollouts
 
 	mu sync.Mutex
 	// quotas are the entry's parts of the quotas, by organisation.
@@ -122,9 +124,10 @@
 	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
 	in.paths = newPathDialer(ctx, o.Clock, o.DialUpstream, &in.meters, in.pathHooks())
 	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
+	in.rollouts = newRollouts(o.Settings.Rollouts, o.Metrics, rand.Float64)
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
 		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
-		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
+		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64, Split: in.rollouts.fleetSplit(),
 	}), in.upstreamClient.Refuses)
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
 	o.Server.Handle(tunnelPattern, in.tunnels)
@@ -132,6 +135,7 @@
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
 		OnMembers: in.mergeMembers, OnConfig: in.applyConfig, BuildReport: in.buildReport, OnReply: in.applyReply, BuildUsageReport: in.buildUsageReport,
+		OnRollouts: in.applyRollouts, OnRolloutsConfirmed: in.confirmRollouts,
 	})
 	in.registerGauges(o.Metrics)
 	callerServer := &http.Server{
@@ -244,6 +248,9 @@
 		report.Busy = f.Work()
 		report.Suspects = f.Evidence(now)
 		report.Limits = f.Limits(now)
+		if in.rollouts != nil {
+			report.Releases, report.RolloutVersion = in.rollouts.Report(now), in.rollouts.Version()
+		}
 		return nil
 	})
 	report.WantsHelpers = in.paths.WantsHelpers(now)
@@ -273,14 +280,15 @@
 	}
 }
 
-// errNoQuestion is the error of an upstream that is gone, leaves, or wants no requests for a time.
+// errNoQuestion is the error of an upstream that is gone, leaves, wants no requests for a time, or
+// is of a release that gets none.
 var errNoQuestion = errors.New("the upstream isn't to be asked now")
 
 // question returns a health check of the upstream, nil if its service has none.
 func (in *Ingress) question(address netip.AddrPort) (*exchange.Request, error) {
 	path, accepts := "", false
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
-		path, accepts = f.HealthPath(address), f.Accepts(now, address)
+		path, accepts = f.HealthPath(address), f.MayAsk(now, address)
 		return nil
 	})
 	switch {
@@ -415,6 +423,9 @@
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		state["upstreams"] = f.State(now)
 		state["open"] = f.Open()
+		if in.rollouts != nil {
+			state["rollouts"] = in.rollouts.view
+		}
 		return nil
 	})
 	return state
