--- a/rollout/cases_test.go
+++ b/rollout/cases_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
 // TestGoodReleasesSucceed guards against verdicts on faults that aren't the new release's, and
@@ -76,6 +78,60 @@
 	}
 }
 
+// answers are those of one second on a route: the numbers of attempts, of bad answers, and of good
+// answers by bucket.
+type answers struct {
+	route string
+	new   bool
+	sent  uint32
+	bad   uint32
+	times map[int]uint32
+}
+
+// TestVerdict guards against a comparison that mixes up seconds, routes or times.
+func TestVerdict(t *testing.T) {
+	old := func(route string, bad, good uint32) answers {
+		return answers{route, false, bad + good, bad, map[int]uint32{6: good}}
+	}
+	fresh := func(route string, bad, good uint32) answers {
+		return answers{route, true, bad + good, bad, map[int]uint32{6: good}}
+	}
+	spread := func(new bool, shift int) answers {
+		return answers{"/", new, 120, 0, map[int]uint32{6 + shift: 60, 8 + shift: 35, 10 + shift: 20, 11 + shift: 5}}
+	}
+	for _, c := range []struct {
+		name         string
+		seconds      [][]answers
+		bad, cleared bool
+	}{
+		{"no difference", [][]answers{{old("/", 0, 50), fresh("/", 0, 50)}, {old("/", 0, 50)}}, false, true},
+		{"failures", [][]answers{{old("/", 0, 50), fresh("/", 6, 14)}}, true, false},
+		{"too few", [][]answers{{old("/", 0, 50), fresh("/", 3, 0)}}, false, false},
+		{"failures on one route", [][]answers{{old("/", 0, 200), fresh("/", 0, 200), old("/b", 0, 50), fresh("/b", 6, 10)}}, true, false},
+		{"all fail while the share is large", [][]answers{{old("/", 0, 180), fresh("/", 0, 20)}, {old("/", 10, 10), fresh("/", 60, 60)}}, false, false},
+		{"twice as slow", [][]answers{{spread(false, 0), spread(true, 2)}}, false, false},
+		{"eight times as slow", [][]answers{{spread(false, 0), spread(true, 6)}}, true, false},
+		{"slow answers are on their way", [][]answers{{old("/", 0, 50)}, {{"/", true, 60, 0, map[int]uint32{6: 30}}}}, false, false},
+	} {
+		tally, now := newTally(), clock.Instant(0)
+		for _, second := range c.seconds {
+			now += time.Second
+			for _, a := range second {
+				count := counts{sent: a.sent, answered: a.bad, bad: a.bad}
+				for bucket, n := range a.times {
+					count.answered += n
+					count.times[bucket] += n
+				}
+				(&judgeCase{tally: tally}).add(now, false, routeKey{a.route, a.new}, &count, nil)
+			}
+		}
+		finding, bad := tally.verdict(now, conviction, 1, 0)
+		if cleared := tally.cleared(now, 500*ms, 0); bad != c.bad || cleared != c.cleared {
+			t.Errorf("%s: bad %v, cleared %v: %v", c.name, bad, cleared, finding)
+		}
+	}
+}
+
 // TestNothingKnown guards against a release that serves alone though nothing is known of it, and
 // against a service without requests whose rollout is reverted.
 func TestNothingKnown(t *testing.T) {
--- a/rollout/judge__steps.go
+++ b/rollout/judge__steps.go
@@ -83,6 +83,8 @@
 	// in any case, as it needs some evidence.
 	trialExposure = 0.8
 	leastExposure = 0.55
+	// largestExposure is what the largest step of the trial may bring it to.
+	largestExposure = 0.9
 	// eagerExposure allows a larger share ahead of its time: with few requests the first
 	// shares would bring no evidence.
 	eagerExposure = 0.4
@@ -335,7 +337,7 @@
 func (d *decision) trialBudget(share float64) float64 {
 	bound := d.expectedBound()
 	if share >= trialSteps[len(trialSteps)-1].share {
-		return trialExposure * bound
+		return largestExposure * bound
 	}
 	return min(trialExposure*bound, max(bound-d.rate*reactionTime.Seconds(), leastExposure*bound))
 }
