fleet, rollout: Load few upstreams of a new release in its trial

The trial's requests fill groups of three upstreams up to eight tenths of their slots now, the same at every entry. The split also hears of releases that are gone.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,6 +94,8 @@
 	demand      demandCounters
 	// releases holds when upstreams of each release were last known to serve.
 	releases map[string]clock.Instant
+	// serving are the releases that served at the last merge, if there are rollouts.
+	serving []string
 }
 
 type ticket struct {
--- a/fleet/fleet__rollout.go
+++ b/fleet/fleet__rollout.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
@@ -16,6 +19,7 @@
 type Split interface {
 	Active(now clock.Instant, service string) bool
 	Appeared(now clock.Instant, service, release string)
+	Gone(service, release string)
 	Assign(now clock.Instant, service string) rollout.Assignment
 	Allows(now clock.Instant, service string, a rollout.Assignment, release string, bound bool, attempt int) bool
 	Prefers(service string, a rollout.Assignment, release string) bool
@@ -227,19 +231,25 @@
 	t.observed = false
 }
 
-// appeared tells the split which releases serve.
+// appeared tells the split which releases serve, and which don't any more.
 func (f *Fleet) appeared(now clock.Instant) {
 	if f.options.Split == nil {
 		return
 	}
 	for _, s := range f.services {
-		var seen []string
+		var serving []string
 		for _, u := range s.upstreams {
-			if u.serves() && !slices.Contains(seen, u.Release) {
-				seen = append(seen, u.Release)
+			if u.serves() && !slices.Contains(serving, u.Release) {
+				serving = append(serving, u.Release)
 				f.options.Split.Appeared(now, s.name, u.Release)
 			}
 		}
+		for _, release := range s.serving {
+			if !slices.Contains(serving, release) {
+				f.options.Split.Gone(s.name, release)
+			}
+		}
+		s.serving = serving
 	}
 }
 
@@ -260,3 +270,52 @@
 	return split == nil || len(u.Services) == 0 || !split.Active(now, u.Services[0]) ||
 		split.Allows(now, u.Services[0], rollout.Assignment{}, u.Release, false, 0)
 }
+
+// Bounds of the load of an upstream in a trial.
+const (
+	// trialUpstreams are loaded at a time, so that one that fails by itself isn't taken for
+	// a bad release.
+	trialUpstreams = 3
+	// maxTrialLoad is the fraction of an upstream's slots that a trial fills, and
+	// maxTrialDelay that of a request's target after which the first token may be expected.
+	maxTrialLoad  = 0.8
+	maxTrialDelay = 0.6
+)
+
+// trialGroupPenalty is above all rankings of upstreams that would serve in time.
+const trialGroupPenalty = 10 * time.Second
+
+// trialGroups numbers the groups in which a trial's requests fill the upstreams that may get
+// them, the same at every entry; nil for other requests. Spread over all upstreams, the share of
+// a trial would never load one as the whole service does.
+func (s *service) trialGroups(t *ticket) map[*upstreamView]int {
+	if t.gate == nil || !t.gate.assignment.Trial {
+		return nil
+	}
+	type candidate struct {
+		upstream *upstreamView
+		order    uint64
+	}
+	var list []candidate
+	for _, u := range s.upstreams {
+		if u.serves() && t.prefers(u) {
+			list = append(list, candidate{u, mixHash(xxhash.Sum64String(u.ID) ^ t.gate.assignment.Number)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
+	groups := make(map[*upstreamView]int, len(list))
+	for i, c := range list {
+		groups[c.upstream] = i / trialUpstreams
+	}
+	return groups
+}
+
+// trialRanking returns the ranking of an upstream of the group for a request of a trial. Groups
+// that aren't full go before others, and within a group the usual ranking decides.
+func trialRanking(u *upstreamView, t *ticket, e estimate, group int) time.Duration {
+	running := u.running + u.otherWork.Running
+	if float64(running+1) > maxTrialLoad*float64(u.Slots) || t.Target > 0 && e.firstToken > time.Duration(maxTrialDelay*float64(t.Target)) {
+		return e.ranking
+	}
+	return e.ranking - otherReleasePenalty/2 + time.Duration(group)*trialGroupPenalty
+}
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -17,17 +17,18 @@
 // fakeSplit allows what rollout.Split documents: a request of the new release's share (v2) may go
 // to both, and another one only to the old one before the last step.
 type fakeSplit struct {
-	set                      map[string]bool
-	assigned, sent, answered []string
+	set                            map[string]bool
+	assigned, sent, answered, gone []string
 }
 
 func (s *fakeSplit) Active(clock.Instant, string) bool       { return true }
 func (s *fakeSplit) Appeared(_ clock.Instant, _, _ string)   {}
+func (s *fakeSplit) Gone(_, release string)                  { s.gone = append(s.gone, release) }
 func (s *fakeSplit) Sent(_ clock.Instant, _, _, _, u string) { s.sent = append(s.sent, u) }
 
 func (s *fakeSplit) Assign(_ clock.Instant, service string) rollout.Assignment {
 	s.assigned = append(s.assigned, service)
-	return rollout.Assignment{Number: 1, New: s.set["new"] || s.set["last"]}
+	return rollout.Assignment{Number: 1, New: s.set["new"] || s.set["last"], Trial: s.set["trial"]}
 }
 
 func (s *fakeSplit) Allows(_ clock.Instant, _ string, a rollout.Assignment, release string, bound bool, _ int) bool {
@@ -148,3 +149,47 @@
 		g.Expect(s.assigned).To(gomega.HaveLen(1), c.operations)
 	}
 }
+
+// TestTrialLoadsFewUpstreams guards against a release that is bad only under load and passes its
+// trial, as the trial's requests are spread over all of its upstreams.
+func TestTrialLoadsFewUpstreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const slots = 10
+	split := &fakeSplit{set: map[string]bool{"new": true, "trial": true}}
+	f := plainFleet()
+	f.options.Split = split
+	for i := range 12 {
+		m := memberOf("v2", fmt.Sprint("v2-", i), uint16(i+1))
+		m.Slots = slots
+		f.Merge(0, []upstream.Member{m})
+	}
+	loaded := func(requests uint64) int {
+		for id := range requests {
+			f.Submit(0, Ticket{ID: id + 1, Service: "s", MaxRuns: 1, Target: time.Minute, Deadline: time.Minute})
+		}
+		n := 0
+		for _, u := range f.upstreams {
+			g.Expect(u.running).To(gomega.BeNumerically("<=", maxTrialLoad*slots))
+			if u.running > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(loaded(trialUpstreams * maxTrialLoad * slots)).To(gomega.Equal(trialUpstreams))
+}
+
+// TestReleasesThatAreGone guards against a split that takes a release for serving whose upstreams
+// have ended.
+func TestReleasesThatAreGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	split := &fakeSplit{set: map[string]bool{}}
+	f := plainFleet()
+	f.options.Split = split
+	old := memberOf("v1", "v1-0", 1)
+	f.Merge(0, []upstream.Member{old, memberOf("v2", "v2-0", 2)})
+	g.Expect(split.gone).To(gomega.BeEmpty())
+	old.Ended = true
+	f.Merge(0, []upstream.Member{old})
+	g.Expect(split.gone).To(gomega.Equal([]string{"v1"}))
+}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -277,7 +277,7 @@
 // ticket's preferred release first, or nil.
 func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
 	f.askSplit(now, t)
-	gated := t.gate != nil
+	gated, trial := t.gate != nil, s.trialGroups(t)
 	var best *upstreamView
 	allLeave := !s.anyServing(t)
 	var bestEstimate estimate
@@ -298,8 +298,12 @@
 		if u.limitOutdated(now) {
 			e.ranking -= outdatedLimitBonus
 		}
-		if gated && !s.goesFirst(now, u, t, e) {
+		switch {
+		case !gated:
+		case !s.goesFirst(now, u, t, e):
 			e.ranking += otherReleasePenalty
+		case trial != nil:
+			e.ranking = trialRanking(u, t, e, trial[u])
 		}
 		if best == nil || e.ranking < bestEstimate.ranking {
 			best, bestEstimate = u, e
--- a/rollout/cases_test.go
+++ b/rollout/cases_test.go
@@ -254,7 +254,7 @@
 // a retry, a revert, or a release that nobody has ordered yet.
 func TestSplitAllows(t *testing.T) {
 	g := gomega.NewWithT(t)
-	now, chosen, other := 10*time.Second, Assignment{1, true}, Assignment{1, false}
+	now, chosen, other := 10*time.Second, Assignment{Number: 1, New: true}, Assignment{Number: 1, New: false}
 	s := running(0.1)
 	given := 0
 	for range 1000 {
@@ -269,7 +269,7 @@
 	g.Expect(s.Allows(now, service, chosen, newest, false, 1)).To(gomega.BeFalse())
 	g.Expect(s.Allows(now, service, other, newest, false, 0)).To(gomega.BeFalse())
 	g.Expect(s.Allows(now, service, other, newest, true, 0)).To(gomega.BeTrue())
-	g.Expect(s.Allows(now, service, Assignment{0, true}, newest, false, 0)).To(gomega.BeFalse())
+	g.Expect(s.Allows(now, service, Assignment{Number: 0, New: true}, newest, false, 0)).To(gomega.BeFalse())
 	g.Expect(s.Allows(now+3100*ms, service, chosen, newest, false, 0)).To(gomega.BeFalse())
 
 	full := running(1)
@@ -316,9 +316,9 @@
 		s.Answered(now, service, "/", release, upstream, good, 10*ms)
 	}
 	g.Expect(s.Report(now).Rollouts[0].Stopped).To(gomega.BeTrue())
-	g.Expect(s.Allows(now, service, Assignment{1, true}, newest, false, 0)).To(gomega.BeFalse())
+	g.Expect(s.Allows(now, service, Assignment{Number: 1, New: true}, newest, false, 0)).To(gomega.BeFalse())
 	s.SetView(now, View{Version: 2, Rollouts: []Rollout{{Number: 1, Order: Order{Service: service, To: newest}, Phase: Running, Step: 2, Share: 0.5}}})
-	g.Expect(s.Allows(now, service, Assignment{1, true}, newest, false, 0)).To(gomega.BeTrue())
+	g.Expect(s.Allows(now, service, Assignment{Number: 1, New: true}, newest, false, 0)).To(gomega.BeTrue())
 }
 
 // BenchmarkSplit measures what a placement among 60 upstreams asks of the split.
