share: Make the max-min split usable by others

The scheduler of platform entries needs the same split of a capacity among weighted claims. MaxMin is the part of splitAmongCallers that knows nothing of documents; its results are unchanged (go test ./share).

--- a/share/share.go
+++ b/share/share.go
@@ -111,41 +111,56 @@
 	return rates
 }
 
-// splitAmongCallers splits the rank's rate, passed as remaining, by weighted
-// max-min fairness. It sets the callers' rates and returns the fair rate per unit
-// of weight.
-func splitAmongCallers(document *service.Document, rank int, remaining float64, demand, rates map[Key]float64) float64 {
-	type claimant struct {
-		key            Key
-		demand, weight float64
-	}
-	var claimants []claimant
-	remainingWeight := 0.0
+// splitAmongCallers splits the rank's rate by weighted max-min fairness. It sets the
+// callers' rates and returns the fair rate per unit of weight.
+func splitAmongCallers(document *service.Document, rank int, rate float64, demand, rates map[Key]float64) float64 {
+	var claims []Claim
 	for key, asked := range demand {
 		if key.Rank == rank && asked > 0 {
-			weight := document.Weight(key.Caller)
-			claimants = append(claimants, claimant{key, asked, weight})
-			remainingWeight += weight
+			claims = append(claims, Claim{Name: key.Caller, Demand: asked, Weight: document.Weight(key.Caller)})
 		}
 	}
-	// Callers with the lowest demand per weight go first: what they don't use of
+	fairRate := MaxMin(rate, claims)
+	for _, c := range claims {
+		rates[Key{rank, c.Name}] = c.Rate
+	}
+	return fairRate
+}
+
+// Claim is what one claimant asks of a capacity, with its weight, which is above 0.
+type Claim struct {
+	Name           string
+	Demand, Weight float64
+	// Rate is what MaxMin grants.
+	Rate float64
+}
+
+// MaxMin splits the capacity by weighted max-min fairness: it sorts the claims, sets
+// their rates and returns the fair rate per unit of weight, infinite if all claims are
+// met.
+func MaxMin(capacity float64, claims []Claim) float64 {
+	remainingWeight := 0.0
+	for _, c := range claims {
+		remainingWeight += c.Weight
+	}
+	// Claimants with the lowest demand per weight go first: what they don't use of
 	// their share remains for the others.
-	sort.Slice(claimants, func(i, j int) bool {
-		a, b := claimants[i].demand/claimants[i].weight, claimants[j].demand/claimants[j].weight
+	sort.Slice(claims, func(i, j int) bool {
+		a, b := claims[i].Demand/claims[i].Weight, claims[j].Demand/claims[j].Weight
 		if a != b {
 			return a < b
 		}
-		return claimants[i].key.Caller < claimants[j].key.Caller
+		return claims[i].Name < claims[j].Name
 	})
 	fairRate := math.Inf(1)
-	for _, c := range claimants {
-		rate := min(c.demand, remaining*c.weight/remainingWeight)
-		rates[c.key] = rate
-		if rate < c.demand {
-			fairRate = rate / c.weight
+	for i := range claims {
+		c := &claims[i]
+		c.Rate = min(c.Demand, capacity*c.Weight/remainingWeight)
+		if c.Rate < c.Demand {
+			fairRate = c.Rate / c.Weight
 		}
-		remaining -= rate
-		remainingWeight -= c.weight
+		capacity -= c.Rate
+		remainingWeight -= c.Weight
 	}
 	return fairRate
 }
