fleet: Let organisations take turns, and refuse what is above a share

Entries ordered their queues by rank and arrival only, estimated waits from all slots although other entries use them too, and told all refused callers to come back at the expected wait. With many entries, all of them chose the upstreams that looked idle in reports that were older than a plain call.

Within a rank, requests now start by the organisations' start tags; an organisation that the leader puts above its share is refused its excess at once; waits come from the starts of the last second; refused callers get places in a queue of returns. Plain upstreams are ranked by the entry's own requests where calls are shorter than reports, with a random part. A full service is recognised once instead of for each waiting request.

--- a/fleet/action.go
+++ b/fleet/action.go
@@ -29,8 +29,24 @@
 type Refuse struct {
 	Ticket uint64
 	Err    *result.Error
+	// Cause is set if the service is saturated.
+	Cause RefusalCause
 }
 
+// RefusalCause says why a request to a saturated service is refused; empty for other
+// refusals.
+type RefusalCause string
+
+// The causes.
+const (
+	// RefusedQueueFull means that as many requests wait as may.
+	RefusedQueueFull RefusalCause = "queueFull"
+	// RefusedLate means that the request would miss its target.
+	RefusedLate RefusalCause = "late"
+	// RefusedShare means that the organisation is above its share.
+	RefusedShare RefusalCause = "share"
+)
+
 // Probe asks to find out, after ProbeDelay, whether the upstream refuses
 // connections, and to report that by Probed: requests broke off there.
 type Probe struct {
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/fairness"
 )
 
 // demandCounters counts the demand on one service since the last report. urgent
@@ -43,6 +44,8 @@
 	Waiting, Running                             int
 	// LateFraction is the fraction of answers that missed their target.
 	LateFraction float64
+	// Fairness is what the leader needs for the organisations' shares.
+	Fairness fairness.Report
 }
 
 // Demands returns each service's demand and starts a new measurement.
@@ -60,6 +63,7 @@
 			d.Urgent = float64(counters.urgent) / seconds
 			d.PromptTokens = float64(counters.promptTokens) / seconds
 			d.OutputTokens = float64(counters.outputTokens) / seconds
+			d.Fairness = s.fairnessReport(now, seconds, float64(counters.late))
 		}
 		if counters.answered > 0 {
 			d.LateFraction = float64(counters.late) / float64(counters.answered)
@@ -101,6 +105,7 @@
 			u.otherWork = o.ByUpstream[id]
 		}
 	}
+	f.updateSpare()
 }
 
 // UpstreamState describes one upstream for a dump.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,8 @@
 	ID      uint64
 	Service string
 	Rank    int
+	// Organisation is that of the caller; empty on public routes, which count as one.
+	Organisation string
 	// MaxRuns bounds the number of upstreams that may run the request.
 	MaxRuns    int
 	Repeatable bool
@@ -88,6 +90,7 @@
 	// failureRate is the fraction of failed answers, over all upstreams.
 	failureRate float64
 	demand      demandCounters
+	fair        fairState
 	// releases holds when upstreams of each release were last known to serve.
 	releases map[string]clock.Instant
 }
@@ -123,6 +126,7 @@
 	// expectedFirstToken is the time to the first token that was estimated for
 	// the upstream.
 	expectedFirstToken time.Duration
+	turn
 }
 
 type ticketState int
@@ -181,6 +185,7 @@
 	first := !f.entriesKnown
 	f.entries, f.entriesKnown = n, true
 	for _, s := range f.services {
+		s.fair.entries = n
 		s.retryBudget.SetCapacity(f.maxSavedRetries(), first)
 	}
 }
@@ -211,6 +216,7 @@
 			prefillRate: initialPrefillRate,
 			slotTime:    initialSlotTime,
 			releases:    map[string]clock.Instant{},
+			fair:        f.newFairState(),
 		}
 		f.services[name] = s
 	}
@@ -351,17 +357,20 @@
 		f.refuse(t, err)
 		return f.takeActions()
 	}
+	s.setWork(t)
 	switch {
 	case !f.anyAccepting(s, t):
 		f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
 	case len(s.queue) >= maxQueued:
-		f.refuse(t, f.saturatedError(s, t, s.expectedWait(now, t)))
+		f.refuseSaturated(now, s, t, s.expectedWait(now, t))
+	case f.aboveShare(now, s, t):
+		f.refuseShare(now, s, t)
 	default:
 		f.enqueue(s, t)
 		f.schedule(now, s)
 		if wait, late := s.missesTarget(now, t); t.state == waiting && late {
 			f.dequeue(s, t)
-			f.refuse(t, result.New(result.Saturated, result.RanNo, "the expected wait of %v is too long for the target of %v", wait, request.Target).WithRetry(wait))
+			f.refuseLate(now, s, t, wait)
 		}
 	}
 	return f.takeActions()
@@ -382,6 +391,7 @@
 	u.start(now, t)
 	u.spendLimit(now)
 	s.demand.promptTokens += t.prefillTokens
+	s.recordStart(now, t)
 	f.pending = append(f.pending, Grant{
 		Ticket: t.ID, Upstream: u.Announcement, Attempt: t.attempts, CachedTokens: e.cachedTokens, Estimate: e.ranking,
 	})
@@ -404,6 +414,7 @@
 	t.answerBegan, t.beganAt = true, now
 	f.endTrial(t.upstream, t, true)
 	s := f.service(t.Service)
+	s.recordCarried(t)
 	t.upstream.prefilled(t)
 	t.upstream.updateSlowness(now-t.sentAt, t.expectedFirstToken)
 	s.learnPrefillRate(now, t)
@@ -458,6 +469,7 @@
 		f.endTrial(t.upstream, t, true)
 		s.slotTime += time.Duration(weight * float64(now-t.sentAt-s.slotTime))
 		s.recordOutcome(t.upstream, success)
+		s.recordEnd(now, t)
 		if success {
 			t.upstream.succeeded()
 		}
@@ -508,7 +520,7 @@
 
 func (f *Fleet) refuse(t *ticket, err *result.Error) {
 	delete(f.tickets, t.ID)
-	f.pending = append(f.pending, Refuse{Ticket: t.ID, Err: err})
+	f.pending = append(f.pending, Refuse{Ticket: t.ID, Err: err, Cause: t.refusedFor})
 }
 
 func (f *Fleet) takeActions() []Action {
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -116,17 +116,7 @@
 func (f *Fleet) Tick(now clock.Instant) []Action {
 	for _, s := range f.services {
 		f.schedule(now, s)
-		for _, t := range append([]*ticket(nil), s.queue...) {
-			if !f.anyAccepting(s, t) {
-				f.dequeue(s, t)
-				f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
-				continue
-			}
-			if wait, late := s.missesTarget(now, t); late || now >= t.Deadline {
-				f.dequeue(s, t)
-				f.refuse(t, f.saturatedError(s, t, wait))
-			}
-		}
+		f.refuseHopeless(now, s)
 	}
 	return f.takeActions()
 }
--- /dev/null
+++ b/fleet/organisation_fault_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/fairness"
+)
+
+// TestLostLeader guards against shares that end at once, or never, when the leader is lost,
+// and against a new leader that ends them because it knows nothing yet.
+func TestLostLeader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	loads := hotLoads(6, 2.5)
+	e := newPlainEmulation(5, 3, 6, loads...)
+	e.runUntil(7 * second)
+	f := e.entries[0]
+	g.Expect(f.AboveShare(e.now)).To(gomega.Equal(1))
+	e.board = fairness.NewBoard()
+	e.runUntil(e.now + 700*time.Millisecond)
+	g.Expect(f.AboveShare(e.now)).To(gomega.Equal(1), "a new leader has not decided yet")
+	e.runUntil(e.now + 2*second)
+	g.Expect(f.AboveShare(e.now)).To(gomega.Equal(1), "the new leader has decided")
+	e.lost = true
+	e.runUntil(e.now + fairness.ShareAge - second)
+	g.Expect(f.AboveShare(e.now)).To(gomega.Equal(1), "the last shares hold for a while")
+	e.runUntil(e.now + 2*second)
+	g.Expect(f.AboveShare(e.now)).To(gomega.BeZero(), "then the queue decides")
+	e.run(0, 6*second)
+	small, _ := inTime(loads[1:]...)
+	t.Logf("without a leader: small %.3f", small)
+	g.Expect(small).To(gomega.BeNumerically(">=", 0.8), "turns go on")
+}
+
+// TestReportsThatArriveTwiceChangeNothing guards against demand that counts twice.
+func TestReportsThatArriveTwiceChangeNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	results := func(doubled bool) (counts []int) {
+		loads := hotLoads(6, 2.5)
+		e := newPlainEmulation(6, 3, 6, loads...)
+		e.doubled = doubled
+		e.run(3*second, 3*second)
+		for _, l := range loads {
+			counts = append(counts, l.inTime, l.late, l.refused)
+		}
+		return counts
+	}
+	g.Expect(results(true)).To(gomega.Equal(results(false)))
+}
+
+// TestCutOffEntry cuts one of three entries off from the leader. It guards against an entry
+// that keeps refusing, or starves small organisations, by what it last heard.
+func TestCutOffEntry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	loads := hotLoads(6, 2.5)
+	e := newPlainEmulation(7, 3, 6, loads...)
+	e.runUntil(6 * second)
+	e.cutOff[0] = true
+	e.run(fairness.ShareAge+second, 5*second)
+	small, _ := inTime(loads[1:]...)
+	_, answered := inTime(loads...)
+	all := float64(answered) / (6 * perUpstream * 5)
+	t.Logf("small %.3f, all %.3f of the capacity", small, all)
+	g.Expect(e.entries[0].AboveShare(e.now)).To(gomega.BeZero())
+	g.Expect(small).To(gomega.BeNumerically(">=", 0.85))
+	g.Expect(all).To(gomega.BeNumerically(">=", 0.8))
+}
+
+// TestUnusedCapacityReturnsWithinASecond ends the load of the other organisations. It
+// guards against a share that outlives the competition.
+func TestUnusedCapacityReturnsWithinASecond(t *testing.T) {
+	g := gomega.NewWithT(t)
+	loads := hotLoads(6, 2.5)
+	for _, l := range loads[1:] {
+		l.perSecond *= 5
+		l.until = 6 * second
+	}
+	e := newPlainEmulation(8, 3, 6, loads...)
+	e.runUntil(7 * second)
+	g.Expect(e.entries[0].AboveShare(e.now)).To(gomega.BeNumerically(">", 0))
+	e.run(second, 3*second)
+	all := float64(loads[0].inTime) / (6 * perUpstream * 3)
+	t.Logf("%.3f of the capacity, refused %v", all, loads[0].causes)
+	g.Expect(all).To(gomega.BeNumerically(">=", 0.9))
+}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -37,6 +37,9 @@
 	// limit is what the upstream says it takes from all entries.
 	limit namedLimit
 	notices
+	// answeredAt is when an answer last ended, and answeredIn the time that it took.
+	answeredAt clock.Instant
+	answeredIn time.Duration
 	// endedAt is when the upstream was first seen to have ended; 0 while it
 	// hasn't.
 	endedAt clock.Instant
@@ -285,6 +288,7 @@
 			continue
 		}
 		e := s.estimate(now, f.options.Zone, u, t)
+		e.ranking += f.placementSpread(now, s, u)
 		cached := e.cachedTokens
 		if likely := int(preferredCachedFraction * float64(sharedTokens)); u == preferred && cached < likely {
 			// All entries compute the same preferred upstream, so that others
@@ -373,7 +377,7 @@
 		e.ranking = s.prefillTime(u.backlogTokens + u.otherWork.BacklogTokens + t.PromptTokens - e.cachedTokens)
 		e.ranking += time.Duration(busy) * batchDelay
 	} else {
-		e.ranking = s.slotTime * time.Duration(busy) / time.Duration(max(u.Slots, 1))
+		e.ranking = time.Duration(float64(s.slotTime) * s.plainBusy(u) / float64(max(u.Slots, 1)))
 	}
 	e.ranking = time.Duration(float64(e.ranking) * u.slowness)
 	e.firstToken = e.ranking
@@ -402,7 +406,7 @@
 		// Plain calls are shorter than the interval of reports, so that the
 		// work of other entries is outdated. The limit for all entries together
 		// is therefore twice the slots; the upstream's own queue takes the excess.
-		return u.running < u.Slots && running < 2*u.Slots
+		return s.plainRoom(u, running)
 	}
 	if running >= u.Slots {
 		return false
