control, ingress: Exchange the organisations' demand and shares

Entries report what each service carries and, while it is saturated, what each organisation asks for; the leader's replies name the organisations above their share. Both fields are left out by older builds, which then have no shares.

--- a/control/account.go
+++ b/control/account.go
@@ -32,6 +32,8 @@
 	suspects *suspect.Ledger
 	// named are the limits that upstreams name.
 	named *limit.Board
+	// shares are those of the organisations in saturated services.
+	shares organisationShares
 	// limits are the quotas of revision in units per second, by organisation.
 	revision *config.Revision
 	limits   map[string]float64
@@ -54,7 +56,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), shares: newOrganisationShares(), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
@@ -175,6 +177,7 @@
 	s.work.applyReport(now, key, request.Busy)
 	s.suspects.Merge(now, request.Suspects)
 	s.named.Observe(now, request.Limits)
+	s.shares.observe(now, key, report.Loads)
 	reply := &AccountReply{
 		Leading: true,
 		Term:    s.term,
@@ -185,6 +188,7 @@
 
 		Suspects: s.suspects.Shared(now, request.Suspects),
 		Limits:   s.named.Shares(now, request.Entry, func() []limit.Entry { return s.reportingEntries(now) }),
+		Fairness: s.shares.reply(now),
 	}
 	reply.NextReport = reportInterval(reply.Entries)
 	if request.WantsHelpers {
--- a/control/message.go
+++ b/control/message.go
@@ -14,6 +14,7 @@
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/detour"
+	"github.com/hyssopladder/hyssopladder/fairness"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/limit"
 	"github.com/hyssopladder/hyssopladder/rollout"
@@ -144,6 +145,8 @@
 	// LateFraction is the fraction of the answers that came after their
 	// target time.
 	LateFraction float64 `json:"l,omitempty"`
+	// Fairness is what the organisations' shares of the service are computed from.
+	Fairness *fairness.Report `json:"f,omitempty"`
 }
 
 // AccountRequest is an entry's report to a keeper.
@@ -188,6 +191,13 @@
 	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Observation).Check); err != nil {
 		return err
 	}
+	for _, load := range r.Loads {
+		if load.Fairness != nil {
+			if err := load.Fairness.Check(); err != nil {
+				return err
+			}
+		}
+	}
 	if r.Releases != nil {
 		if err := r.Releases.Check(); err != nil {
 			return err
@@ -238,6 +248,9 @@
 	// Helpers are entries that open tunnels to upstreams, the preferred ones first, if
 	// the entry asked for them.
 	Helpers []detour.Helper `json:"h,omitempty"`
+	// Fairness names the organisations above their shares of saturated services. Without it
+	// the entry goes on with the last ones for a while: a new leader knows too little.
+	Fairness *fairness.Reply `json:"fs,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -251,6 +264,11 @@
 	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Share).Check); err != nil {
 		return err
 	}
+	if r.Fairness != nil {
+		if err := r.Fairness.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -144,6 +144,7 @@
 		case a := <-d.actions:
 			switch a := a.(type) {
 			case fleet.Refuse:
+				in.meters.saturated(a.Cause)
 				d.answerFailure(lastOutcome, a.Err)
 				return
 			case fleet.Grant:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -238,7 +238,7 @@
 		for name, load := range f.Demands(now) {
 			report.Loads[name] = control.Load{
 				Arrivals: load.Arrivals, Urgent: load.Urgent, Prompt: load.PromptTokens, Output: load.OutputTokens,
-				Waiting: load.Waiting, Running: load.Running, LateFraction: load.LateFraction,
+				Waiting: load.Waiting, Running: load.Running, LateFraction: load.LateFraction, Fairness: &load.Fairness,
 			}
 		}
 		report.Busy = f.Work()
@@ -353,6 +353,7 @@
 	in.mu.Unlock()
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		f.SetEntries(reply.Entries)
+		f.SetShares(now, reply.Fairness)
 		f.SetOtherWork(reply.Others)
 		f.SetLimits(now, reply.Limits)
 		return f.MergeEvidence(now, reply.Suspects)
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -99,6 +99,7 @@
 		})
 	}
 	registerCount("ingress.suspects", func(now clock.Instant, f *fleet.Fleet) int { return f.Suspects(now) })
+	registerCount("ingress.aboveShare", func(now clock.Instant, f *fleet.Fleet) int { return f.AboveShare(now) })
 	registerCount("ingress.open", func(_ clock.Instant, f *fleet.Fleet) int { return f.Open() })
 }
 
@@ -131,4 +132,11 @@
 	metrics.GetOrRegisterCounter("ingress.refused."+code, m.registry).Inc(1)
 }
 
+// saturated counts a request that is refused by a saturated service, by the cause.
+func (m *meters) saturated(cause fleet.RefusalCause) {
+	if cause != "" {
+		metrics.GetOrRegisterCounter("ingress.saturated."+string(cause), m.registry).Inc(1)
+	}
+}
+
 func (m *meters) observeFirstByte(elapsed time.Duration) { m.firstByte.Update(elapsed) }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -336,7 +336,7 @@
 // ticket returns what the fleet needs to know of the request.
 func (r *request) ticket() fleet.Ticket {
 	t := fleet.Ticket{
-		Service: r.service, Rank: r.rank, MaxRuns: r.route.Attempts, Repeatable: r.route.Repeatable(),
+		Service: r.service, Rank: r.rank, Organisation: r.organisation(), MaxRuns: r.route.Attempts, Repeatable: r.route.Repeatable(),
 		Target: r.route.Target, Deadline: r.deadline, PromptTokens: r.PromptTokens, OutputTokens: r.MaxTokens, PromptParts: r.Parts,
 	}
 	if r.LengthHint > 0 {
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -95,3 +95,12 @@
 		g.Expect(firstEventLength([]byte(text))).To(gomega.Equal(want), "%q", text)
 	}
 }
+
+// TestTicketsNameTheOrganisation guards against organisations that share one turn, and
+// against callers of public routes that have none.
+func TestTicketsNameTheOrganisation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := &request{route: &config.Route{}, org: &config.Organisation{Name: "orchard"}}
+	g.Expect(r.ticket().Organisation).To(gomega.Equal("orchard"))
+	g.Expect((&request{route: &config.Route{}}).ticket().Organisation).To(gomega.BeEmpty())
+}
