fairness: Compute shares only while signs of saturation go on

A short burst leaves a queue for a moment, which takes turns and is worked off within most targets; one report of it was enough to refuse the excess of the largest organisation. Signs now have to go on for half a second. Upstreams of other zones lose the mean of the random part of the ranking, not all of it.

--- a/fairness/board.go
+++ b/fairness/board.go
@@ -29,6 +29,9 @@
 	capacityTime = 15 * time.Second
 	// saturatedFor is how long a service counts as saturated after its last signal.
 	saturatedFor = time.Second
+	// confirmTime is how long signals must go on until shares are computed. A queue that a
+	// short burst leaves behind is worked off in turns, within most targets.
+	confirmTime = 500 * time.Millisecond
 	// minBadFraction is the fraction of requests that are refused or late from which on
 	// a service is saturated.
 	minBadFraction = 0.02
@@ -98,10 +101,11 @@
 	// carried is the smoothed rate of carried work, and capacity follows it.
 	carried, capacity float64
 	gain              float64
-	saturated         bool
-	signalAt          clock.Instant
-	above             map[Key]clock.Instant
-	share             Share
+	// saturated says that there were signals lately, from firstSignalAt to signalAt.
+	saturated               bool
+	firstSignalAt, signalAt clock.Instant
+	above                   map[Key]clock.Instant
+	share                   Share
 }
 
 // NewBoard returns an empty board.
@@ -229,6 +233,9 @@
 		excess && t.Late > minBadFraction*requests,
 		// The shares hold back what would be a signal without them.
 		s.saturated && len(s.above) > 0 && total > s.capacity*s.gain:
+		if !s.saturated {
+			s.firstSignalAt = now
+		}
 		s.saturated, s.signalAt = true, now
 	case s.saturated && now-s.signalAt > saturatedFor:
 		s.saturated = false
@@ -247,7 +254,7 @@
 	claims, competing := s.claims(b.weight)
 	var excesses []Excess
 	rates := map[Key]float64{}
-	if s.saturated && competing > 1 && total > budget && budget > 0 {
+	if s.saturated && s.signalAt-s.firstSignalAt >= confirmTime && competing > 1 && total > budget && budget > 0 {
 		remaining := budget
 		for _, rank := range slices.Sorted(maps.Keys(claims)) {
 			share.MaxMin(remaining, claims[rank])
--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// TestShortBurstsHaveNoShares reports waiting requests and much demand in a single report. It
+// guards against refusals of what only has to wait for a moment.
+func TestShortBurstsHaveNoShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := NewBoard()
+	for i := range 20 {
+		r, waiting := Report{Carried: 100, Answers: 100, Demands: []Demand{{Key{0, "a"}, 70}, {Key{0, "b"}, 20}}}, 0
+		if i == 10 {
+			r.Demands[0].Rate, waiting = 300, 50
+		}
+		now := clock.Instant(i) * 300 * time.Millisecond
+		b.Observe(now, Entry{Name: "e"}, "s", waiting, r)
+		if reply := b.Reply(now); reply != nil {
+			g.Expect(reply.Services["s"].Excesses).To(gomega.BeEmpty())
+		}
+	}
+}
+
 // TestTurns guards against an organisation with a long queue that delays another, against
 // credit for idle time, and against one that pays for requests that were never served.
 func TestTurns(t *testing.T) {
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -279,7 +279,7 @@
 	}
 	spread := spreadFraction * float64(s.slotTime)
 	if u.Zone != f.options.Zone {
-		return time.Duration(spread)
+		return time.Duration(spread / 2)
 	}
 	if age := now - u.answeredAt; age < freedFor && float64(u.answeredIn) < quickRatio*float64(s.fair.quickTime) {
 		return 0
