ingress, startup: Hold requests while an entry starts

After a loss of all power entries refused callers with 503 and 300 ms until a leader was elected and had confirmed the configuration, 0.6 to 0.8 s after their start; callers come back once, and were refused again.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -34,6 +34,7 @@
 	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/quota"
 	"github.com/hyssopladder/hyssopladder/settings"
+	"github.com/hyssopladder/hyssopladder/startup"
 	"github.com/hyssopladder/hyssopladder/upstream"
 	"github.com/hyssopladder/hyssopladder/usage"
 )
@@ -100,6 +101,8 @@
 	// quotas are the entry's parts of the quotas, by organisation.
 	quotas map[string]*quota.LeasedBucket
 	usage  *usage.Meter
+	// gate holds requests back while the entry starts.
+	gate *startup.Gate
 	// origins are the streams that this entry has begun.
 	origins *origin.Book
 	// unreadable bounds the log lines on headers of upstreams that can't be read.
@@ -117,6 +120,7 @@
 		meters:  newMeters(o.Metrics),
 		quotas:  map[string]*quota.LeasedBucket{},
 		usage:   usage.NewMeter(),
+		gate:    startup.New(o.Clock(), o.Settings.HoldAtStart),
 		origins: origin.New(),
 	}
 	in.unreadable = rate.NewLimiter(rate.Every(unreadableLogInterval), 1)
--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -54,6 +54,9 @@
 type cutKeeper struct {
 	address netip.AddrPort
 
+	// silent is closed once it answers entries; nil if it does from the start.
+	silent chan struct{}
+
 	mu      sync.Mutex
 	reports map[string]control.AccountRequest
 }
@@ -71,6 +74,13 @@
 		if err := wire.Decode(body, &request); err != nil {
 			return nil, err
 		}
+		if k.silent != nil {
+			select {
+			case <-k.silent:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
 		reply := &control.SyncReply{
 			Source: 1, Generation: 1, ConfirmedConfig: 1, Quorum: control.QuorumConfirmed,
 			Leader: k.address, Term: 1, Peers: []control.Peer{{Address: k.address, Zone: "a"}}, Wall: time.Now(),
@@ -242,6 +252,14 @@
 }
 
 func startCutEntry(t *testing.T, name string, k *cutKeeper) *cutEntry {
+	t.Helper()
+	e := newCutEntry(t, name, k)
+	gomega.NewWithT(t).Eventually(e.ready, 5*time.Second).Should(gomega.BeTrue())
+	return e
+}
+
+// newCutEntry starts an entry that may not be ready yet.
+func newCutEntry(t *testing.T, name string, k *cutKeeper) *cutEntry {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
@@ -251,12 +269,11 @@
 	in, err := New(t.Context(), Options{
 		Name: name, Zone: "a", Incarnation: 1, Clock: clock.System(), Metrics: metrics.NewRegistry(), PeerClient: server.Client,
 		Peers:        settings.Peer{Seeds: []netip.AddrPort{k.address}},
-		Settings:     settings.Ingress{Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, UsageWindow: time.Second, DrainWithin: time.Second, AssumedEntries: 3},
+		Settings:     settings.Ingress{Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50, UsageWindow: time.Second, DrainWithin: time.Second, AssumedEntries: 3, HoldAtStart: time.Minute},
 		DialUpstream: e.path.dial, Server: server,
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	e.Ingress, e.url = in, "http://"+in.listener.Addr().String()
-	g.Eventually(in.ready, 5*time.Second).Should(gomega.BeTrue())
 	return e
 }
 
@@ -268,6 +285,7 @@
 	}
 	request.Host = "mill.example"
 	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "30000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return false
@@ -308,17 +326,23 @@
 	return server.Listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// startCutEntries starts upstreams, and three entries that know each other as helpers.
-func startCutEntries(t *testing.T, upstreams int) (*cutUpstreams, []*cutEntry) {
+func startCutUpstreams(t *testing.T, count int) (*cutUpstreams, []upstream.Member) {
 	t.Helper()
-	g := gomega.NewWithT(t)
 	u := &cutUpstreams{runs: map[string]int{}}
 	var members []upstream.Member
-	for i := range upstreams {
+	for i := range count {
 		members = append(members, upstream.Member{Announcement: upstream.Announcement{
 			ID: fmt.Sprintf("u%d", i), Incarnation: 1, Sequence: 1, Address: startCutUpstream(t, u), Zone: "a", Slots: 16, Kind: service.Plain, Services: []string{"s"}, Lease: time.Minute,
 		}})
 	}
+	return u, members
+}
+
+// startCutEntries starts upstreams, and three entries that know each other as helpers.
+func startCutEntries(t *testing.T, upstreams int) (*cutUpstreams, []*cutEntry) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	u, members := startCutUpstreams(t, upstreams)
 	k := startCutKeeper(t, members)
 	entries := []*cutEntry{startCutEntry(t, "cut", k), startCutEntry(t, "near", k), startCutEntry(t, "far", k)}
 	g.Eventually(func() bool {
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -33,6 +33,9 @@
 	// questions counts the health checks that judge a path.
 	questions metrics.Counter
 
+	// held counts requests that wait while the entry starts.
+	held metrics.Counter
+
 	// panics counts requests whose handler panicked.
 	panics metrics.Counter
 
@@ -49,6 +52,8 @@
 		leaving:  metrics.GetOrRegisterCounter("ingress.upstreamLeaving", r),
 		closed:   metrics.GetOrRegisterCounter("ingress.upstreamClosed", r),
 
+		held: metrics.GetOrRegisterCounter("ingress.heldAtStart", r),
+
 		hedged:     metrics.GetOrRegisterCounter("ingress.hedged", r),
 		hedgesUsed: metrics.GetOrRegisterCounter("ingress.hedgesUsed", r),
 		tunnels:    metrics.GetOrRegisterCounter("ingress.tunnels", r),
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -39,6 +39,8 @@
 	header   http.Header
 	body     []byte
 	hasBody  bool
+	// bodyRead says that body is whole.
+	bodyRead bool
 	route    *config.Route
 	org      *config.Organisation
 	service  string
@@ -143,10 +145,13 @@
 	if !strings.HasPrefix(r.target, "/") {
 		return result.New(result.BadRequest, result.RanNo, "the request target does not begin with a slash")
 	}
+	if err := in.awaitServing(w, httpRequest, r); err != nil {
+		return err
+	}
 	in.link.AwaitDirectory(httpRequest.Context())
 	table := in.link.Table()
 	if table == nil {
-		return result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(notReadyRetryAfter)
+		return result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(in.startRetryAfter())
 	}
 	r.revision = table.Revision.Number
 	path, _, _ := strings.Cut(r.target, "?")
@@ -195,10 +200,6 @@
 // over by then.
 const poolRetryAfter = 500 * time.Millisecond
 
-// notReadyRetryAfter is the Retry-After of an entry that has just started: it
-// needs a few hundred milliseconds to get the configuration from a keeper.
-const notReadyRetryAfter = 300 * time.Millisecond
-
 // hashFraction maps a request ID to [0, 1), by which Route.Pick spreads requests
 // over a route's backends.
 func hashFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
@@ -231,6 +232,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if r.bodyRead {
+		return r.checkBody(limit)
+	}
 	r.hasBody = httpRequest.ContentLength != 0
 	if httpRequest.ContentLength > limit {
 		return result.New(result.BodyTooLarge, result.RanNo, "body of %d bytes exceeds the limit of %d", httpRequest.ContentLength, limit)
@@ -264,7 +268,7 @@
 	case err != nil:
 		return result.New(result.BadRequest, result.RanNo, "read body: %v", err)
 	}
-	r.body = body
+	r.body, r.bodyRead = body, true
 	return nil
 }
 
--- /dev/null
+++ b/ingress/start.go
@@ -0,0 +1,95 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/drain"
+	"github.com/hyssopladder/hyssopladder/result"
+)
+
+// assumedPatience is the time that a caller is assumed to wait that doesn't say how long.
+const assumedPatience = time.Second
+
+// awaitServing holds a request that comes while the entry starts, until the entry can serve
+// or the request has waited long enough.
+func (in *Ingress) awaitServing(w http.ResponseWriter, httpRequest *http.Request, r *request) error {
+	select {
+	case <-in.link.Serving():
+		return nil
+	default:
+	}
+	if in.needsNoConfirmation(r) {
+		return nil
+	}
+	patience := r.Patience
+	if patience <= 0 {
+		patience = assumedPatience
+	}
+	in.mu.Lock()
+	limit, hold := in.gate.Hold(in.options.Clock(), patience)
+	in.mu.Unlock()
+	if !hold {
+		return nil
+	}
+	defer func() {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.gate.Release()
+	}()
+	in.meters.held.Inc(1)
+	r.deadline = r.arrived + patience
+	// Callers give a request up that isn't read for a time.
+	if err := r.read(w, httpRequest, config.Limits{}, &in.stop); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(httpRequest.Context(), limit)
+	defer cancel()
+	open := in.stop.Open(r.deadline, limit, cancel)
+	defer open.Close()
+	served := false
+	select {
+	case <-in.link.Serving():
+		served = true
+	case <-ctx.Done():
+	}
+	klog.InfoS("request held while the entry starts", "request", r.ID, "limit", limit, "waited", in.options.Clock()-r.arrived, "served", served)
+	if open.Ended() {
+		return drain.Error(false)
+	}
+	return nil
+}
+
+// needsNoConfirmation reports whether the entry may serve the request by a configuration that
+// no majority has confirmed.
+func (in *Ingress) needsNoConfirmation(r *request) bool {
+	table := in.link.Table()
+	if table == nil || !in.link.Synced() {
+		return false
+	}
+	path, _, _ := strings.Cut(r.target, "?")
+	route := table.Route(r.host, path)
+	return route != nil && (route.Public || !table.RequiresKeys())
+}
+
+// startRetryAfter is the Retry-After of an entry that doesn't serve yet.
+func (in *Ingress) startRetryAfter() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.gate.RetryAfter(in.options.Clock(), rand.Float64())
+}
+
+// checkBody refuses a body that was read before its limit was known.
+func (r *request) checkBody(limit int64) error {
+	if int64(len(r.body)) > limit {
+		return result.New(result.BodyTooLarge, result.RanNo, "body of %d bytes exceeds the limit of %d", len(r.body), limit)
+	}
+	return nil
+}
+
--- a/link/link.go
+++ b/link/link.go
@@ -86,6 +86,10 @@
 	// have been the newest, in nanoseconds; 0 if it never was.
 	confirmedAt atomic.Int64
 	synced      atomic.Bool
+	// serving is closed once the entry has a configuration that a majority confirmed, and a
+	// directory.
+	serving     chan struct{}
+	servingOnce sync.Once
 
 	mu     sync.Mutex
 	roster *roster
@@ -118,7 +122,7 @@
 
 // New starts the loops that call the keepers; they end with ctx.
 func New(ctx context.Context, o Options) *Link {
-	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{}), tables: config.NewHistory(origin.Retention)}
+	l := &Link{options: o, roster: newRoster(o.Zone, o.Seeds), nextReport: reportInterval, keeperWalls: map[netip.AddrPort]*clock.Wall{}, tried: make(chan struct{}), serving: make(chan struct{}), tables: config.NewHistory(origin.Retention)}
 	for i := range syncLoopCount {
 		go l.syncLoop(ctx, i)
 	}
@@ -193,6 +197,17 @@
 	return s
 }
 
+// Serving returns a channel that is closed once the entry has had a directory and a
+// configuration that a majority confirmed.
+func (l *Link) Serving() <-chan struct{} { return l.serving }
+
+// noteServing closes serving if the entry can serve.
+func (l *Link) noteServing() {
+	if l.Synced() && l.confirmedAt.Load() > 0 {
+		l.servingOnce.Do(func() { close(l.serving) })
+	}
+}
+
 // Synced reports whether the link has both a configuration and a directory.
 func (l *Link) Synced() bool { return l.synced.Load() && l.Table() != nil }
 
@@ -287,6 +302,7 @@
 		return err
 	}
 	l.confirm(askedAt, reply.ConfirmedConfig)
+	l.noteServing()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.setLeader(reply.Leader, reply.Term)
--- a/link/link__directory.go
+++ b/link/link__directory.go
@@ -92,6 +92,7 @@
 		return err
 	}
 	l.synced.Store(true)
+	l.noteServing()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.followDirectory(askedAt)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,9 @@
 	// DrainWithin is the time for which an upstream still serves after it has said that
 	// it leaves.
 	DrainWithin time.Duration
+	// HoldAtStart is how long a request may wait that comes before the entry can serve; 0
+	// refuses it at once.
+	HoldAtStart time.Duration
 	// Rollouts bounds what a new release may get until it is known to be good.
 	Rollouts Rollouts
 }
@@ -375,6 +378,7 @@
 	r.positiveInt("assumedEntries", &i.AssumedEntries)
 	r.positiveDuration("usageWindow", &i.UsageWindow)
 	r.positiveDuration("drainWithin", &i.DrainWithin)
+	r.positiveDuration("holdAtStart", &i.HoldAtStart)
 	i.Rollouts.read(r)
 }
 
