--- a/ingress/start.go
+++ b/ingress/start.go
@@ -92,4 +92,3 @@
 	}
 	return nil
 }
-
