control: Carry measurements and paces in reports and replies

AccountRequest.Capacity and AccountReply.Paces are new, and left out by entries that measure nothing; older builds ignore them. The leader logs each large change of a pace and each change of a knee with the windows and the error that led to it. [ingress] learnPace (on by default) turns measuring and its use off at an entry.

--- a/control/account.go
+++ b/control/account.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/pack"
 	"github.com/hyssopladder/hyssopladder/common/wire"
@@ -32,6 +33,8 @@
 	suspects *suspect.Ledger
 	// named are the limits that upstreams name.
 	named *limit.Board
+	// paces is what the entries measured of the upstreams.
+	paces *capacity.Board
 	// limits are the quotas of revision in units per second, by organisation.
 	revision *config.Revision
 	limits   map[string]float64
@@ -54,7 +57,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), paces: capacity.NewBoard(term), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
@@ -162,8 +165,8 @@
 		s.reports[key] = report
 	}
 	report.AccountRequest, report.receivedAt = request, now
-	// These are stored in work, usageCounts, suspects and named.
-	report.Busy, report.Usage, report.Suspects, report.Limits = nil, nil, nil, nil
+	// These are stored in work, usageCounts, suspects, named and paces.
+	report.Busy, report.Usage, report.Suspects, report.Limits, report.Capacity = nil, nil, nil, nil, nil
 	for name, load := range request.Loads {
 		report.promptRates[name] += promptSmoothing * (load.Prompt - report.promptRates[name])
 	}
@@ -186,6 +189,7 @@
 		Suspects: s.suspects.Shared(now, request.Suspects),
 		Limits:   s.named.Shares(now, request.Entry, func() []limit.Entry { return s.reportingEntries(now) }),
 	}
+	reply.Paces = s.updatePaces(now, &request)
 	reply.NextReport = reportInterval(reply.Entries)
 	if request.WantsHelpers {
 		reply.Helpers = detour.Choose(detour.Asker{Name: request.Entry, Zone: request.Zone}, s.helpers(now, key))
@@ -196,6 +200,19 @@
 	return reply
 }
 
+// updatePaces applies what an entry measured and returns what it lacks.
+func (s *leaderState) updatePaces(now clock.Instant, request *AccountRequest) *capacity.Update {
+	if request.Capacity == nil {
+		return nil
+	}
+	s.paces.Observe(now, request.Entry, request.Incarnation, request.Capacity)
+	for _, c := range s.paces.Changes() {
+		klog.InfoS("upstream's pace changed", "upstream", c.Upstream, "incarnation", c.Incarnation, "service", c.Service, "percent", c.Percent, "was", c.Was,
+			"knee", c.Knee, "wasKnee", c.WasKnee, "windows", c.Windows, "error", c.Error, "term", s.term)
+	}
+	return s.paces.Since(request.Capacity)
+}
+
 // reportingEntries lists the entries that have reported lately, with their demand.
 func (s *leaderState) reportingEntries(now clock.Instant) []limit.Entry {
 	entries := make([]limit.Entry, 0, len(s.reports))
--- a/control/message.go
+++ b/control/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/detour"
@@ -177,6 +178,8 @@
 	// and RolloutVersion the version of the view in force at the entry.
 	Releases       *rollout.Report `json:"f,omitempty"`
 	RolloutVersion uint64          `json:"rv,omitempty"`
+	// Capacity is what the entry measured of the upstreams; nil if it doesn't.
+	Capacity *capacity.Report `json:"pc,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -193,6 +196,11 @@
 			return err
 		}
 	}
+	if r.Capacity != nil {
+		if err := r.Capacity.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
@@ -238,6 +246,8 @@
 	// Helpers are entries that open tunnels to upstreams, the preferred ones first, if
 	// the entry asked for them.
 	Helpers []detour.Helper `json:"h,omitempty"`
+	// Paces are what has changed of the upstreams' paces; nil if the entry reported none.
+	Paces *capacity.Update `json:"pc,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -251,6 +261,11 @@
 	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Share).Check); err != nil {
 		return err
 	}
+	if r.Paces != nil {
+		if err := r.Paces.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,6 +85,9 @@
 	// DrainWithin is the time for which an upstream still serves after it has said that
 	// it leaves.
 	DrainWithin time.Duration
+	// LearnPace makes the entry measure how fast upstreams answer, use what the leader makes of
+	// it, and spread its choices among equal upstreams.
+	LearnPace bool
 	// Rollouts bounds what a new release may get until it is known to be good.
 	Rollouts Rollouts
 }
@@ -184,6 +187,7 @@
 		Ingress: Ingress{
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 			AssumedEntries: 16, UsageWindow: 5 * time.Second, DrainWithin: 2 * time.Second,
+			LearnPace: true,
 		},
 		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second, HolderLease: 3 * time.Second},
 	}
@@ -375,6 +379,9 @@
 	r.positiveInt("assumedEntries", &i.AssumedEntries)
 	r.positiveDuration("usageWindow", &i.UsageWindow)
 	r.positiveDuration("drainWithin", &i.DrainWithin)
+	if r.Has("learnPace") {
+		i.LearnPace = r.Bool("learnPace")
+	}
 	i.Rollouts.read(r)
 }
 
