fleet: Use the learned paces, and spread the choices of entries with one view

Entries hear of each other's work 0.3 s late and all went to the upstream that looked idle. Others' backlog is now taken to be worked off since the report, their requests below half of an engine's slots don't count in its ranking, and each entry has a bias of up to 6 ms by rendezvous hashing. Plain upstreams are drawn by their free room, below their knees. The learned pace multiplies the estimate, and slowness is measured against it. All of it depends on Options.Name.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -95,10 +95,11 @@
 }
 
 // SetOtherWork replaces the work of all other entries at the covered upstreams.
-func (f *Fleet) SetOtherWork(o OtherWork) {
+func (f *Fleet) SetOtherWork(now clock.Instant, o OtherWork) {
 	for id, u := range f.upstreams {
 		if o.Covers(id) {
-			u.otherWork = o.ByUpstream[id]
+			u.otherWork, u.otherWorkAt = o.ByUpstream[id], now
+			u.usualOthers += usualWeight * (float64(u.otherWork.Running) - u.usualOthers)
 		}
 	}
 }
@@ -125,6 +126,12 @@
 	// SinceProgress is the time since the upstream's last progress: bytes, or a
 	// request while it had none of this entry.
 	SinceProgress time.Duration `json:"quiet"`
+	// Pace is the time of an answer by that of the service's median, as the leader knows it, Knee
+	// the number of requests from which on the upstream slows down, 0 if none is known, and
+	// Slowness what this entry measured beyond the pace.
+	Pace     float64 `json:"pace"`
+	Knee     int     `json:"knee,omitempty"`
+	Slowness float64 `json:"slowness"`
 }
 
 // State describes the upstreams for a dump.
@@ -140,6 +147,7 @@
 				Limit: u.limit.rate, Share: share,
 				ID: u.ID, Service: u.Services, Zone: u.Zone, Usable: u.usable(now), Leaving: u.Leaving || u.saidLeaving, ClosedFor: max(u.closedUntil-now, 0), Silent: u.Silent,
 				Running: u.running, BacklogTokens: u.backlogTokens, MemoryTokens: u.memoryTokens, OtherWork: u.otherWork, Failures: u.failureRate, SinceProgress: now - u.lastProgress,
+				Pace: u.pace, Knee: u.knee, Slowness: s.recentSlowness(now, u),
 			})
 		}
 	}
--- a/fleet/emulator_test.go
+++ b/fleet/emulator_test.go
@@ -82,6 +82,8 @@
 	sharedTokens, recomputedTokens int
 	computed                       map[uint64]bool
 	refused                        int
+	// onRun, if set, is called before an engine begins a request.
+	onRun func(t *emulatedTicket, n *engine)
 	// crashes are the times at which an engine crashed.
 	crashes []clock.Instant
 }
@@ -104,9 +106,11 @@
 	// leaving says that answers say that the engine leaves. Until closedUntil it turns all
 	// requests away, and says for how long. told are the times at which each entry heard
 	// either first, receivedFrom those of its requests after that.
-	leaving      bool
-	closedUntil  clock.Instant
-	told         map[*Fleet]clock.Instant
+	leaving     bool
+	closedUntil clock.Instant
+	told        map[*Fleet]clock.Instant
+	// pace returns the factor by which the engine is slower than usual; nil if it isn't.
+	pace         func(now clock.Instant) float64
 	receivedFrom map[*Fleet][]clock.Instant
 }
 
@@ -228,7 +232,7 @@
 					sum[id] = s
 				}
 			}
-			f.SetOtherWork(OtherWork{ByUpstream: sum})
+			f.SetOtherWork(e.now, OtherWork{ByUpstream: sum})
 		}
 		e.scheduleWorkReports()
 	})
@@ -294,6 +298,13 @@
 	if _, ok := n.told[t.entry]; ok {
 		n.receivedFrom[t.entry] = append(n.receivedFrom[t.entry], e.now)
 	}
+	if e.onRun != nil {
+		e.onRun(t, n)
+	}
+	pace := 1.0
+	if n.pace != nil {
+		pace = n.pace(e.now)
+	}
 	attempt := t.attempts
 	if after := n.closedUntil - e.now; after > 0 {
 		e.schedule(2*time.Millisecond, func() {
@@ -328,8 +339,8 @@
 		n.addToCache(start, hash, partTokens)
 		return true
 	})
-	n.prefillFreeAt = start + time.Duration(float64(uncached)/enginePrefillRate*float64(time.Millisecond))
-	untilFirstToken := n.prefillFreeAt + engineStepTime + t.kind.crashAfter - e.now
+	n.prefillFreeAt = start + time.Duration(pace*float64(uncached)/enginePrefillRate*float64(time.Millisecond))
+	untilFirstToken := n.prefillFreeAt + time.Duration(pace*float64(engineStepTime)) + t.kind.crashAfter - e.now
 	e.schedule(untilFirstToken, func() {
 		if n.tickets[t.ID] != t || t.attempts != attempt {
 			return
@@ -350,7 +361,7 @@
 			e.execute(t.entry, t.entry.Told(e.now, t.ID, Notice{Leaving: true}))
 		}
 		e.execute(t.entry, t.entry.Progress(e.now, t.ID))
-		perToken := engineStepTime + time.Duration(n.running)*engineStepTimePerRequest
+		perToken := time.Duration(pace * float64(engineStepTime+time.Duration(n.running)*engineStepTimePerRequest))
 		e.schedule(time.Duration(t.OutputTokens)*perToken, func() {
 			if n.tickets[t.ID] != t || t.attempts != attempt {
 				return
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/call"
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -20,6 +21,9 @@
 
 // Options configure a Fleet.
 type Options struct {
+	// Name is the entry's name. With one, the entry measures the upstreams for the leader, uses
+	// the paces that the leader names, and spreads near-ties in its own way.
+	Name string
 	// Zone is the entry's availability zone.
 	Zone string
 	// RetryRatio and RetrySlack are the retry budget that all entries share:
@@ -73,6 +77,13 @@
 	entriesKnown bool
 	// pending are the actions that the current call returns.
 	pending []Action
+	// meter and paces are what goes to the leader and what it has told; pacesAt is when the
+	// upstreams' views last got the paces. candidates and weights are those of one choice.
+	meter      *capacity.Meter
+	paces      *capacity.Table
+	pacesAt    clock.Instant
+	candidates []candidate
+	weights    []float64
 }
 
 type service struct {
@@ -90,6 +101,10 @@
 	demand      demandCounters
 	// releases holds when upstreams of each release were last known to serve.
 	releases map[string]clock.Instant
+	// entries is the number of entries that share the upstreams, as of the last paces.
+	entries int
+	// uneven says that a pace or a knee of an upstream is known.
+	uneven bool
 }
 
 type ticket struct {
@@ -123,6 +138,14 @@
 	// expectedFirstToken is the time to the first token that was estimated for
 	// the upstream.
 	expectedFirstToken time.Duration
+	// expectedAtPace is that time without slowness, and expectedModel that of a fixed model, 0 if
+	// the answer isn't measured. load is the number of requests at the upstream, with this one.
+	expectedAtPace, expectedModel time.Duration
+	// expectedWork is the part of expectedModel that is for this ticket alone.
+	expectedWork time.Duration
+	load         float64
+	// certainty is the certain part of the tokens that expectedModel stands for.
+	certainty float64
 }
 
 type ticketState int
@@ -161,6 +184,8 @@
 		tickets:     map[uint64]*ticket{},
 		suspects:    suspect.New(),
 		entries:     max(o.Entries, 1),
+		meter:       capacity.NewMeter(),
+		paces:       capacity.NewTable(),
 	}
 }
 
@@ -241,6 +266,7 @@
 			u.endedAt = now
 		case now-u.endedAt > endedRetention && u.running == 0:
 			f.remove(u)
+			f.paces.Drop(id)
 			if address := u.Address.String(); f.idByAddress[address] == id {
 				delete(f.idByAddress, address)
 			}
@@ -268,6 +294,7 @@
 			f.remove(u)
 		}
 		u = newUpstreamView(now, m)
+		f.initPace(u)
 		f.upstreams[m.ID] = u
 		if len(m.Services) > 0 {
 			s := f.service(m.Services[0])
@@ -379,6 +406,7 @@
 	t.tokensAhead = u.backlogTokens
 	t.memoryTokens = t.PromptTokens + t.OutputTokens
 	t.expectedFirstToken = e.firstToken
+	s.expectAnswer(now, t, e)
 	u.start(now, t)
 	u.spendLimit(now)
 	s.demand.promptTokens += t.prefillTokens
@@ -405,7 +433,7 @@
 	f.endTrial(t.upstream, t, true)
 	s := f.service(t.Service)
 	t.upstream.prefilled(t)
-	t.upstream.updateSlowness(now-t.sentAt, t.expectedFirstToken)
+	f.firstBytes(now, s, t)
 	s.learnPrefillRate(now, t)
 	f.schedule(now, s)
 	return f.takeActions()
@@ -424,7 +452,7 @@
 	if t.prefillTokens < minTokens || ms <= 1 {
 		return
 	}
-	rate := min(max(float64(tokens)/ms, initialPrefillRate/10), initialPrefillRate*10)
+	rate := min(max(float64(tokens)/ms*t.upstream.pace, initialPrefillRate/10), initialPrefillRate*10)
 	s.prefillRate += weight * (rate - s.prefillRate)
 }
 
@@ -459,6 +487,7 @@
 		s.slotTime += time.Duration(weight * float64(now-t.sentAt-s.slotTime))
 		s.recordOutcome(t.upstream, success)
 		if success {
+			f.wholeAnswer(now, s, t)
 			t.upstream.succeeded()
 		}
 	}
--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -114,6 +114,7 @@
 // Tick grants upstreams to waiting tickets and refuses those that would miss
 // their target, have passed their deadline, or whose last upstream is gone.
 func (f *Fleet) Tick(now clock.Instant) []Action {
+	f.tickPaces(now)
 	for _, s := range f.services {
 		f.schedule(now, s)
 		for _, t := range append([]*ticket(nil), s.queue...) {
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -30,8 +30,9 @@
 	failuresInRow int
 	avoidUntil    clock.Instant
 	// slowness is the ratio of the measured to the expected time to the first
-	// token.
+	// token, which contains the pace.
 	slowness float64
+	paced
 	// failureRate is a moving average of the fraction of failed answers.
 	failureRate float64
 	// limit is what the upstream says it takes from all entries.
@@ -69,7 +70,7 @@
 }
 
 func newUpstreamView(now clock.Instant, m upstream.Member) *upstreamView {
-	return &upstreamView{Member: m, lastProgress: now, slowness: 1, cachedPrefixes: map[uint64]clock.Instant{}}
+	return &upstreamView{Member: m, lastProgress: now, slowness: 1, paced: paced{pace: 1}, cachedPrefixes: map[uint64]clock.Instant{}}
 }
 
 // Times for which no work is sent to an upstream after a failure.
@@ -276,12 +277,10 @@
 // choose returns the usable upstream with room that has the lowest ranking, or
 // nil.
 func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
-	var best *upstreamView
 	allLeave := !s.anyServing(t)
-	var bestEstimate estimate
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
-		if !u.usable(now) && !(allLeave && f.lastResort(u, t) && u.open(now)) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
+		if !u.usable(now) && !(allLeave && f.lastResort(u, t) && u.open(now)) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(now, u, t) {
 			continue
 		}
 		e := s.estimate(now, f.options.Zone, u, t)
@@ -296,11 +295,9 @@
 		if u.limitOutdated(now) {
 			e.ranking -= outdatedLimitBonus
 		}
-		if best == nil || e.ranking < bestEstimate.ranking {
-			best, bestEstimate = u, e
-		}
+		f.offer(s, u, e)
 	}
-	return best, bestEstimate
+	return f.pick(now, s)
 }
 
 // chooseSilent returns the upstream with room that has the lowest ranking among those that
@@ -310,7 +307,7 @@
 		return nil, estimate{}
 	}
 	for _, u := range s.upstreams {
-		if !t.mayReturnTo(now, u) || !u.hasLimitLeft(now) || !s.hasRoom(u, t) {
+		if !t.mayReturnTo(now, u) || !u.hasLimitLeft(now) || !s.hasRoom(now, u, t) {
 			continue
 		}
 		if e := s.estimate(now, f.options.Zone, u, t); best == nil || e.ranking < bestEstimate.ranking {
@@ -370,12 +367,17 @@
 	e := estimate{cachedTokens: min(u.cachedTokens(now, t.PromptParts), t.PromptTokens)}
 	busy := u.running + u.otherWork.Running
 	if s.config.Engine != nil {
-		e.ranking = s.prefillTime(u.backlogTokens + u.otherWork.BacklogTokens + t.PromptTokens - e.cachedTokens)
-		e.ranking += time.Duration(busy) * batchDelay
+		e.ranking = s.prefillTime(u.backlogTokens + u.otherBacklog(now, s) + t.PromptTokens - e.cachedTokens)
+		e.ranking += time.Duration(u.batchedBefore()) * batchDelay
+	} else if s.uneven {
+		e.ranking = s.plainTime(u, s.expectedBusy(now, u)+1)
+	} else if u.spread {
+		e.ranking = time.Duration(float64(s.slotTime) * s.expectedBusy(now, u) / float64(max(u.Slots, 1)))
 	} else {
 		e.ranking = s.slotTime * time.Duration(busy) / time.Duration(max(u.Slots, 1))
 	}
-	e.ranking = time.Duration(float64(e.ranking) * u.slowness)
+	slowness := s.recentSlowness(now, u)
+	e.ranking = time.Duration(float64(e.ranking) * slowness * u.pace)
 	e.firstToken = e.ranking
 	if u.Zone != zone {
 		e.ranking += otherZonePenalty
@@ -383,8 +385,8 @@
 	if u.Silent {
 		e.ranking += silentPenalty
 	}
-	if u.slowness > slowThreshold {
-		e.ranking += time.Duration((u.slowness - 1) * float64(slowPenalty))
+	if slowness > slowThreshold {
+		e.ranking += time.Duration((slowness - 1) * float64(slowPenalty))
 	}
 	if u.Cold > 0 {
 		e.ranking += coldPenalty
@@ -396,12 +398,15 @@
 }
 
 // hasRoom reports whether the upstream can probably start the ticket at once.
-func (s *service) hasRoom(u *upstreamView, t *ticket) bool {
+func (s *service) hasRoom(now clock.Instant, u *upstreamView, t *ticket) bool {
 	running := u.running + u.otherWork.Running
 	if s.config.Engine == nil {
 		// Plain calls are shorter than the interval of reports, so that the
 		// work of other entries is outdated. The limit for all entries together
 		// is therefore twice the slots; the upstream's own queue takes the excess.
+		if u.spread {
+			return u.running < u.Slots && s.takesMore(now, u)
+		}
 		return u.running < u.Slots && running < 2*u.Slots
 	}
 	if running >= u.Slots {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -123,7 +123,7 @@
 	in.paths = newPathDialer(ctx, o.Clock, o.DialUpstream, &in.meters, in.pathHooks())
 	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
-		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
+		Name: learningName(o), Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64,
 	}), in.upstreamClient.Refuses)
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
@@ -178,6 +178,14 @@
 	return in, nil
 }
 
+// learningName is the name by which the fleet learns paces; "" if it doesn't.
+func learningName(o Options) string {
+	if o.Settings.LearnPace {
+		return o.Name
+	}
+	return ""
+}
+
 // maxConfigAge is how long the entry trusts a configuration after a majority
 // of the keepers confirmed it. It is nine tenths of RevokeWithin: the rest is
 // for what happens after the entry's last check.
@@ -244,6 +252,7 @@
 		report.Busy = f.Work()
 		report.Suspects = f.Evidence(now)
 		report.Limits = f.Limits(now)
+		report.Capacity = f.Capacity()
 		return nil
 	})
 	report.WantsHelpers = in.paths.WantsHelpers(now)
@@ -353,8 +362,9 @@
 	in.mu.Unlock()
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		f.SetEntries(reply.Entries)
-		f.SetOtherWork(reply.Others)
+		f.SetOtherWork(now, reply.Others)
 		f.SetLimits(now, reply.Limits)
+		f.SetPaces(now, reply.Paces)
 		return f.MergeEvidence(now, reply.Suspects)
 	})
 }
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -99,6 +99,11 @@
 		})
 	}
 	registerCount("ingress.suspects", func(now clock.Instant, f *fleet.Fleet) int { return f.Suspects(now) })
+	// Paces are in percent of the median of the service.
+	registerCount("ingress.unevenUpstreams", func(_ clock.Instant, f *fleet.Fleet) int { return f.Paces().Uneven })
+	registerCount("ingress.upstreamsWithKnee", func(_ clock.Instant, f *fleet.Fleet) int { return f.Paces().Knees })
+	registerCount("ingress.fastestPace", func(_ clock.Instant, f *fleet.Fleet) int { return f.Paces().Fastest })
+	registerCount("ingress.slowestPace", func(_ clock.Instant, f *fleet.Fleet) int { return f.Paces().Slowest })
 	registerCount("ingress.open", func(_ clock.Instant, f *fleet.Fleet) int { return f.Open() })
 }
 
