--- a/formats/formats_test.go
+++ b/formats/formats_test.go
@@ -23,6 +23,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/claim"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
@@ -199,8 +200,8 @@
 		{"sync", control.SyncRequest{Entry: "a", Probe: true}, of[control.SyncRequest](), nil, false},
 		{"sync", control.SyncReply{Members: []upstream.Member{{Announcement: sample}}, Config: &put, Quorum: control.QuorumMissed, Leader: address, Peers: []control.Peer{{Address: address, Zone: "a"}}}, of[control.SyncReply](), at(99, "q"), false},
 		{"sync", control.SyncReply{Members: []upstream.Member{{Announcement: sample}}, Leader: address}, of[control.SyncReply](), at("gpu", "m", 0, "kind"), true},
-		{"account", control.AccountRequest{Entry: "a", Suspects: []suspect.Evidence{evidence}, Helper: &address}, of[control.AccountRequest](), at(99, "q", 0, "k"), false},
-		{"account", control.AccountReply{Leading: true, Leader: address, Suspects: []suspect.Evidence{evidence}}, of[control.AccountReply](), at(99, "q", 0, "k"), false},
+		{"account", control.AccountRequest{Entry: "a", Suspects: []suspect.Evidence{evidence}, Helper: &address, Capacity: &capacity.Report{Number: 1}}, of[control.AccountRequest](), at(99, "q", 0, "k"), false},
+		{"account", control.AccountReply{Leading: true, Leader: address, Suspects: []suspect.Evidence{evidence}, Paces: &capacity.Update{Term: 1, Paces: []capacity.Pace{{Upstream: "u", Percent: 160}}}}, of[control.AccountReply](), at(99, "q", 0, "k"), false},
 		{"reserve", control.ReserveRequest{Organisation: "o", Cost: 1}, of[control.ReserveRequest](), nil, false},
 		{"reserve", control.ReserveReply{OK: true, Remaining: 1}, of[control.ReserveReply](), nil, false},
 		{"origins", begun, of[origin.Request](), nil, false},
