--- a/control/account.go
+++ b/control/account.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
@@ -33,6 +34,8 @@
 	named *limit.Board
 	// shares are those of the organisations in saturated services.
 	shares organisationShares
+	// paces is what the entries measured of the upstreams.
+	paces *capacity.Board
 	// limits are the quotas of revision in units per second, by organisation.
 	revision *config.Revision
 	limits   map[string]float64
@@ -57,7 +60,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), shares: newOrganisationShares(), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), shares: newOrganisationShares(), paces: capacity.NewBoard(term), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
@@ -169,8 +172,8 @@
 		s.reports[key] = report
 	}
 	report.AccountRequest, report.receivedAt = request, now
-	// These are stored in work, usageCounts, suspects, named and judge.
-	report.Busy, report.Usage, report.Suspects, report.Limits, report.Releases = nil, nil, nil, nil, nil
+	// These are stored in work, usageCounts, suspects, named, judge and paces.
+	report.Busy, report.Usage, report.Suspects, report.Limits, report.Releases, report.Capacity = nil, nil, nil, nil, nil, nil
 	for name, load := range request.Loads {
 		report.promptRates[name] += promptSmoothing * (load.Prompt - report.promptRates[name])
 	}
@@ -195,6 +198,7 @@
 		Limits:   s.named.Shares(now, request.Entry, func() []limit.Entry { return s.reportingEntries(now) }),
 		Fairness: s.shares.reply(now),
 	}
+	reply.Paces = s.updatePaces(now, &request)
 	reply.NextReport = reportInterval(reply.Entries)
 	if request.WantsHelpers {
 		reply.Helpers = detour.Choose(detour.Asker{Name: request.Entry, Zone: request.Zone}, s.helpers(now, key))
@@ -205,6 +209,19 @@
 	return reply
 }
 
+// updatePaces applies what an entry measured and returns what it lacks.
+func (s *leaderState) updatePaces(now clock.Instant, request *AccountRequest) *capacity.Update {
+	if request.Capacity == nil {
+		return nil
+	}
+	s.paces.Observe(now, request.Entry, request.Incarnation, request.Capacity)
+	for _, c := range s.paces.Changes() {
+		klog.InfoS("upstream's pace changed", "upstream", c.Upstream, "incarnation", c.Incarnation, "service", c.Service, "percent", c.Percent, "was", c.Was,
+			"knee", c.Knee, "wasKnee", c.WasKnee, "windows", c.Windows, "error", c.Error, "term", s.term)
+	}
+	return s.paces.Since(request.Capacity)
+}
+
 // reportingEntries lists the entries that have reported lately, with their demand.
 func (s *leaderState) reportingEntries(now clock.Instant) []limit.Entry {
 	entries := make([]limit.Entry, 0, len(s.reports))
--- a/control/message.go
+++ b/control/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/detour"
@@ -180,6 +181,8 @@
 	// and RolloutVersion the version of the view in force at the entry.
 	Releases       *rollout.Report `json:"f,omitempty"`
 	RolloutVersion uint64          `json:"rv,omitempty"`
+	// Capacity is what the entry measured of the upstreams; nil if it doesn't.
+	Capacity *capacity.Report `json:"pc,omitempty"`
 }
 
 // Check verifies a decoded request.
@@ -203,6 +206,11 @@
 			return err
 		}
 	}
+	if r.Capacity != nil {
+		if err := r.Capacity.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
@@ -251,6 +259,8 @@
 	// Fairness names the organisations above their shares of saturated services. Without it
 	// the entry goes on with the last ones for a while: a new leader knows too little.
 	Fairness *fairness.Reply `json:"fs,omitempty"`
+	// Paces are what has changed of the upstreams' paces; nil if the entry reported none.
+	Paces *capacity.Update `json:"pc,omitempty"`
 }
 
 // Check verifies a decoded reply.
@@ -269,6 +279,11 @@
 			return err
 		}
 	}
+	if r.Paces != nil {
+		if err := r.Paces.Check(); err != nil {
+			return err
+		}
+	}
 	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -274,7 +274,7 @@
 // the upstreams don't all choose the same of those that look alike. One that has just
 // answered quickly goes first, and upstreams of other zones don't gain by it.
 func (f *Fleet) placementSpread(now clock.Instant, s *service, u *upstreamView) time.Duration {
-	if s.config.Engine != nil || s.fair.entries < 2 {
+	if s.config.Engine != nil || s.fair.entries < 2 || u.spread {
 		return 0
 	}
 	spread := spreadFraction * float64(s.slotTime)
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -195,7 +195,7 @@
 // to look for an upstream for each waiting ticket.
 func (s *service) anyRoom(now clock.Instant) bool {
 	for _, u := range s.upstreams {
-		if u.present() && !u.closed(now) && u.hasLimitLeft(now) && s.hasRoom(u, &smallest) {
+		if u.present() && !u.closed(now) && u.hasLimitLeft(now) && s.hasRoom(now, u, &smallest) {
 			return true
 		}
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -130,7 +130,7 @@
 	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
 	in.rollouts = newRollouts(o.Settings.Rollouts, o.Metrics, rand.Float64)
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
-		Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
+		Name: learningName(o), Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64, Split: in.rollouts.fleetSplit(),
 	}), in.upstreamClient.Refuses)
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
@@ -186,6 +186,14 @@
 	return in, nil
 }
 
+// learningName is the name by which the fleet learns paces; "" if it doesn't.
+func learningName(o Options) string {
+	if o.Settings.LearnPace {
+		return o.Name
+	}
+	return ""
+}
+
 // maxConfigAge is how long the entry trusts a configuration after a majority
 // of the keepers confirmed it. It is nine tenths of RevokeWithin: the rest is
 // for what happens after the entry's last check.
@@ -255,6 +263,7 @@
 		if in.rollouts != nil {
 			report.Releases, report.RolloutVersion = in.rollouts.Report(now), in.rollouts.Version()
 		}
+		report.Capacity = f.Capacity()
 		return nil
 	})
 	report.WantsHelpers = in.paths.WantsHelpers(now)
@@ -366,8 +375,9 @@
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 		f.SetEntries(reply.Entries)
 		f.SetShares(now, reply.Fairness)
-		f.SetOtherWork(reply.Others)
+		f.SetOtherWork(now, reply.Others)
 		f.SetLimits(now, reply.Limits)
+		f.SetPaces(now, reply.Paces)
 		return f.MergeEvidence(now, reply.Suspects)
 	})
 }
