rollout: Show faults under load before the last step, and describe the decisions

When the trial's exposure was used up in the step of 25%, the one of 50% was left out, and a release that failed above a third of the load got 930 requests where 846 are allowed. The step of 50% now comes for a quarter of a second even then.

--- a/rollout/cases_test.go
+++ b/rollout/cases_test.go
@@ -9,9 +9,13 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 )
 
+// maxReportBytes bounds a report in the usual services.
+const maxReportBytes = 600
+
 // TestGoodReleasesSucceed guards against verdicts on faults that aren't the new release's, and
-// against rollouts that wait for requests that don't come.
+// against rollouts that wait for requests that don't come, and against reports that grow.
 func TestGoodReleasesSucceed(t *testing.T) {
+	longest := 0
 	plain := scenario{entries: 3, old: 4, new: 4, routes: 2, rate: 100, within: 12 * time.Second, appear: 2 * time.Second, median: 50 * ms, spread: 0.4, badRoute: -1}
 	engine := scenario{entries: 65, old: 60, new: 60, routes: 2, rate: 300, within: 20 * time.Second, appear: 5 * time.Second, median: 150 * ms, spread: 0.4, badRoute: -1}
 	for _, c := range []struct {
@@ -37,12 +41,14 @@
 			for seed := range uint64(2) {
 				s.seed = seed
 				m := play(s)
-				if m.end.Phase != Succeeded || m.ended > s.within || len(m.faults) > 0 {
-					t.Errorf("%s, %d entries, seed %d: %v at %v: %s, %v", c.name, s.entries, seed, m.end.Phase, m.ended, m.end.Reason, m.faults)
+				if m.end.Phase != Succeeded || m.ended > s.within || len(m.faults) > 0 || m.bytes > maxReportBytes {
+					t.Errorf("%s, %d entries, seed %d: %v at %v: %s, reports of %d bytes, %v", c.name, s.entries, seed, m.end.Phase, m.ended, m.end.Reason, m.bytes, m.faults)
 				}
+				longest = max(longest, m.bytes)
 			}
 		}
 	}
+	t.Logf("longest report: %d bytes", longest)
 }
 
 // TestBadReleasesAreReverted guards against a bad release that is missed, or exposed beyond the
@@ -96,8 +102,8 @@
 	fresh := func(route string, bad, good uint32) answers {
 		return answers{route, true, bad + good, bad, map[int]uint32{6: good}}
 	}
-	spread := func(new bool, shift int) answers {
-		return answers{"/", new, 120, 0, map[int]uint32{6 + shift: 60, 8 + shift: 35, 10 + shift: 20, 11 + shift: 5}}
+	spread := func(isNew bool, shift int) answers {
+		return answers{"/", isNew, 120, 0, map[int]uint32{6 + shift: 60, 8 + shift: 35, 10 + shift: 20, 11 + shift: 5}}
 	}
 	for _, c := range []struct {
 		name         string
--- a/rollout/judge__steps.go
+++ b/rollout/judge__steps.go
@@ -239,7 +239,7 @@
 	since := d.elapsed - d.rollout.Elapsed
 	if exposed := d.projected(share, reportTime+commitTime); share > trialSteps[0].share &&
 		(exposed > d.trialBudget(share) || since >= minStep && exposed > d.trialBudget(0)) {
-		return d.advance(max(step+1, pauseStep), trialSteps[0].share)
+		return d.retreat()
 	}
 	switch {
 	case share > 0 && since < minStep:
@@ -272,7 +272,7 @@
 		next := trialSteps[step]
 		untilFull := max(d.part(latestFull)-d.elapsed, minStep)
 		if d.projected(next.share, untilFull+reactionTime) <= eagerExposure*d.limits.bound(d.requests) ||
-			due && d.projected(share, reportTime)+next.share*d.rate*(minStep+commitTime).Seconds() <= d.trialBudget(next.share) {
+			due && d.affords(next.share) {
 			return d.advance(step+1, next.share)
 		}
 	}
@@ -282,6 +282,24 @@
 	return Command{}, false
 }
 
+// affords reports whether the exposure allows a short step at the share.
+func (d *decision) affords(share float64) bool {
+	step := share * d.rate * (minStep + commitTime).Seconds()
+	return d.projected(d.rollout.Share, reportTime)+step <= d.trialBudget(share)
+}
+
+// retreat lowers the share as the trial has no exposure left, but for the largest step: without
+// it, a fault under load would show at the full share only.
+func (d *decision) retreat() (Command, bool) {
+	step, largest := d.rollout.Step, len(trialSteps)
+	if step < largest && d.inTouch() && d.affords(trialSteps[largest-1].share) {
+		if _, bad := d.suspected(); !bad {
+			return d.advance(largest, trialSteps[largest-1].share)
+		}
+	}
+	return d.advance(max(step+1, pauseStep), trialSteps[0].share)
+}
+
 // pauseShare is the share at which the answers of the largest step are awaited.
 func (d *decision) pauseShare() float64 {
 	untilFull := max(d.part(latestFull)-d.elapsed, d.answerTime()) + reactionTime
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -14,10 +14,6 @@
 // as one of so many runs.
 var maxWrong = map[bool]int{false: 1000, true: 50}
 
-// maxExceeded bounds in the same way the runs in which slow answers that come only above a load
-// cost more than the exposure bound: they are known only after some seconds at that load.
-const maxExceeded = 200
-
 // drawScenario draws a rollout with or without faults. The number of requests of one run is
 // bounded by 15,000.
 func drawScenario(t *rapid.T) scenario {
@@ -83,7 +79,7 @@
 func TestRolloutsOnAModel(t *testing.T) {
 	type count struct{ runs, wrong int }
 	counts := map[[2]bool]*count{} // by bad, and by 20 requests a second or more
-	longest, exceeded, outer := 0, 0, t
+	longest, outer := 0, t
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawScenario(t)
 		m := play(s)
@@ -105,11 +101,7 @@
 			t.Errorf("%s", fault)
 		}
 		if bound := testLimits.bound(float64(m.requests)); s.bad() && float64(m.exposed) > bound {
-			if s.badAbove == 0 || s.slow == 0 {
-				t.Errorf("%d attempts at a bad release, bound %.0f: %s at %v", m.exposed, bound, m.end.Reason, m.ended)
-			}
-			outer.Logf("%d attempts at a bad release, bound %.0f: %s at %v: %+v", m.exposed, bound, m.end.Reason, m.ended, s)
-			exceeded++
+			t.Errorf("%d attempts at a bad release, bound %.0f: %s at %v", m.exposed, bound, m.end.Reason, m.ended)
 		}
 	})
 	for key, c := range counts {
@@ -118,8 +110,5 @@
 			t.Errorf("more than one of %d", maxWrong[key[0]])
 		}
 	}
-	if bad := counts[[2]bool{true, true}]; bad != nil && exceeded*maxExceeded > bad.runs {
-		t.Errorf("exposure bound exceeded in %d of %d runs", exceeded, bad.runs)
-	}
-	t.Logf("exposure bound exceeded in %d runs, longest report: %d bytes", exceeded, longest)
+	t.Logf("longest report: %d bytes", longest)
 }
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -238,8 +238,9 @@
 	Route  string `json:"route"`
 	Window int64  `json:"window"`
 	// Slow says that slow answers count as bad too.
-	Slow          bool   `json:"slow"`
-	Bad, Answered uint32 `json:",omitempty"`
+	Slow     bool   `json:"slow"`
+	Bad      uint32 `json:"bad"`
+	Answered uint32 `json:"answered"`
 	// Rate is the highest that the old release allows, and Chance the probability of so
 	// many bad answers at that rate.
 	Rate   float64 `json:"rate"`
