fleet, ingress: Tell the split of the first event of a stream

A stream counted only at its end, so that the steps of a rollout waited for streams of seconds. The entry's stand-in split of a test has limits now, as the split without them keeps no view.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -454,6 +454,7 @@
 		return nil
 	}
 	t.answerBegan, t.beganAt = true, now
+	f.observeBegin(t)
 	f.endTrial(t.upstream, t, true)
 	s := f.service(t.Service)
 	s.recordCarried(t)
--- a/fleet/fleet__rollout.go
+++ b/fleet/fleet__rollout.go
@@ -24,6 +24,7 @@
 	Allows(now clock.Instant, service string, a rollout.Assignment, release string, bound bool, attempt int) bool
 	Prefers(service string, a rollout.Assignment, release string) bool
 	Sent(now clock.Instant, service, route, release, upstream string)
+	Begin(now clock.Instant, service, route, release, upstream string, took time.Duration)
 	Answered(now clock.Instant, service, route, release, upstream string, good bool, took time.Duration)
 }
 
@@ -197,6 +198,13 @@
 	}
 }
 
+// observeBegin tells the split of the first event of a stream.
+func (f *Fleet) observeBegin(t *ticket) {
+	if t.observed && t.Stream {
+		f.options.Split.Begin(t.beganAt, t.Service, t.Route, t.upstream.Release, t.upstream.ID, t.beganAt-t.sentAt)
+	}
+}
+
 // observeAnswer tells the split how the present attempt of the ticket ended, once.
 func (f *Fleet) observeAnswer(now clock.Instant, t *ticket, good bool) {
 	if !t.observed {
@@ -205,7 +213,7 @@
 	t.observed = false
 	took := now - t.sentAt
 	if t.Stream && t.answerBegan {
-		took = t.beganAt - t.sentAt
+		took = rollout.Began
 	}
 	f.options.Split.Answered(now, t.Service, t.Route, t.upstream.Release, t.upstream.ID, good, took)
 }
--- a/fleet/pace_plain_test.go
+++ b/fleet/pace_plain_test.go
@@ -14,9 +14,9 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
-// plainUpstream answers in a fixed time per request, four times as long if it begins one above
+// pacedUpstream answers in a fixed time per request, four times as long if it begins one above
 // its knee, and queues what is beyond its slots.
-type plainUpstream struct {
+type pacedUpstream struct {
 	member  upstream.Member
 	time    func(now clock.Instant) time.Duration
 	knee    int
@@ -24,24 +24,24 @@
 	queue   []func()
 }
 
-// plainSite is an emulation of plain upstreams.
-type plainSite struct {
+// pacedSite is an emulation of plain upstreams.
+type pacedSite struct {
 	*emulation
-	upstreams map[string]*plainUpstream
+	upstreams map[string]*pacedUpstream
 	target    time.Duration
 	// inTime, late and refused count the requests. queuedStarts are those that were queued by their
 	// upstream while another one had a free slot.
 	inTime, late, refused, starts, queuedStarts int
 }
 
-const plainSlots = 8
+const pacedSlots = 8
 
-func newPlainSite(entries int, upstreams ...*plainUpstream) *plainSite {
-	p := &plainSite{emulation: newEmulation(7, entries, 0), upstreams: map[string]*plainUpstream{}, target: second}
+func newPacedSite(entries int, upstreams ...*pacedUpstream) *pacedSite {
+	p := &pacedSite{emulation: newEmulation(7, entries, 0), upstreams: map[string]*pacedUpstream{}, target: second}
 	var members []upstream.Member
 	for i, u := range upstreams {
 		u.member = member(fmt.Sprint("u", i), uint16(i+1), 1)
-		u.member.Slots = plainSlots
+		u.member.Slots = pacedSlots
 		members = append(members, u.member)
 		p.upstreams[u.member.ID] = u
 	}
@@ -54,14 +54,14 @@
 	return p
 }
 
-func (p *plainSite) tick(f *Fleet) {
+func (p *pacedSite) tick(f *Fleet) {
 	p.schedule(20*time.Millisecond, func() {
 		p.carryOut(f.Tick(p.now))
 		p.tick(f)
 	})
 }
 
-func (p *plainSite) arrivals(perSecond float64) {
+func (p *pacedSite) arrivals(perSecond float64) {
 	p.schedule(time.Duration(p.random.ExpFloat64()/perSecond*float64(second)), func() {
 		p.lastID++
 		f := p.entries[p.random.IntN(len(p.entries))]
@@ -72,7 +72,7 @@
 	})
 }
 
-func (p *plainSite) carryOut(actions []Action) {
+func (p *pacedSite) carryOut(actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Grant:
@@ -84,7 +84,7 @@
 	}
 }
 
-func (p *plainSite) send(t *emulatedTicket, u *plainUpstream) {
+func (p *pacedSite) send(t *emulatedTicket, u *pacedUpstream) {
 	p.starts++
 	begin := func() {
 		u.running++
@@ -110,13 +110,13 @@
 			p.carryOut(t.entry.Finish(p.now, t.ID, true, wait <= p.target))
 		})
 	}
-	if u.running < plainSlots {
+	if u.running < pacedSlots {
 		begin()
 		return
 	}
 	u.queue = append(u.queue, begin)
 	for _, other := range p.upstreams {
-		if other.running < plainSlots {
+		if other.running < pacedSlots {
 			p.queuedStarts++
 			return
 		}
@@ -124,7 +124,7 @@
 }
 
 // share simulates and returns the part of the requests that was served in time.
-func (p *plainSite) share(duration time.Duration) float64 {
+func (p *pacedSite) share(duration time.Duration) float64 {
 	p.inTime, p.late, p.refused, p.starts, p.queuedStarts = 0, 0, 0, 0, 0
 	p.simulate(0, duration)
 	return float64(p.inTime) / float64(p.inTime+p.late+p.refused)
@@ -137,19 +137,19 @@
 // unevenUpstreams are six upstreams whose answers take from 50 to 400 ms, two of them with a knee
 // at half of their slots, and what they can take in a second. At exchangeAt fast and slow ones
 // change places.
-func unevenUpstreams(exchangeAt clock.Instant) (upstreams []*plainUpstream, capacityBefore, capacityAfter float64) {
+func unevenUpstreams(exchangeAt clock.Instant) (upstreams []*pacedUpstream, capacityBefore, capacityAfter float64) {
 	times := []time.Duration{50, 50, 100, 200, 400, 400}
 	for i, ms := range times {
 		before, after := ms*time.Millisecond, times[len(times)-1-i]*time.Millisecond
-		u := &plainUpstream{time: func(now clock.Instant) time.Duration {
+		u := &pacedUpstream{time: func(now clock.Instant) time.Duration {
 			if now < exchangeAt {
 				return before
 			}
 			return after
 		}}
-		limit := float64(plainSlots)
+		limit := float64(pacedSlots)
 		if i == 1 || i == 3 {
-			u.knee = plainSlots / 2
+			u.knee = pacedSlots / 2
 			limit /= 2
 		}
 		capacityBefore += limit / before.Seconds()
@@ -159,11 +159,11 @@
 	return upstreams, capacityBefore, capacityAfter
 }
 
-func evenUpstreams(n int) (upstreams []*plainUpstream, perSecond float64) {
+func evenUpstreams(n int) (upstreams []*pacedUpstream, perSecond float64) {
 	for range n {
-		upstreams = append(upstreams, &plainUpstream{time: constant(100 * time.Millisecond)})
+		upstreams = append(upstreams, &pacedUpstream{time: constant(100 * time.Millisecond)})
 	}
-	return upstreams, float64(n*plainSlots) / 0.1
+	return upstreams, float64(n*pacedSlots) / 0.1
 }
 
 // TestUnevenPlainUpstreamsServeInTime guards against an entry that takes all plain upstreams for
@@ -174,7 +174,7 @@
 		t.Run(fmt.Sprint(c.load), func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			upstreams, before, after := unevenUpstreams(41 * second)
-			p := newPlainSite(3, upstreams...)
+			p := newPacedSite(3, upstreams...)
 			p.learn(capacity.NewBoard(1))
 			p.arrivals(c.load * min(before, after))
 			first := p.share(40 * second)
@@ -200,7 +200,7 @@
 			inTime, queued := [2]float64{}, [2]float64{}
 			for i := range 2 {
 				upstreams, perSecond := evenUpstreams(c.upstreams)
-				p := newPlainSite(c.entries, upstreams...)
+				p := newPacedSite(c.entries, upstreams...)
 				if i == 1 {
 					p.learn(capacity.NewBoard(1))
 				}
@@ -225,7 +225,7 @@
 	var members []upstream.Member
 	for i := range 6 {
 		m := member(fmt.Sprint("u", i), uint16(i+1), 1)
-		m.Slots = plainSlots
+		m.Slots = pacedSlots
 		if i >= 3 {
 			m.Zone = "b"
 		}
@@ -237,15 +237,15 @@
 		f.initPace(u)
 	}
 	other := 0
-	for i := range 4 * plainSlots {
+	for i := range 4 * pacedSlots {
 		for _, a := range f.Submit(second, newTicket(uint64(i+1))) {
 			if grant, ok := a.(Grant); ok && grant.Upstream.Zone != "a" {
 				other++
 			}
 		}
-		if i == 2*plainSlots-3 {
+		if i == 2*pacedSlots-3 {
 			g.Expect(other).To(gomega.BeZero())
 		}
 	}
-	g.Expect(other).To(gomega.BeNumerically(">", plainSlots/2))
+	g.Expect(other).To(gomega.BeNumerically(">", pacedSlots/2))
 }
--- a/fleet/plain_emulator_test.go
+++ b/fleet/plain_emulator_test.go
@@ -181,7 +181,7 @@
 			e.schedule(linkDelay, func() {
 				f.SetEntries(len(e.entries))
 				f.SetShares(e.now, reply)
-				f.SetOtherWork(OtherWork{ByUpstream: others})
+				f.SetOtherWork(e.now, OtherWork{ByUpstream: others})
 			})
 		})
 	})
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -19,11 +19,15 @@
 type fakeSplit struct {
 	set                            map[string]bool
 	assigned, sent, answered, gone []string
+	// began is the time of the attempt that has begun to answer.
+	began time.Duration
 }
 
-func (s *fakeSplit) Active(clock.Instant, string) bool       { return true }
-func (s *fakeSplit) Appeared(_ clock.Instant, _, _ string)   {}
-func (s *fakeSplit) Gone(_, release string)                  { s.gone = append(s.gone, release) }
+func (s *fakeSplit) Active(clock.Instant, string) bool                            { return true }
+func (s *fakeSplit) Appeared(_ clock.Instant, _, _ string)                        {}
+func (s *fakeSplit) Gone(_, release string)                                       { s.gone = append(s.gone, release) }
+func (s *fakeSplit) Begin(_ clock.Instant, _, _, _, _ string, took time.Duration) { s.began = took }
+
 func (s *fakeSplit) Sent(_ clock.Instant, _, _, _, u string) { s.sent = append(s.sent, u) }
 
 func (s *fakeSplit) Assign(_ clock.Instant, service string) rollout.Assignment {
@@ -40,6 +44,9 @@
 }
 
 func (s *fakeSplit) Answered(_ clock.Instant, service, route, _, u string, good bool, took time.Duration) {
+	if took == rollout.Began {
+		took = s.began
+	}
 	s.answered = append(s.answered, fmt.Sprint(service, "/", route, " ", u, " ", good, " ", took.Milliseconds()))
 }
 
--- a/ingress/rollouts_test.go
+++ b/ingress/rollouts_test.go
@@ -35,9 +35,11 @@
 	confirmed            atomic.Int64
 }
 
-func (s *halfSplit) Confirmed(at clock.Instant)           { s.confirmed.Store(int64(at)) }
-func (s *halfSplit) Active(clock.Instant, string) bool    { return s.Version() > 0 }
-func (s *halfSplit) Report(clock.Instant) *rollout.Report { return &rollout.Report{} }
+func (s *halfSplit) Confirmed(at clock.Instant)        { s.confirmed.Store(int64(at)) }
+func (s *halfSplit) Active(clock.Instant, string) bool { return s.Version() > 0 }
+func (s *halfSplit) Report(clock.Instant) *rollout.Report {
+	return &rollout.Report{Rollouts: []rollout.OrderReport{{Number: 1}}}
+}
 
 func (s *halfSplit) Prefers(_ string, a rollout.Assignment, release string) bool {
 	return a.New == (release == "v2")
@@ -52,6 +54,8 @@
 	return release == "v1" || s.Version() == 1 && a.New && s.bad < s.stops
 }
 
+func (s *halfSplit) Begin(_ clock.Instant, _, _, _, _ string, _ time.Duration) {}
+
 func (s *halfSplit) Answered(_ clock.Instant, _, _, release, _ string, good bool, _ time.Duration) {
 	if release == "v2" && !good {
 		s.bad++
@@ -94,8 +98,8 @@
 		return &control.AccountReply{Leading: true}, err
 	})
 	in, handler := newIngress(t, config.Route{Name: "r", Kind: config.Idempotent}, 5*time.Second)
-	in.options.Peers = settings.Peer{Advertise: keeper.Address}
-	fake := &halfSplit{Split: rollout.NewSplit(rollout.Limits{}, nil), stops: 3}
+	in.options.Name, in.options.Peers = "e", settings.Peer{Advertise: keeper.Address}
+	fake := &halfSplit{Split: rollout.NewSplit(rollout.Limits{ExposeShare: 0.1, ExposeSlack: 50, RevertWithin: 5 * time.Second}, func() float64 { return 0 }), stops: 3}
 	in.rollouts = &rollouts{split: fake, registry: in.meters.registry}
 	in.dispatcher = newDispatcher(t.Context(), clock.System(), fleet.New(fleet.Options{Zone: "a", RetryRatio: 1, RetrySlack: 100, Entries: 1, Split: in.rollouts.fleetSplit()}), in.upstreamClient.Refuses)
 	for release, head := range map[string]string{"v1": answerHead, "v2": strings.Replace(answerHead, "200 OK", "500 Broken", 1)} {
