--- a/capacity/board_test.go
+++ b/capacity/board_test.go
@@ -150,17 +150,21 @@
 }
 
 // TestOneEntryDoesNotOutvoteOthers guards against an entry with a bad path to an upstream: it
-// measures eight times the time that nine others do.
+// measures eight times, or an eighth of, the time that 19 others do.
 func TestOneEntryDoesNotOutvoteOthers(t *testing.T) {
-	g := gomega.NewWithT(t)
-	s := newSite(10, 12, func(_ clock.Instant, upstream, entry int) float64 {
-		if upstream == 5 && entry == 3 {
-			return 8
-		}
-		return 1
-	})
-	s.run(20 * second)
-	g.Expect(s.pace(5)).To(gomega.Equal(1.0))
+	for _, factor := range []float64{8, 0.125} {
+		t.Run(fmt.Sprint(factor), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := newSite(20, 12, func(_ clock.Instant, upstream, entry int) float64 {
+				if upstream == 5 && entry == 3 {
+					return factor
+				}
+				return 1
+			})
+			s.run(20 * second)
+			g.Expect(s.pace(5)).To(gomega.Equal(1.0))
+		})
+	}
 }
 
 // TestANewRunBeginsAtTheMedian guards against the pace of an upstream's earlier run: it restarts
@@ -180,10 +184,13 @@
 	s.incarnations[4] = 2
 	s.run(100 * time.Millisecond)
 	g.Expect(s.pace(4)).To(gomega.Equal(1.0))
-	late := s.meters[0]
-	late.Add(Answer{Service: "s", Upstream: name(4), Incarnation: 1, Weight: 1, Took: second, Expected: second, Exact: true})
-	s.run(10 * second)
-	g.Expect(s.pace(4)).To(gomega.Equal(1.0), "and a late answer of the earlier run changes nothing")
+	for range 20 {
+		for _, m := range s.meters {
+			m.Add(Answer{Service: "s", Upstream: name(4), Incarnation: 1, Weight: 1, Took: second / 10, Expected: second, Exact: true})
+		}
+		s.run(500 * time.Millisecond)
+	}
+	g.Expect(s.pace(4)).To(gomega.Equal(1.0), "late answers of the earlier run change nothing")
 }
 
 // TestANewLeaderLearnsAnew guards against entries that lose their paces as another keeper leads,
@@ -238,6 +245,23 @@
 	}
 }
 
+// TestAReportCountsOnce guards against a report that is sent again as its reply was late, and one
+// with so many answers that it outvotes all others of its window.
+func TestAReportCountsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, m := NewBoard(1), NewMeter()
+	for range 20 {
+		m.Add(Answer{Service: "s", Upstream: "u", Incarnation: 1, Weight: 1, Took: second, Expected: second, Exact: true})
+	}
+	report := m.Report()
+	for range 3 {
+		b.Observe(second, "entry", 1, report)
+	}
+	g.Expect(b.services["s"].upstreams["u"].weight).To(gomega.Equal(float64(maxItemWeight)))
+	b.Observe(second, "entry", 2, report)
+	g.Expect(b.services["s"].upstreams["u"].weight).To(gomega.Equal(2.0*maxItemWeight), "of the entry's next run")
+}
+
 // TestOnlyChangesAreSent guards against replies that carry all paces each time, and replies that
 // leave an entry without those of its last reply that was lost.
 func TestOnlyChangesAreSent(t *testing.T) {
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -152,6 +153,34 @@
 	g.Expect(shared[1].recomputed).To(gomega.BeNumerically("<=", shared[0].recomputed))
 }
 
+// TestEntriesBreakTiesDifferently guards against entries with the same view that choose the same
+// engine: 30 entries before ten idle engines. A bias must not outweigh a zone or cached tokens.
+func TestEntriesBreakTiesDifferently(t *testing.T) {
+	g := gomega.NewWithT(t)
+	chosen := map[string]int{}
+	for i := range 30 {
+		var members []upstream.Member
+		for j := range 11 {
+			members = append(members, member(fmt.Sprint("u", j), uint16(j+1), 1))
+		}
+		members[10].Zone = "b"
+		f := engineFleet(8, 0, members...)
+		f.options.Name = fmt.Sprint("entry-", i)
+		for _, u := range f.upstreams {
+			f.initPace(u)
+		}
+		chosen[destination(f.Submit(second, newTicket(1)))]++
+
+		cached := newTicket(2)
+		cached.PromptTokens, cached.PromptParts = 100, []call.PromptPart{{ID: 7, Tokens: 60}, {ID: 8, Tokens: 40}}
+		f.upstreams["u7"].recordPrefixes(second, cached.PromptParts)
+		g.Expect(destination(f.Submit(second, cached))).To(gomega.Equal("u7"))
+	}
+	t.Log(chosen)
+	g.Expect(len(chosen)).To(gomega.BeNumerically(">=", 8))
+	g.Expect(chosen["u10"]).To(gomega.BeZero(), "of another zone")
+}
+
 // TestPacesOfUnevenEngines guards against paces that tell of queues and spells instead of the
 // engines: largeLoad at 65 entries before 60 engines at 0.625, 1 and 1.67 of the median's time, each
 // 2.5 times slower for 0.6 s at a time, 15% of them at any time. Even ones with the same spells must
