fleet: Let a learned pace replace an older slowness

As a pace came, slowness was divided by it whatever its age, so that an entry that sees an answer of an upstream in ten seconds went on with the old estimate for a minute.

--- a/fleet/fleet__pace.go
+++ b/fleet/fleet__pace.go
@@ -108,8 +108,13 @@
 		for _, u := range s.upstreams {
 			pace, knee := f.paces.Pace(now, u.ID, u.Incarnation)
 			if pace != u.pace {
-				// What was measured against the pace of before is the same against the new one.
-				u.slowness = min(max(u.slowness*u.pace/pace, minSlowness), maxSlowness)
+				// What was just measured against the pace of before stays the same against the new
+				// one. An older measurement says less than the new pace, which is of all entries.
+				if now-u.slownessAt < slownessMemory {
+					u.slowness = min(max(u.slowness*u.pace/pace, minSlowness), maxSlowness)
+				} else {
+					u.slowness = 1
+				}
 				u.pace = pace
 			}
 			u.knee = 0
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -233,6 +233,12 @@
 	g.Expect(u.slowness * u.pace).To(gomega.BeNumerically("~", 2, 1e-9))
 	f.Tick(25 * second)
 	g.Expect(u.pace).To(gomega.Equal(1.0))
+	g.Expect(u.slowness).To(gomega.Equal(1.0), "measured long ago")
+
+	prompt := &ticket{Ticket: Ticket{ID: 1, Service: "s", PromptTokens: 5000}}
+	before := f.service("s").estimate(25*second, "a", u, prompt).firstToken
+	f.SetPaces(25*second, &capacity.Update{Term: 1, Version: 2, Paces: []capacity.Pace{{Upstream: "u0", Incarnation: 1, Percent: 50}}})
+	g.Expect(f.service("s").estimate(25*second, "a", u, prompt).firstToken).To(gomega.Equal(before / 2))
 	off := engineFleet(8, 0, member("u0", 1, 1))
 	off.SetPaces(second, &capacity.Update{Term: 1, Version: 1, Paces: []capacity.Pace{{Upstream: "u0", Incarnation: 1, Percent: 160}}})
 	g.Expect(off.Capacity()).To(gomega.BeNil(), "with learnPace = false")
