--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/call"
 	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/upstream"
@@ -152,6 +153,34 @@
 	g.Expect(shared[1].recomputed).To(gomega.BeNumerically("<=", shared[0].recomputed))
 }
 
+// TestEntriesBreakTiesDifferently guards against entries with the same view that choose the same
+// engine: 30 entries before ten idle engines. A bias must not outweigh a zone or cached tokens.
+func TestEntriesBreakTiesDifferently(t *testing.T) {
+	g := gomega.NewWithT(t)
+	chosen := map[string]int{}
+	for i := range 30 {
+		var members []upstream.Member
+		for j := range 11 {
+			members = append(members, member(fmt.Sprint("u", j), uint16(j+1), 1))
+		}
+		members[10].Zone = "b"
+		f := engineFleet(8, 0, members...)
+		f.options.Name = fmt.Sprint("entry-", i)
+		for _, u := range f.upstreams {
+			f.initPace(u)
+		}
+		chosen[destination(f.Submit(second, newTicket(1)))]++
+
+		cached := newTicket(2)
+		cached.PromptTokens, cached.PromptParts = 100, []call.PromptPart{{ID: 7, Tokens: 60}, {ID: 8, Tokens: 40}}
+		f.upstreams["u7"].recordPrefixes(second, cached.PromptParts)
+		g.Expect(destination(f.Submit(second, cached))).To(gomega.Equal("u7"))
+	}
+	t.Log(chosen)
+	g.Expect(len(chosen)).To(gomega.BeNumerically(">=", 8))
+	g.Expect(chosen["u10"]).To(gomega.BeZero(), "of another zone")
+}
+
 // TestPacesOfUnevenEngines guards against paces that tell of queues and spells instead of the
 // engines: largeLoad at 65 entries before 60 engines at 0.625, 1 and 1.67 of the median's time, each
 // 2.5 times slower for 0.6 s at a time, 15% of them at any time. Even ones with the same spells must
@@ -204,6 +233,12 @@
 	g.Expect(u.slowness * u.pace).To(gomega.BeNumerically("~", 2, 1e-9))
 	f.Tick(25 * second)
 	g.Expect(u.pace).To(gomega.Equal(1.0))
+	g.Expect(u.slowness).To(gomega.Equal(1.0), "measured long ago")
+
+	prompt := &ticket{Ticket: Ticket{ID: 1, Service: "s", PromptTokens: 5000}}
+	before := f.service("s").estimate(25*second, "a", u, prompt).firstToken
+	f.SetPaces(25*second, &capacity.Update{Term: 1, Version: 2, Paces: []capacity.Pace{{Upstream: "u0", Incarnation: 1, Percent: 50}}})
+	g.Expect(f.service("s").estimate(25*second, "a", u, prompt).firstToken).To(gomega.Equal(before / 2))
 	off := engineFleet(8, 0, member("u0", 1, 1))
 	off.SetPaces(second, &capacity.Update{Term: 1, Version: 1, Paces: []capacity.Pace{{Upstream: "u0", Incarnation: 1, Percent: 160}}})
 	g.Expect(off.Capacity()).To(gomega.BeNil(), "with learnPace = false")
