control: Refuse an order to the only release that serves, also after a revert

Only the first order of a service was checked against the releases in force. After a revert of v2, an order to v1 was accepted: v1 was then the new release with a share of 0, nothing else served, and all requests of the service were held back or refused until the trial ended. Upstreams of reverted releases, which are still there for some seconds, don't count.

TestOrderBackToTheReleaseInForceIsRefused fails before.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -200,7 +200,11 @@
 	case !hasService(revision, order.Service):
 		return result.New(result.RolloutRefused, result.RanNo, "revision %d has no service %q", revision.Number, order.Service)
 	}
-	if _, known := v.Rollouts.Of(order.Service); !known && h.control.alreadyServes(order.Service, order.To) {
+	// The store tells whether an order was sent again. Any other order to the only release that
+	// serves would take the requests from it for the length of a trial.
+	last, known := v.Rollouts.Of(order.Service)
+	sentAgain := known && (last.Phase == rollout.Running || last.To == order.To)
+	if !sentAgain && h.control.alreadyServes(order.Service, order.To, v.Rollouts.Reverted[order.Service]...) {
 		return result.New(result.RolloutRefused, result.RanNo, "all upstreams of service %q have release %q already", order.Service, order.To)
 	}
 	return nil
@@ -222,9 +226,10 @@
 	return platform.DecodeConfig(body)
 }
 
-// alreadyServes reports whether all known upstreams of a service have the release. A keeper
-// that hasn't had the time to hear of all knows nothing of it.
-func (c *Control) alreadyServes(service, release string) bool {
+// alreadyServes reports whether all known upstreams of a service have the release, besides those
+// of reverted releases, which get no requests. A keeper that hasn't had the time to hear of all
+// knows nothing of it.
+func (c *Control) alreadyServes(service, release string, reverted ...string) bool {
 	if c.options.Clock()-c.startedAt < registryDelay {
 		return false
 	}
@@ -232,7 +237,7 @@
 	defer c.mu.Unlock()
 	found := false
 	for _, u := range c.registry.upstreams {
-		if u.Ended || !slices.Contains(u.Services, service) {
+		if u.Ended || !slices.Contains(u.Services, service) || slices.Contains(reverted, u.Release) {
 			continue
 		}
 		if u.Release != release {
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -449,3 +449,39 @@
 	c.registry.apply(now, upstream.Announcement{ID: "j", Release: "v1", Services: []string{"s"}})
 	g.Expect(c.alreadyServes("s", "v2")).To(gomega.BeFalse())
 }
+
+// TestOrderBackToTheReleaseInForceIsRefused guards against an order to the only release that still
+// serves after a revert: it takes all requests from it until the trial gives some back.
+func TestOrderBackToTheReleaseInForceIsRefused(t *testing.T) {
+	packed, err := pack.Deflate([]byte(rolloutConfig))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	for _, c := range []struct {
+		name, serving, last string
+		phase               rollout.Phase
+		to                  string
+		refused             bool
+	}{
+		{"the first order", "v1", "", 0, "v1", true},
+		{"after a revert", "v1", "v2", rollout.Reverted, "v1", true},
+		{"while the reverted upstreams are still there", "v1 v2", "v2", rollout.Reverted, "v1", true},
+		{"the reverted release again", "v1 v2", "v2", rollout.Reverted, "v2", false},
+		{"the reverted release again, alone", "v2", "v2", rollout.Reverted, "v2", false},
+		{"sent again after the success", "v2", "v2", rollout.Succeeded, "v2", false},
+		{"back after a success", "v2", "v2", rollout.Succeeded, "v1", false},
+		{"another one runs", "v1", "v2", rollout.Running, "v1", false},
+	} {
+		host := &Control{options: Options{Clock: func() clock.Instant { return registryDelay }}, registry: newRegistry()}
+		for _, release := range strings.Fields(c.serving) {
+			host.registry.apply(0, upstream.Announcement{ID: release, Release: release, Services: []string{"s"}})
+		}
+		v := keeper.View{Config: config.Put{Number: 1, Packed: packed}, Rollouts: &rollout.View{}}
+		if c.last != "" {
+			v.Rollouts.Rollouts = []rollout.Rollout{{Order: rollout.Order{Service: "s", To: c.last}, Phase: c.phase}}
+		}
+		if c.phase == rollout.Reverted {
+			v.Rollouts.Reverted = map[string][]string{"s": {c.last}}
+		}
+		err := (&rollouts{control: host}).refusal(v, &rollout.Order{Service: "s", To: c.to, Within: time.Second})
+		gomega.NewWithT(t).Expect(err != nil).To(gomega.Equal(c.refused), "%s: %v", c.name, err)
+	}
+}
