control: Decide on rollouts by the present view

The loop took the view before it waited, and a tick could win over the notice of a newer one. A step by the view of an earlier term replaced the leader's state, with the quotas' ledger and the judge's evidence, by an empty one, and the next report of an entry replaced it again.

--- a/control/rollout__lead.go
+++ b/control/rollout__lead.go
@@ -75,7 +75,9 @@
 			caughtUp, confirmed = true, nil
 		case <-changed:
 		case <-ticker.C:
-			if ticking {
+			// The view may have changed since: a step by that of an earlier term would drop what
+			// the leader knows by now.
+			if v, _ = c.options.Keeper.View(); v.Leading && runs(v.Rollouts) {
 				h.step(ctx, c.options.Clock(), v)
 			}
 		case <-ctx.Done():
