control: Bound operators' orders as the platform's

A negative time below -2^63 ns wrapped around and could be accepted as a time of some seconds, and the name of a release was bounded only in the platform's call, though each entry is sent it.

TestRolloutCalls has both orders; the first was accepted before.

--- a/control/rollout.go
+++ b/control/rollout.go
@@ -78,13 +78,17 @@
 		writeError(w, result.New(result.RolloutInvalid, result.RanNo, "%v", err))
 		return
 	}
-	// A number of milliseconds that a duration can't hold is refused as too large.
-	within := time.Duration(min(request.WithinMs, 2*rollout.MaxTime.Milliseconds())) * time.Millisecond
+	// A number of milliseconds that a duration can't hold would wrap around.
+	within := time.Duration(min(max(request.WithinMs, 0), 2*rollout.MaxTime.Milliseconds())) * time.Millisecond
 	order := rollout.Order{Service: r.PathValue("service"), To: request.To, Within: within}
 	if err := order.Check(); err != nil {
 		writeError(w, result.New(result.RolloutInvalid, result.RanNo, "%v", err))
 		return
 	}
+	if len(order.To) > platform.MaxReleaseBytes {
+		writeError(w, result.New(result.RolloutInvalid, result.RanNo, "order with a release of %d bytes, want at most %d", len(order.To), platform.MaxReleaseBytes))
+		return
+	}
 	if err := h.start(r.Context(), order); err != nil {
 		writeError(w, result.From(err))
 		return
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -198,6 +198,8 @@
 		{"state", "GET", getPath, "", 200, `{"state":"running","to":"v2"}`},
 		{"status", "GET", "/operator/rollouts/s", "", 200, `"phase":"running","number":1,`},
 		{"an operator's order beyond durations", "POST", "/operator/rollouts/other", `{"to":"v2","withinMs":9223372036854775807}`, 400, "5010"},
+		{"an operator's order below durations", "POST", "/operator/rollouts/other", `{"to":"v2","withinMs":-18446744013709}`, 400, "5010"},
+		{"an operator's order of a long release", "POST", "/operator/rollouts/other", `{"to":"` + strings.Repeat("v", 2000) + `","withinMs":900000}`, 400, "5010"},
 		{"an operator's order", "POST", "/operator/rollouts/other", `{"to":"v2","withinMs":900000}`, 200, `"phase":"running","number":2,`},
 		{"revert", "POST", "/operator/rollouts/s/revert", "", 200, `"phase":"reverted"`},
 		{"revert again", "POST", "/operator/rollouts/s/revert", "", 200, `"phase":"reverted"`},
