fleet: Learn the times of answers from good ones only

An error answer of 1 ms became the quickest time of its service. Until a hundred answers later no answer counted as a quick one, by which entries find a free slot at a plain upstream, and the failing upstream itself did.

TestErrorAnswersAreNotQuickOnes fails before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -484,7 +484,7 @@
 		f.endTrial(t.upstream, t, true)
 		s.slotTime += time.Duration(weight * float64(now-t.sentAt-s.slotTime))
 		s.recordOutcome(t.upstream, success)
-		s.recordEnd(now, t)
+		s.recordEnd(now, t, success)
 		if success {
 			t.upstream.succeeded()
 		}
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -128,9 +128,13 @@
 	s.fair.answers++
 }
 
-// recordEnd counts a ticket whose answer has ended.
-func (s *service) recordEnd(now clock.Instant, t *ticket) {
+// recordEnd counts a ticket whose answer has ended. The time of an error answer says nothing of
+// how long a slot is taken: it may come at once.
+func (s *service) recordEnd(now clock.Instant, t *ticket, success bool) {
 	s.recordCarried(t)
+	if !success {
+		return
+	}
 	took := now - t.sentAt
 	t.upstream.answeredAt, t.upstream.answeredIn = now, took
 	if s.fair.answerTime == 0 {
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -85,3 +85,16 @@
 	t.Logf("%.3f of the capacity, refused %v", all, loads[0].causes)
 	g.Expect(all).To(gomega.BeNumerically(">=", 0.9))
 }
+
+// TestErrorAnswersAreNotQuickOnes guards against an upstream that fails at once and counts as one
+// with a free slot, and against answers of the usual time that no longer count as quick after it.
+func TestErrorAnswersAreNotQuickOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	for id, success := range []bool{true, false} {
+		f.Submit(second, newTicket(uint64(id)))
+		f.Finish(second+time.Duration(100-99*id)*time.Millisecond, uint64(id), success, true)
+	}
+	fair := &f.services["s"].fair
+	g.Expect([]time.Duration{fair.quickTime, fair.answerTime, f.upstreams["i"].answeredIn}).To(gomega.HaveEach(100 * time.Millisecond))
+}
