fleet: Ask the split again before waiting requests are refused

A waiting request kept the verdicts of the time when an upstream was last chosen for it, which isn't done while none has room. One that came in the trial and still waited after the last step was refused, as without an upstream, when the old upstreams ended while the new ones were full.

TestReleaseOfARequest has the case, and fails before.

--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -220,6 +220,8 @@
 	rates := s.fair.pace.Rates(now, rank, assumed)
 	waits := map[*ticket]time.Duration{}
 	for _, t := range s.queue {
+		// No upstream was chosen for the ticket while none had room.
+		f.askSplit(now, t)
 		if t.Rank != rank {
 			before, ahead, rank = before+ahead, 0, t.Rank
 			rates = s.fair.pace.Rates(now, rank, assumed)
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -119,6 +119,7 @@
 		{"stream of a reverted release", "v2a", "reverted bound:v2", "noUpstream"},
 		{"reverted", "v1a v2a", "new submit reverted finish submit broken", "v2a v1a upstreamUnknown"},
 		{"nothing allowed", "v1a v2a", "nothing submit tick@700 tick@1000", " saturated1sno"},
+		{"waiting at the end, the new release full", "v1a v2a", "new submit new submit submit last gone:v1a tick@100", "v2a v1a "},
 	} {
 		gomega.NewWithT(t).Expect(play(&fakeSplit{}, c.upstreams, c.operations)).To(gomega.Equal(c.want), c.name)
 	}
