fleet: Measure the organisations' demand over a quarter of a second at least

The first report of an entry covers the time since its first request. One answer within a millisecond gave a rate of 500, which the leader took for the service's capacity: it follows a lower one with a time constant of 15 s, so that no shares were computed for a minute.

TestFirstReportIsNoPeak fails before.

--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -360,11 +360,17 @@
 	return n
 }
 
+// minMeasured is the least time that a rate is measured over. The first report may follow the
+// first request of a service at once: one request in a millisecond would be a rate of 1,000, and
+// the leader takes the highest rate lately for the capacity.
+const minMeasured = 250 * time.Millisecond
+
 // fairnessReport returns what the leader needs to share out the service, and starts a new
 // measurement. seconds is the time that it covers, and late the answers that missed their
 // target.
 func (s *service) fairnessReport(now clock.Instant, seconds, late float64) fairness.Report {
 	state := &s.fair
+	seconds = max(seconds, minMeasured.Seconds())
 	r := fairness.Report{
 		Carried: state.carried / seconds, Answers: float64(state.answers) / seconds,
 		Refused: float64(state.refused) / seconds, Late: late / seconds,
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -98,3 +98,13 @@
 	fair := &f.services["s"].fair
 	g.Expect([]time.Duration{fair.quickTime, fair.answerTime, f.upstreams["i"].answeredIn}).To(gomega.HaveEach(100 * time.Millisecond))
 }
+
+// TestFirstReportIsNoPeak guards against a report right after the first request of a service, whose
+// rates the leader would take for a capacity that the service doesn't have.
+func TestFirstReportIsNoPeak(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	f.Submit(second, newTicket(1))
+	f.Finish(second+time.Millisecond, 1, true, true)
+	g.Expect(f.Demands(second + 2*time.Millisecond)["s"].Fairness.Carried).To(gomega.BeNumerically("<=", 4))
+}
