--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -85,3 +85,26 @@
 	t.Logf("%.3f of the capacity, refused %v", all, loads[0].causes)
 	g.Expect(all).To(gomega.BeNumerically(">=", 0.9))
 }
+
+// TestErrorAnswersAreNotQuickOnes guards against an upstream that fails at once and counts as one
+// with a free slot, and against answers of the usual time that no longer count as quick after it.
+func TestErrorAnswersAreNotQuickOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	for id, success := range []bool{true, false} {
+		f.Submit(second, newTicket(uint64(id)))
+		f.Finish(second+time.Duration(100-99*id)*time.Millisecond, uint64(id), success, true)
+	}
+	fair := &f.services["s"].fair
+	g.Expect([]time.Duration{fair.quickTime, fair.answerTime, f.upstreams["i"].answeredIn}).To(gomega.HaveEach(100 * time.Millisecond))
+}
+
+// TestFirstReportIsNoPeak guards against a report right after the first request of a service, whose
+// rates the leader would take for a capacity that the service doesn't have.
+func TestFirstReportIsNoPeak(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	f.Submit(second, newTicket(1))
+	f.Finish(second+time.Millisecond, 1, true, true)
+	g.Expect(f.Demands(second + 2*time.Millisecond)["s"].Fairness.Carried).To(gomega.BeNumerically("<=", 4))
+}
