commands, fleet, ingress: Explain where a request would go

hyssopladder where asks an entry for the placement of a request as it describes it: the decision, the upstreams in order with their estimates, and what excludes the others. fleet.Explain uses the code that places requests; nothing is sent.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -90,6 +90,7 @@
 	c.addDocuments(app)
 	c.addNodeOperations(app)
 	c.addRollouts(app)
+	c.addWhere(app)
 	c.addStandin(app)
 	c.addLoad(app)
 	c.addDemo(app)
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -281,11 +281,17 @@
 // ticket's preferred release first, or nil.
 func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
 	f.askSplit(now, t)
-	gated, trial := t.gate != nil, s.trialGroups(t)
+	f.rank(now, s, t)
+	return f.pick(now, s)
+}
+
+// rank offers the upstreams that the ticket may be sent to now, with their estimates.
+func (f *Fleet) rank(now clock.Instant, s *service, t *ticket) {
+	trial := s.trialGroups(t)
 	allLeave := !s.anyServing(t)
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
-		if !u.usable(now) && !(allLeave && f.lastResort(u, t) && u.open(now)) || !t.mayRunOn(u) || !u.hasLimitLeft(now) || !s.hasRoom(now, u, t) || gated && !t.allows(u) {
+		if f.exclusion(now, s, t, u, allLeave) != "" {
 			continue
 		}
 		e := s.estimate(now, f.options.Zone, u, t)
@@ -302,7 +308,7 @@
 			e.ranking -= outdatedLimitBonus
 		}
 		switch {
-		case !gated:
+		case t.gate == nil:
 		case !s.goesFirst(now, u, t, e):
 			e.ranking += otherReleasePenalty
 		case trial != nil:
@@ -310,7 +316,49 @@
 		}
 		f.offer(s, u, e)
 	}
-	return f.pick(now, s)
+}
+
+// Exclusion says why a ticket may not be sent to an upstream now; "" if it may.
+type Exclusion string
+
+// The exclusions.
+const (
+	// ExcludedGone means that the upstream leaves, has ended or was replaced.
+	ExcludedGone Exclusion = "gone"
+	// ExcludedBackoff follows a failure or a refusal, and ExcludedClosed an answer that asked
+	// for no requests.
+	ExcludedBackoff Exclusion = "backoff"
+	ExcludedClosed  Exclusion = "closed"
+	// ExcludedTicket means that the ticket failed there, or has begun at another release.
+	ExcludedTicket Exclusion = "ticket"
+	// ExcludedLimit means that this entry's part of the upstream's limit is used up.
+	ExcludedLimit Exclusion = "limit"
+	// ExcludedRoom means that the upstream has no room.
+	ExcludedRoom Exclusion = "noRoom"
+	// ExcludedRelease means that a rollout keeps the ticket from the upstream's release.
+	ExcludedRelease Exclusion = "release"
+)
+
+// exclusion reports why the ticket may not be sent to the upstream. allLeave says that all
+// upstreams that serve have said that they leave.
+func (f *Fleet) exclusion(now clock.Instant, s *service, t *ticket, u *upstreamView, allLeave bool) Exclusion {
+	switch {
+	case !u.serves() && !(allLeave && f.lastResort(u, t)):
+		return ExcludedGone
+	case now < u.avoidUntil:
+		return ExcludedBackoff
+	case u.closed(now):
+		return ExcludedClosed
+	case t.gate != nil && !t.allows(u):
+		return ExcludedRelease
+	case !t.mayRunOn(u):
+		return ExcludedTicket
+	case !u.hasLimitLeft(now):
+		return ExcludedLimit
+	case !s.hasRoom(now, u, t):
+		return ExcludedRoom
+	}
+	return ""
 }
 
 // chooseSilent returns the upstream with room that has the lowest ranking among those that
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -135,6 +135,7 @@
 	}), in.upstreamClient.Refuses)
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
 	o.Server.Handle(tunnelPattern, in.tunnels)
+	o.Server.Handle(placementPattern, http.HandlerFunc(in.servePlacement))
 	go in.watchForSilence(ctx)
 	in.link = link.New(ctx, link.Options{
 		Name: o.Name, Zone: o.Zone, Incarnation: o.Incarnation, Seeds: o.Peers.Seeds, PeerClient: o.PeerClient, Clock: o.Clock,
--- a/operator/client.go
+++ b/operator/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/rollout"
@@ -118,6 +119,13 @@
 
 func rolloutPath(service string) string { return "/operator/rollouts/" + url.PathEscape(service) }
 
+// Placement asks an entry where a request would go now; the query describes the request.
+func (c *Client) Placement(ctx context.Context, query url.Values) (fleet.Placement, error) {
+	var p fleet.Placement
+	err := c.call(ctx, http.MethodGet, "/operator/placement?"+query.Encode(), nil, nil, &p)
+	return p, err
+}
+
 // Drain asks the node to drain and stop.
 func (c *Client) Drain(ctx context.Context) error {
 	return c.call(ctx, http.MethodPost, "/operator/drain", nil, nil, nil)
