e2e: Test rollouts with separate processes

No spec had orders, steps, shares and reports of rollouts go through real processes and connections. Of the harness only the number of entries and the settings of a platform became parameters, and a replica can end without a request.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -82,10 +82,14 @@
 func startReplicaOf(release, id, service, zone string, keepers []*process) *replica {
 	ginkgo.GinkgoHelper()
 	r := newReplica(release, id, service, zone)
+	r.start(keepers)
+	return r
+}
+
+func (r *replica) start(keepers []*process) {
 	r.server = httptest.NewServer(http.HandlerFunc(r.serve))
 	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); r.server.Close() })
-	r.stopAnnouncing = announce(id, release, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
-	return r
+	r.stopAnnouncing = announce(r.id, r.release, r.service, r.zone, r.server.Listener.Addr(), keepers, &r.leaving)
 }
 
 func newReplica(release, id, service, zone string) *replica {
@@ -96,10 +100,15 @@
 // and all connections break.
 func (r *replica) crash() {
 	r.crashed.Store(true)
+	r.end()
+	panic(http.ErrAbortHandler)
+}
+
+// end ends the replica without draining.
+func (r *replica) end() {
 	r.stopAnnouncing()
 	_ = r.server.Listener.Close()
 	go r.server.CloseClientConnections()
-	panic(http.ErrAbortHandler)
 }
 
 // announce sends the heartbeats of a replica to the keepers in turn, until the
@@ -344,17 +353,25 @@
 }
 
 func (d *platformDeployment) start() {
+	ginkgo.GinkgoHelper()
+	d.startEntries(2, "")
+}
+
+// startEntries starts the keepers and so many entries. The settings are added to the sections
+// keeper and ingress.
+func (d *platformDeployment) startEntries(entries int, settings string) {
 	ginkgo.GinkgoHelper()
 	options := seedOptions()
 	for _, o := range options {
+		o.extra += settings
 		d.keepers = append(d.keepers, startNode(o))
 	}
-	for i := range 2 {
+	for i := range entries {
 		callers, ready := freeAddress(), freeAddress()
 		d.callers, d.ready = append(d.callers, callers), append(d.ready, ready)
 		d.entries = append(d.entries, startNode(nodeOptions{
 			name: fmt.Sprintf("entry-%d", i), zone: string(rune('a' + i)), roles: "ingress", seeds: options[0].seeds,
-			extra: fmt.Sprintf("[ingress]\nlisten = %s\nready = %s\n", callers, ready),
+			extra: fmt.Sprintf("[ingress]\nlisten = %s\nready = %s\n", callers, ready) + settings,
 		}))
 	}
 }
