fairness, control: Take idle engines for spare capacity, and let a new leader collect reports

A report says now whether an engine has nothing to do, and a service is not saturated while most entries see one. A new leader goes on with the steps of a rollout only after 750 ms: it decided by the reports of one or two entries of three before.

--- a/control/account.go
+++ b/control/account.go
@@ -22,8 +22,10 @@
 // leaderState is what a leader derives from the entries' reports. Each term
 // starts with an empty one.
 type leaderState struct {
-	term   uint64
-	ledger *quota.Ledger
+	term uint64
+	// startedAt is when the state began to be collected.
+	startedAt clock.Instant
+	ledger    *quota.Ledger
 	// reports holds the newest report of each entry.
 	reports   map[entryKey]*entryReport
 	lastSweep clock.Instant
@@ -60,7 +62,7 @@
 }
 
 func newLeaderState(now clock.Instant, term uint64, slack float64) *leaderState {
-	return &leaderState{term: term, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), shares: newOrganisationShares(), paces: capacity.NewBoard(term), lastArrivals: map[string]clock.Instant{}}
+	return &leaderState{term: term, startedAt: now, ledger: quota.NewLedger(now, slack), reports: map[entryKey]*entryReport{}, work: newUpstreamWork(), suspects: suspect.New(), named: limit.NewBoard(), shares: newOrganisationShares(), paces: capacity.NewBoard(term), lastArrivals: map[string]clock.Instant{}}
 }
 
 // reportMaxAge is how long an entry's report counts towards the load.
--- a/control/rollout__lead.go
+++ b/control/rollout__lead.go
@@ -24,6 +24,9 @@
 	// rolloutReportInterval is the time between two reports of an entry while a rollout
 	// runs: a bad release is found by what the entries report.
 	rolloutReportInterval = 250 * time.Millisecond
+	// rolloutCollectTime is how long a new leader only collects reports before it goes on with
+	// the steps, so that it doesn't decide by the first few entries: three report intervals.
+	rolloutCollectTime = 750 * time.Millisecond
 	// rolloutScaleHold is how long after a revert the service isn't scaled, unless the
 	// upstreams of the reverted release are gone before. The platform removes them some
 	// seconds after the revert.
@@ -142,7 +145,10 @@
 	if err := state.setConfig(v.Config); err != nil {
 		klog.ErrorS(err, "stored configuration can't be read", "revision", v.Config.Number)
 	}
-	services := state.rolloutServices(now, c.registry, v.Rollouts)
+	var services map[string]rollout.ServiceState
+	if now-state.startedAt >= rolloutCollectTime {
+		services = state.rolloutServices(now, c.registry, v.Rollouts)
+	}
 	commands := state.judge.Decide(now, *v.Rollouts, services, elapsed)
 	c.mu.Unlock()
 	for _, command := range commands {
--- a/fairness/board.go
+++ b/fairness/board.go
@@ -163,7 +163,9 @@
 type totals struct {
 	Report
 	waiting int
-	demand  map[Key]float64
+	// entries is the number of reports, and withRoom that of those that see idle upstreams.
+	entries, withRoom int
+	demand            map[Key]float64
 }
 
 func (s *serviceBoard) sum(now clock.Instant) totals {
@@ -173,6 +175,10 @@
 			delete(s.reports, entry)
 			continue
 		}
+		t.entries++
+		if r.Room {
+			t.withRoom++
+		}
 		t.waiting += r.waiting
 		t.Carried += r.Carried
 		t.Answers += r.Answers
@@ -228,6 +234,8 @@
 	// A few requests wait for a moment in any service.
 	const minWaitingFraction = 0.02
 	switch {
+	case 2*t.withRoom > t.entries:
+		s.saturated = false
 	case float64(t.waiting) >= max(2, minWaitingFraction*requests),
 		t.Refused > minBadFraction*requests,
 		excess && t.Late > minBadFraction*requests,
--- a/fairness/fairness.go
+++ b/fairness/fairness.go
@@ -43,6 +43,9 @@
 	// their target.
 	Refused float64 `json:"r,omitempty"`
 	Late    float64 `json:"l,omitempty"`
+	// Room says that an upstream has nothing to do: requests are late or wait for other
+	// reasons than a lack of capacity, such as their own size.
+	Room bool `json:"m,omitempty"`
 	// Demands are set while the entry or the leader takes the service for saturated.
 	Demands []Demand `json:"d,omitempty"`
 }
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -374,6 +374,8 @@
 	r := fairness.Report{
 		Carried: state.carried / seconds, Answers: float64(state.answers) / seconds,
 		Refused: float64(state.refused) / seconds, Late: late / seconds,
+		// Slots of plain upstreams that look free may be taken by now.
+		Room: s.config.Engine != nil && s.freeSlots() > 0,
 	}
 	if len(s.queue) > 0 || state.refused > 0 || late > 0 {
 		state.signalAt, state.signalled = now, true
