ingress: Don't refuse a body for good before the limit is known

While an entry starts it reads requests by the default limit of 4 MiB. A larger body was refused with 413, though the configuration may allow it; now it is refused as not ready, with a time to come back. A configuration that isn't confirmed yet gives its own limit.

TestBodyBeyondTheDefaultIsNotTooLargeAtStart fails before.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -151,7 +151,7 @@
 	in.link.AwaitDirectory(httpRequest.Context())
 	table := in.link.Table()
 	if table == nil {
-		return result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(in.startRetryAfter())
+		return in.notReadyError()
 	}
 	r.revision = table.Revision.Number
 	path, _, _ := strings.Cut(r.target, "?")
--- a/ingress/start.go
+++ b/ingress/start.go
@@ -46,7 +46,15 @@
 	in.meters.held.Inc(1)
 	r.deadline = r.arrived + patience
 	// Callers give a request up that isn't read for a time.
-	if err := r.read(w, httpRequest, config.Limits{}, &in.stop); err != nil {
+	table, limits := in.link.Table(), config.Limits{}
+	if table != nil {
+		limits = table.Revision.Limits
+	}
+	if err := r.read(w, httpRequest, limits, &in.stop); err != nil {
+		if table == nil && result.From(err).Code == result.BodyTooLarge {
+			// The configuration may allow more than the default.
+			return in.notReadyError()
+		}
 		return err
 	}
 	ctx, cancel := context.WithTimeout(httpRequest.Context(), limit)
@@ -78,11 +86,12 @@
 	return route != nil && (route.Public || !table.RequiresKeys())
 }
 
-// startRetryAfter is the Retry-After of an entry that doesn't serve yet.
-func (in *Ingress) startRetryAfter() time.Duration {
+// notReadyError refuses a request until the entry is expected to serve.
+func (in *Ingress) notReadyError() error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.gate.RetryAfter(in.options.Clock(), rand.Float64())
+	retryAfter := in.gate.RetryAfter(in.options.Clock(), rand.Float64())
+	return result.New(result.NotReady, result.RanNo, "the entry has not received a configuration yet").WithRetry(retryAfter)
 }
 
 // checkBody refuses a body that was read before its limit was known.
--- a/ingress/start_test.go
+++ b/ingress/start_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bytes"
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,3 +24,22 @@
 	close(k.silent)
 	g.Eventually(served, 5*time.Second).Should(gomega.Receive(gomega.BeTrue()))
 }
+
+// TestBodyBeyondTheDefaultIsNotTooLargeAtStart guards against a caller that is refused for good by
+// the default limit while the entry doesn't know the configuration's, which may be higher.
+func TestBodyBeyondTheDefaultIsNotTooLargeAtStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, members := startCutUpstreams(t, 1)
+	k := startCutKeeper(t, members)
+	k.silent = make(chan struct{})
+	e := newCutEntry(t, "e1", k)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, e.url+"/ask/x", bytes.NewReader(make([]byte, defaultMaxBodyBytes+1)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("X-Request-Id", "r1")
+	response, err := http.DefaultClient.Do(r)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(response.Body.Close()).To(gomega.Succeed())
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	close(k.silent)
+}
