fleet: End the bound on plain upstreams with the shares

The bound of an entry's requests stayed when no leader renewed the shares, and while it is set the others' work doesn't count for the room of a plain upstream. An entry that lost the leader, or got one of a build without shares, went on like that for good.

TestBoundEndsWithTheShares fails before.

--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -117,6 +117,7 @@
 // their target, have passed their deadline, or whose last upstream is gone.
 func (f *Fleet) Tick(now clock.Instant) []Action {
 	for _, s := range f.services {
+		s.expireShares(now)
 		f.schedule(now, s)
 		f.refuseHopeless(now, s)
 	}
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -351,6 +351,15 @@
 	}
 }
 
+// expireShares ends the shares that no leader has renewed in time, with the bound that goes with
+// them.
+func (s *service) expireShares(now clock.Instant) {
+	if !s.fair.gate.Saturated(now) {
+		s.fair.gate.Clear()
+		s.fair.maxRunning = 0
+	}
+}
+
 // AboveShare is the number of organisations that are above their share of a service.
 func (f *Fleet) AboveShare(now clock.Instant) int {
 	n := 0
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -108,3 +108,20 @@
 	f.Finish(second+time.Millisecond, 1, true, true)
 	g.Expect(f.Demands(second + 2*time.Millisecond)["s"].Fairness.Carried).To(gomega.BeNumerically("<=", 4))
 }
+
+// TestBoundEndsWithTheShares guards against an entry that goes on without regard to the others'
+// work at plain upstreams when the leader is lost, or is of a build without shares.
+func TestBoundEndsWithTheShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	f.SetEntries(2)
+	f.SetShares(second, &fairness.Reply{Services: map[string]fairness.Share{"s": {Excesses: []fairness.Excess{{Key: fairness.Key{Organisation: "large"}}}}}})
+	bound := func(now time.Duration) int {
+		f.Tick(now)
+		f.SetShares(now, nil)
+		f.SetOtherWork(OtherWork{})
+		return f.services["s"].fair.maxRunning
+	}
+	g.Expect(bound(second + fairness.ShareAge)).To(gomega.BeNumerically(">", 0))
+	g.Expect(bound(second + fairness.ShareAge + 1)).To(gomega.BeZero())
+}
