fleet, fairness: Report no rates that the leader refuses

Callers name lengths of up to 2^40 tokens. The work of one such request was above the bound of a rate, so that the leader refused the entry's whole report, with its quotas, work and evidence on rollouts.

TestReportOfAHugeRequestIsValid fails before.

--- a/fairness/fairness.go
+++ b/fairness/fairness.go
@@ -16,7 +16,9 @@
 	MaxDemands = 64
 	// MaxServices bounds the services in a reply.
 	MaxServices = 1000
-	maxRate     = 1e12
+	// MaxRate bounds rates. Callers name the lengths of their prompts and answers, so that
+	// the work of a request may be any.
+	MaxRate = 1e12
 )
 
 // Key is an organisation within a rank. Ranks are strict, so that shares are computed
@@ -66,7 +68,7 @@
 }
 
 // validRate is false for NaN too.
-func validRate(v float64) bool { return v >= 0 && v <= maxRate }
+func validRate(v float64) bool { return v >= 0 && v <= MaxRate }
 
 // Excess names an organisation above its share.
 type Excess struct {
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -381,7 +381,7 @@
 	state := &s.fair
 	seconds = max(seconds, minMeasured.Seconds())
 	r := fairness.Report{
-		Carried: state.carried / seconds, Answers: float64(state.answers) / seconds,
+		Carried: min(state.carried/seconds, fairness.MaxRate), Answers: float64(state.answers) / seconds,
 		Refused: float64(state.refused) / seconds, Late: late / seconds,
 	}
 	if len(s.queue) > 0 || state.refused > 0 || late > 0 {
@@ -399,7 +399,7 @@
 func demandList(work map[fairness.Key]float64, seconds float64) []fairness.Demand {
 	list := make([]fairness.Demand, 0, len(work))
 	for key, w := range work {
-		list = append(list, fairness.Demand{Key: key, Rate: w / seconds})
+		list = append(list, fairness.Demand{Key: key, Rate: min(w/seconds, fairness.MaxRate)})
 	}
 	slices.SortFunc(list, func(a, b fairness.Demand) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Organisation, b.Organisation))
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -125,3 +125,18 @@
 	g.Expect(bound(second + fairness.ShareAge)).To(gomega.BeNumerically(">", 0))
 	g.Expect(bound(second + fairness.ShareAge + 1)).To(gomega.BeZero())
 }
+
+// TestReportOfAHugeRequestIsValid guards against a caller who names a length that nobody has, and
+// by whose request the leader refuses all that the entry reports.
+func TestReportOfAHugeRequestIsValid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := engineFleet(1, 1000, member("i", 1, 1))
+	huge := newTicket(1)
+	huge.PromptTokens, huge.OutputTokens = 1<<40, 1<<40
+	f.Submit(second, huge)
+	f.Progress(second, 1)
+	f.Submit(second, newTicket(2))
+	r := f.Demands(2 * second)["s"].Fairness
+	g.Expect(r.Demands).NotTo(gomega.BeEmpty())
+	g.Expect(r.Check()).To(gomega.Succeed())
+}
