fleet: Bound the work of a request by an engine's memory

The work counts with the lengths that the caller names. One started request of a claimed 2^40 tokens put its organisation's start tags, and on public routes those of all callers, behind all others for good, and its demand above any share.

TestReportOfAHugeRequestIsValid has the bound, and fails before.

--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -94,6 +94,11 @@
 		// A request without tokens takes a slot too.
 		const minTokens = 100.0
 		t.work = max(minTokens, float64(max(t.PromptTokens-shared, 0))+s.fair.uncached*float64(shared)+outputCost*float64(t.OutputTokens))
+		if memory := s.config.Engine.MemoryTokens; memory > 0 {
+			// Callers name the lengths. What no engine can hold would keep the organisation's
+			// later requests behind all others for as long.
+			t.work = max(minTokens, min(t.work, outputCost*float64(memory)))
+		}
 	}
 	s.fair.demand[t.key()] += t.work
 }
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -139,4 +139,5 @@
 	r := f.Demands(2 * second)["s"].Fairness
 	g.Expect(r.Demands).NotTo(gomega.BeEmpty())
 	g.Expect(r.Check()).To(gomega.Succeed())
+	g.Expect(r.Demands[0].Rate).To(gomega.BeNumerically("<=", 2*outputCost*1000), "no more than engines can hold")
 }
