fleet: Let urgent requests into a full queue

What is above a share is refused first, so that it doesn't cost another request its place.

TestFullQueueTakesTheMoreUrgent fails before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -373,10 +373,10 @@
 	switch {
 	case !f.anyAccepting(s, t):
 		f.refuse(t, t.NoUpstream(t.Service).WithRetry(noUpstreamRetryAfter))
-	case len(s.queue) >= maxQueued:
-		f.refuseSaturated(now, s, t, s.expectedWait(now, t))
 	case f.aboveShare(now, s, t):
 		f.refuseShare(now, s, t)
+	case len(s.queue) >= maxQueued && !f.makeRoom(now, s, t):
+		f.refuseSaturated(now, s, t, s.expectedWait(now, t))
 	default:
 		f.enqueue(s, t)
 		f.schedule(now, s)
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -21,6 +21,18 @@
 		result.New(result.Saturated, result.RanNo, "%d requests are already waiting for %q", len(s.queue), t.Service))
 }
 
+// makeRoom refuses the last waiting ticket of a full queue if it is less urgent than the new one.
+func (f *Fleet) makeRoom(now clock.Instant, s *service, t *ticket) bool {
+	last := s.queue[len(s.queue)-1]
+	if last.Rank <= t.Rank {
+		return false
+	}
+	wait := s.expectedWait(now, last)
+	f.dequeue(s, last)
+	f.refuseSaturated(now, s, last, wait)
+	return true
+}
+
 // refuseLate refuses a ticket that would miss its target.
 func (f *Fleet) refuseLate(now clock.Instant, s *service, t *ticket, wait time.Duration) {
 	f.refuseFor(now, s, t, RefusedLate, wait,
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -141,3 +141,25 @@
 	g.Expect(r.Check()).To(gomega.Succeed())
 	g.Expect(r.Demands[0].Rate).To(gomega.BeNumerically("<=", 2*outputCost*1000), "no more than engines can hold")
 }
+
+// TestFullQueueTakesTheMoreUrgent guards against urgent requests that are refused because less
+// urgent ones fill the queue.
+func TestFullQueueTakesTheMoreUrgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	refused := func(id uint64, rank int) (ids []uint64) {
+		for _, a := range f.Submit(second, Ticket{ID: id, Service: "s", Rank: rank, MaxRuns: 1, Target: time.Hour, Deadline: time.Hour}) {
+			if r, ok := a.(Refuse); ok {
+				ids = append(ids, r.Ticket)
+			}
+		}
+		return ids
+	}
+	id := uint64(1)
+	for ; len(f.services["s"].queue) < maxQueued; id++ {
+		g.Expect(refused(id, 1)).To(gomega.BeEmpty())
+	}
+	g.Expect(refused(id, 1)).To(gomega.Equal([]uint64{id}))
+	g.Expect(refused(id+1, 0)).To(gomega.Equal([]uint64{id - 1}))
+	g.Expect(f.services["s"].queue).To(gomega.HaveLen(maxQueued))
+}
