--- a/fleet/fleet__failure.go
+++ b/fleet/fleet__failure.go
@@ -118,6 +118,7 @@
 func (f *Fleet) Tick(now clock.Instant) []Action {
 	f.tickPaces(now)
 	for _, s := range f.services {
+		s.expireShares(now)
 		f.schedule(now, s)
 		f.refuseHopeless(now, s)
 	}
--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -94,6 +94,11 @@
 		// A request without tokens takes a slot too.
 		const minTokens = 100.0
 		t.work = max(minTokens, float64(max(t.PromptTokens-shared, 0))+s.fair.uncached*float64(shared)+outputCost*float64(t.OutputTokens))
+		if memory := s.config.Engine.MemoryTokens; memory > 0 {
+			// Callers name the lengths. What no engine can hold would keep the organisation's
+			// later requests behind all others for as long.
+			t.work = max(minTokens, min(t.work, outputCost*float64(memory)))
+		}
 	}
 	s.fair.demand[t.key()] += t.work
 }
@@ -351,6 +356,15 @@
 	}
 }
 
+// expireShares ends the shares that no leader has renewed in time, with the bound that goes with
+// them.
+func (s *service) expireShares(now clock.Instant) {
+	if !s.fair.gate.Saturated(now) {
+		s.fair.gate.Clear()
+		s.fair.maxRunning = 0
+	}
+}
+
 // AboveShare is the number of organisations that are above their share of a service.
 func (f *Fleet) AboveShare(now clock.Instant) int {
 	n := 0
@@ -372,7 +386,7 @@
 	state := &s.fair
 	seconds = max(seconds, minMeasured.Seconds())
 	r := fairness.Report{
-		Carried: state.carried / seconds, Answers: float64(state.answers) / seconds,
+		Carried: min(state.carried/seconds, fairness.MaxRate), Answers: float64(state.answers) / seconds,
 		Refused: float64(state.refused) / seconds, Late: late / seconds,
 		// Slots of plain upstreams that look free may be taken by now.
 		Room: s.config.Engine != nil && s.freeSlots() > 0,
@@ -392,7 +406,7 @@
 func demandList(work map[fairness.Key]float64, seconds float64) []fairness.Demand {
 	list := make([]fairness.Demand, 0, len(work))
 	for key, w := range work {
-		list = append(list, fairness.Demand{Key: key, Rate: w / seconds})
+		list = append(list, fairness.Demand{Key: key, Rate: min(w/seconds, fairness.MaxRate)})
 	}
 	slices.SortFunc(list, func(a, b fairness.Demand) int {
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Organisation, b.Organisation))
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -108,3 +108,58 @@
 	f.Finish(second+time.Millisecond, 1, true, true)
 	g.Expect(f.Demands(second + 2*time.Millisecond)["s"].Fairness.Carried).To(gomega.BeNumerically("<=", 4))
 }
+
+// TestBoundEndsWithTheShares guards against an entry that goes on without regard to the others'
+// work at plain upstreams when the leader is lost, or is of a build without shares.
+func TestBoundEndsWithTheShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	f.SetEntries(2)
+	f.SetShares(second, &fairness.Reply{Services: map[string]fairness.Share{"s": {Excesses: []fairness.Excess{{Key: fairness.Key{Organisation: "large"}}}}}})
+	bound := func(now time.Duration) int {
+		f.Tick(now)
+		f.SetShares(now, nil)
+		f.SetOtherWork(OtherWork{})
+		return f.services["s"].fair.maxRunning
+	}
+	g.Expect(bound(second + fairness.ShareAge)).To(gomega.BeNumerically(">", 0))
+	g.Expect(bound(second + fairness.ShareAge + 1)).To(gomega.BeZero())
+}
+
+// TestReportOfAHugeRequestIsValid guards against a caller who names a length that nobody has, and
+// by whose request the leader refuses all that the entry reports.
+func TestReportOfAHugeRequestIsValid(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := engineFleet(1, 1000, member("i", 1, 1))
+	huge := newTicket(1)
+	huge.PromptTokens, huge.OutputTokens = 1<<40, 1<<40
+	f.Submit(second, huge)
+	f.Progress(second, 1)
+	f.Submit(second, newTicket(2))
+	r := f.Demands(2 * second)["s"].Fairness
+	g.Expect(r.Demands).NotTo(gomega.BeEmpty())
+	g.Expect(r.Check()).To(gomega.Succeed())
+	g.Expect(r.Demands[0].Rate).To(gomega.BeNumerically("<=", 2*outputCost*1000), "no more than engines can hold")
+}
+
+// TestFullQueueTakesTheMoreUrgent guards against urgent requests that are refused because less
+// urgent ones fill the queue.
+func TestFullQueueTakesTheMoreUrgent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("i", 1, 1))
+	refused := func(id uint64, rank int) (ids []uint64) {
+		for _, a := range f.Submit(second, Ticket{ID: id, Service: "s", Rank: rank, MaxRuns: 1, Target: time.Hour, Deadline: time.Hour}) {
+			if r, ok := a.(Refuse); ok {
+				ids = append(ids, r.Ticket)
+			}
+		}
+		return ids
+	}
+	id := uint64(1)
+	for ; len(f.services["s"].queue) < maxQueued; id++ {
+		g.Expect(refused(id, 1)).To(gomega.BeEmpty())
+	}
+	g.Expect(refused(id, 1)).To(gomega.Equal([]uint64{id}))
+	g.Expect(refused(id+1, 0)).To(gomega.Equal([]uint64{id - 1}))
+	g.Expect(f.services["s"].queue).To(gomega.HaveLen(maxQueued))
+}
