--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -397,12 +397,13 @@
 
 // test tests one kind of bad answers.
 func (s *sums) test(kind int, by rule, excluded int) (Finding, bool) {
-	f := Finding{Bad: s.bad[kind], Answered: s.answered, Chance: 1}
+	// Streams that break off count as answered when they began, which may be in an earlier window.
+	f := Finding{Bad: s.bad[kind], Answered: max(s.answered, s.bad[kind]), Chance: 1}
 	if f.Bad < by.minBad {
 		return f, false
 	}
 	// With few answers of the old release its rate may be higher than it seems.
-	f.Rate = min(s.expected[kind]/float64(s.answered)+1/float64(s.compared+2), 1)
+	f.Rate = min(s.expected[kind]/float64(f.Answered)+1/float64(s.compared+2), 1)
 	f.Chance = binomialTail(f.Answered, f.Bad, f.Rate)
 	if f.Chance >= by.maxChance {
 		return f, false
