--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -119,7 +119,7 @@
 	bound := func(now time.Duration) int {
 		f.Tick(now)
 		f.SetShares(now, nil)
-		f.SetOtherWork(OtherWork{})
+		f.SetOtherWork(now, OtherWork{})
 		return f.services["s"].fair.maxRunning
 	}
 	g.Expect(bound(second + fairness.ShareAge)).To(gomega.BeNumerically(">", 0))
--- a/ingress/start.go
+++ b/ingress/start.go
@@ -17,6 +17,10 @@
 // assumedPatience is the time that a caller is assumed to wait that doesn't say how long.
 const assumedPatience = time.Second
 
+// maxHeldBody bounds the body of a request that is held: many of them are in memory at once, before
+// any key was checked.
+const maxHeldBody = 256 << 10
+
 // awaitServing holds a request that comes while the entry starts, until the entry can serve
 // or the request has waited long enough.
 func (in *Ingress) awaitServing(w http.ResponseWriter, httpRequest *http.Request, r *request) error {
@@ -46,13 +50,15 @@
 	in.meters.held.Inc(1)
 	r.deadline = r.arrived + patience
 	// Callers give a request up that isn't read for a time.
-	table, limits := in.link.Table(), config.Limits{}
-	if table != nil {
+	limits := config.Limits{MaxBodyBytes: maxHeldBody}
+	table := in.link.Table()
+	allowed := table != nil && table.Revision.Limits.MaxBodyBytes > 0 && table.Revision.Limits.MaxBodyBytes <= maxHeldBody
+	if allowed {
 		limits = table.Revision.Limits
 	}
 	if err := r.read(w, httpRequest, limits, &in.stop); err != nil {
-		if table == nil && result.From(err).Code == result.BodyTooLarge {
-			// The configuration may allow more than the default.
+		if !allowed && result.From(err).Code == result.BodyTooLarge {
+			// The configuration may allow more.
 			return in.notReadyError()
 		}
 		return err
--- a/startup/gate.go
+++ b/startup/gate.go
@@ -18,7 +18,7 @@
 	// has left: the rest is for the answer, or for another entry.
 	holdFraction = 0.5
 	// maxHeld bounds the requests that are held at once, as their bodies are in memory.
-	maxHeld = 512
+	maxHeld = 128
 	// usualTime is the time from a start to the first configuration while the keepers start
 	// too: it contains an election.
 	usualTime = 900 * time.Millisecond
