--- a/control/rollout__lead.go
+++ b/control/rollout__lead.go
@@ -145,10 +145,7 @@
 	if err := state.setConfig(v.Config); err != nil {
 		klog.ErrorS(err, "stored configuration can't be read", "revision", v.Config.Number)
 	}
-	var services map[string]rollout.ServiceState
-	if now-state.startedAt >= rolloutCollectTime {
-		services = state.rolloutServices(now, c.registry, v.Rollouts)
-	}
+	services := state.rolloutServices(now, c.registry, v.Rollouts)
 	commands := state.judge.Decide(now, *v.Rollouts, services, elapsed)
 	c.mu.Unlock()
 	for _, command := range commands {
@@ -180,8 +177,12 @@
 	metrics.GetOrRegisterCounter("rollout."+service+".decisions", c.options.Metrics).Inc(1)
 }
 
-// rolloutServices returns what the leader knows of the services whose rollouts run.
+// rolloutServices returns what the leader knows of the services whose rollouts run; nothing while
+// it collects its first reports.
 func (s *leaderState) rolloutServices(now clock.Instant, r *registry, v *rollout.View) map[string]rollout.ServiceState {
+	if now-s.startedAt < rolloutCollectTime {
+		return nil
+	}
 	applied, entries := s.viewsInForce(now, v.Version)
 	services := map[string]rollout.ServiceState{}
 	for i := range v.Rollouts {
--- a/control/rollout_test.go
+++ b/control/rollout_test.go
@@ -418,6 +418,8 @@
 			Upstreams: map[string]int{"v1": 1, "v2": 2}, Running: map[string]int{"v1": 9, "v2": 9}, Applied: 1, Entries: 2, Removed: true,
 		}}))
 	}
+	s.startedAt = now - rolloutCollectTime + time.Millisecond
+	g.Expect(s.rolloutServices(now, r, v)).To(gomega.BeEmpty(), "a new leader decides by the first reports")
 }
 
 // TestEntriesWithoutRolloutsAreNotAnsweredAtOnce guards against entries of an older build, which
--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// TestIdleEnginesAreSpareCapacity reports waiting and late requests while an engine has nothing to
+// do. It guards against organisations that are refused since requests are late by their own size.
+func TestIdleEnginesAreSpareCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	saturated := func(room bool) bool {
+		b := NewBoard()
+		found := false
+		for now := clock.Instant(0); now < 10*time.Second; now += 300 * time.Millisecond {
+			b.Observe(now, Entry{Name: "e"}, "s", 20, Report{Carried: 100, Answers: 100, Late: 50, Room: room, Demands: []Demand{{Key{0, "a"}, 200}, {Key{0, "b"}, 20}}})
+			if reply := b.Reply(now); reply != nil {
+				found = found || len(reply.Services["s"].Excesses) > 0
+			}
+		}
+		return found
+	}
+	g.Expect(saturated(true)).To(gomega.BeFalse())
+	g.Expect(saturated(false)).To(gomega.BeTrue())
+}
+
 // TestShortBurstsHaveNoShares reports waiting requests and much demand in a single report. It
 // guards against refusals of what only has to wait for a moment.
 func TestShortBurstsHaveNoShares(t *testing.T) {
