--- a/fleet/fleet__pace.go
+++ b/fleet/fleet__pace.go
@@ -267,7 +267,7 @@
 }
 
 // maxDrawn is the difference of rankings from which on an upstream isn't drawn beside another one.
-const maxDrawn = trialGroupPenalty / 2
+const maxDrawn = canaryGroupPenalty / 2
 
 // draw returns the index of one of the candidates; best is that with the lowest ranking.
 func (f *Fleet) draw(now clock.Instant, s *service, offered []candidate, best int) int {
--- a/fleet/fleet__rollout.go
+++ b/fleet/fleet__rollout.go
@@ -279,25 +279,25 @@
 		split.Allows(now, u.Services[0], rollout.Assignment{}, u.Release, false, 0)
 }
 
-// Bounds of the load of an upstream in a trial.
+// Bounds of the load of an upstream in a canary phase.
 const (
-	// trialUpstreams are loaded at a time, so that one that fails by itself isn't taken for
+	// canaryUpstreams are loaded at a time, so that one that fails by itself isn't taken for
 	// a bad release.
-	trialUpstreams = 3
-	// maxTrialLoad is the fraction of an upstream's slots that a trial fills, and
-	// maxTrialDelay that of a request's target after which the first token may be expected.
-	maxTrialLoad  = 0.8
-	maxTrialDelay = 0.6
+	canaryUpstreams = 3
+	// maxCanaryLoad is the fraction of an upstream's slots that a canary phase fills, and
+	// maxCanaryDelay that of a request's target after which the first token may be expected.
+	maxCanaryLoad  = 0.8
+	maxCanaryDelay = 0.6
 )
 
-// trialGroupPenalty is above all rankings of upstreams that would serve in time.
-const trialGroupPenalty = 10 * time.Second
+// canaryGroupPenalty is above all rankings of upstreams that would serve in time.
+const canaryGroupPenalty = 10 * time.Second
 
-// trialGroups numbers the groups in which a trial's requests fill the upstreams that may get
+// canaryGroups numbers the groups in which a canary phase's requests fill the upstreams that may get
 // them, the same at every entry; nil for other requests. Spread over all upstreams, the share of
-// a trial would never load one as the whole service does.
-func (s *service) trialGroups(t *ticket) map[*upstreamView]int {
-	if t.gate == nil || !t.gate.assignment.Trial {
+// a canary phase would never load one as the whole service does.
+func (s *service) canaryGroups(t *ticket) map[*upstreamView]int {
+	if t.gate == nil || !t.gate.assignment.Canary {
 		return nil
 	}
 	type candidate struct {
@@ -313,17 +313,17 @@
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.order, b.order) })
 	groups := make(map[*upstreamView]int, len(list))
 	for i, c := range list {
-		groups[c.upstream] = i / trialUpstreams
+		groups[c.upstream] = i / canaryUpstreams
 	}
 	return groups
 }
 
-// trialRanking returns the ranking of an upstream of the group for a request of a trial. Groups
+// canaryRanking returns the ranking of an upstream of the group for a request of a canary phase. Groups
 // that aren't full go before others, and within a group the usual ranking decides.
-func trialRanking(u *upstreamView, t *ticket, e estimate, group int) time.Duration {
+func canaryRanking(u *upstreamView, t *ticket, e estimate, group int) time.Duration {
 	running := u.running + u.otherWork.Running
-	if float64(running+1) > maxTrialLoad*float64(u.Slots) || t.Target > 0 && e.firstToken > time.Duration(maxTrialDelay*float64(t.Target)) {
+	if float64(running+1) > maxCanaryLoad*float64(u.Slots) || t.Target > 0 && e.firstToken > time.Duration(maxCanaryDelay*float64(t.Target)) {
 		return e.ranking
 	}
-	return e.ranking - otherReleasePenalty/2 + time.Duration(group)*trialGroupPenalty
+	return e.ranking - otherReleasePenalty/2 + time.Duration(group)*canaryGroupPenalty
 }
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -32,7 +32,7 @@
 
 func (s *fakeSplit) Assign(_ clock.Instant, service string) rollout.Assignment {
 	s.assigned = append(s.assigned, service)
-	return rollout.Assignment{Number: 1, New: s.set["new"] || s.set["last"], Trial: s.set["trial"]}
+	return rollout.Assignment{Number: 1, New: s.set["new"] || s.set["last"], Canary: s.set["canary"]}
 }
 
 func (s *fakeSplit) Allows(_ clock.Instant, _ string, a rollout.Assignment, release string, bound bool, _ int) bool {
@@ -158,12 +158,12 @@
 	}
 }
 
-// TestTrialLoadsFewUpstreams guards against a release that is bad only under load and passes its
+// TestCanaryLoadsFewUpstreams guards against a release that is bad only under load and passes its
 // trial, as the trial's requests are spread over all of its upstreams.
-func TestTrialLoadsFewUpstreams(t *testing.T) {
+func TestCanaryLoadsFewUpstreams(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const slots = 10
-	split := &fakeSplit{set: map[string]bool{"new": true, "trial": true}}
+	split := &fakeSplit{set: map[string]bool{"new": true, "canary": true}}
 	f := plainFleet()
 	f.options.Split = split
 	for i := range 12 {
@@ -177,14 +177,14 @@
 		}
 		n := 0
 		for _, u := range f.upstreams {
-			g.Expect(u.running).To(gomega.BeNumerically("<=", maxTrialLoad*slots))
+			g.Expect(u.running).To(gomega.BeNumerically("<=", maxCanaryLoad*slots))
 			if u.running > 0 {
 				n++
 			}
 		}
 		return n
 	}
-	g.Expect(loaded(trialUpstreams * maxTrialLoad * slots)).To(gomega.Equal(trialUpstreams))
+	g.Expect(loaded(canaryUpstreams * maxCanaryLoad * slots)).To(gomega.Equal(canaryUpstreams))
 }
 
 // TestReleasesThatAreGone guards against a split that takes a release for serving whose upstreams
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -287,7 +287,7 @@
 
 // rank offers the upstreams that the ticket may be sent to now, with their estimates.
 func (f *Fleet) rank(now clock.Instant, s *service, t *ticket) {
-	trial := s.trialGroups(t)
+	canary := s.canaryGroups(t)
 	allLeave := !s.anyServing(t)
 	preferred, sharedTokens := s.preferred(now, t)
 	for _, u := range s.upstreams {
@@ -311,8 +311,8 @@
 		case t.gate == nil:
 		case !s.goesFirst(now, u, t, e):
 			e.ranking += otherReleasePenalty
-		case trial != nil:
-			e.ranking = trialRanking(u, t, e, trial[u])
+		case canary != nil:
+			e.ranking = canaryRanking(u, t, e, canary[u])
 		}
 		f.offer(s, u, e)
 	}
--- a/rollout/split.go
+++ b/rollout/split.go
@@ -29,9 +29,9 @@
 	Number uint64
 	// New says that the request is one of the share of the new release.
 	New bool
-	// Trial says that it is one of a part of the service's requests, which load only as many
+	// Canary says that it is one of a part of the service's requests, which load only as many
 	// of the new upstreams as they need.
-	Trial bool
+	Canary bool
 }
 
 // Split decides at an entry which release a request may go to. It isn't safe for concurrent
@@ -195,7 +195,7 @@
 	if state.credit >= 1 {
 		state.credit--
 		a.New = !state.stopped && s.current(now, state)
-		a.Trial = a.New && state.rollout.Share < 1
+		a.Canary = a.New && state.rollout.Share < 1
 	}
 	return a
 }
