fairness, ingress: Take places to come back 5 s ahead at most

Callers with deadlines of minutes pushed the places into the future, where they stayed after the overload; TestReturnsAreSpaced got 327 s where 1 s was left. Entries log only the rollouts that have changed.

--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -257,6 +257,12 @@
 		at := r.Place(0, 0, rate, 0, 3*time.Second, 0.99)
 		g.Expect(at).To(gomega.BeNumerically("<=", 3*time.Second+time.Duration(float64(time.Second)/(returnPart*rate))))
 	}
+	// Callers who would wait for minutes take no place that outlives the overload.
+	var long Returns
+	for range 1000 {
+		long.Place(0, 0, 10, 0, 5*time.Minute, 0)
+	}
+	g.Expect(long.Place(6*time.Second, 0, 10, 0, time.Second, 0)).To(gomega.BeNumerically("<=", time.Second))
 }
 
 // BenchmarkBoard measures one report and its reply at 65 entries, 16 organisations and 2
--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -11,6 +11,10 @@
 // of 0.4 of the capacity, 0.5 served fewer of them than 0.3 in most cases.
 const returnPart = 0.3
 
+// placeHorizon bounds how far ahead places are taken. Callers with long deadlines would take places
+// that outlive the overload, and those who come after it would be told to wait for them.
+const placeHorizon = 5 * time.Second
+
 // Returns is the virtual queue of the callers that were told to come back to a service.
 // It isn't safe for concurrent use.
 type Returns struct {
@@ -36,7 +40,7 @@
 		interval = min(time.Duration(float64(time.Second)/(returnPart*rate)), maxWait)
 	}
 	at := max(now+earliest, r.free[rank])
-	if at-now > longest {
+	if at-now > min(longest, max(placeHorizon, earliest)) {
 		return at - now
 	}
 	// Less urgent callers come after this one, if their places are still to come.
--- a/ingress/rollouts.go
+++ b/ingress/rollouts.go
@@ -52,8 +52,12 @@
 		return
 	}
 	r.split.SetView(now, v)
+	before := r.view
 	r.view = v
 	for _, o := range v.Rollouts {
+		if last, ok := before.Of(o.Service); ok && last.Number == o.Number && last.Phase == o.Phase && last.Step == o.Step {
+			continue
+		}
 		klog.InfoS("rollout view in force", "version", v.Version, "service", o.Service, "release", o.To, "number", o.Number,
 			"phase", o.Phase.String(), "step", o.Step, "share", o.Share, "elapsed", o.Elapsed, "reason", o.Reason, "reverted", v.Reverted[o.Service])
 	}
