--- a/ingress/request.go
+++ b/ingress/request.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/control"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/platform"
@@ -284,11 +285,31 @@
 			cost = float64(r.PromptTokens + r.MaxTokens)
 		}
 	}
-	now := in.options.Clock()
+	for {
+		now := in.options.Clock()
+		reply, err := in.chargeOnce(ctx, now, r, cost)
+		if err == nil {
+			return nil
+		}
+		// The pool of a new leader begins empty, and fills while the entry starts.
+		if reply.OK || reply.RetryAfter <= 0 || now+reply.RetryAfter > in.startsUntil(r) {
+			return err
+		}
+		select {
+		case <-time.After(reply.RetryAfter):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// chargeOnce takes the cost from the entry's part of the quota, and what that lacks from the
+// leader's pool. The reply is that of the leader, if it answered.
+func (in *Ingress) chargeOnce(ctx context.Context, now clock.Instant, r *request, cost float64) (reply control.ReserveReply, failure error) {
 	bucket, missing := in.acquire(now, r.org.Name, cost)
 	if missing <= 0 {
 		r.charged, r.chargedAt = cost, now
-		return nil
+		return reply, nil
 	}
 	reply, err := in.link.Reserve(ctx, r.org.Name, missing)
 	if err != nil || !reply.OK {
@@ -296,13 +317,13 @@
 	}
 	switch {
 	case err != nil:
-		return result.New(result.QuotaExceeded, result.RanNo, "request costs %.0f units, and the leader's quota pool can't be reached: %v", cost, err).WithRetry(poolRetryAfter)
+		return control.ReserveReply{}, result.New(result.QuotaExceeded, result.RanNo, "request costs %.0f units, and the leader's quota pool can't be reached: %v", cost, err).WithRetry(poolRetryAfter)
 	case !reply.OK:
-		return result.New(result.QuotaExceeded, result.RanNo, "request costs %.0f units of a quota of %.0f per second; this entry had %.0f, the leader's pool has %.0f",
+		return reply, result.New(result.QuotaExceeded, result.RanNo, "request costs %.0f units of a quota of %.0f per second; this entry had %.0f, the leader's pool has %.0f",
 			cost, reply.Limit, cost-missing, reply.Remaining).WithRetry(reply.RetryAfter)
 	}
 	r.charged, r.chargedAt = cost, now
-	return nil
+	return reply, nil
 }
 
 // acquire takes the cost from this entry's part of the quota. missing is what that lacks.
--- a/ingress/start.go
+++ b/ingress/start.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/drain"
 	"github.com/hyssopladder/hyssopladder/result"
@@ -80,6 +81,14 @@
 	return nil
 }
 
+// startsUntil is until when the request may wait for what a starting entry lacks; it has passed
+// for requests that come later.
+func (in *Ingress) startsUntil(r *request) clock.Instant {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.gate.Until(r.arrived, r.deadline-r.arrived)
+}
+
 // needsNoConfirmation reports whether the entry may serve the request by a configuration that
 // no majority has confirmed.
 func (in *Ingress) needsNoConfirmation(r *request) bool {
--- a/startup/gate.go
+++ b/startup/gate.go
@@ -41,10 +41,16 @@
 	return &Gate{startedAt: now, maxHold: maxHold}
 }
 
+// Until returns when the wait of a request ends that came at the instant arrived and whose caller
+// waits for patience: what it needs may not be there yet though the entry serves.
+func (g *Gate) Until(arrived clock.Instant, patience time.Duration) clock.Instant {
+	return min(arrived+min(g.maxHold, time.Duration(holdFraction*float64(patience))), g.startedAt+phase)
+}
+
 // Hold returns how long a request may be held whose caller waits for the time remaining, and
 // whether to hold it at all. A request that is held has to be released.
 func (g *Gate) Hold(now clock.Instant, remaining time.Duration) (time.Duration, bool) {
-	limit := min(g.maxHold, time.Duration(holdFraction*float64(remaining)), g.startedAt+phase-now)
+	limit := g.Until(now, remaining) - now
 	if limit <= 0 || g.held >= maxHeld {
 		return 0, false
 	}
