--- a/ingress/isolated_test.go
+++ b/ingress/isolated_test.go
@@ -39,9 +39,10 @@
 const cutConfig = `{"version":1,"routes":[
 {"name":"ask","host":"mill.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":2000,"sloMs":500,"gapSloMs":500,"priority":0,"service":"s","attempts":1,"public":true},
 {"name":"book","host":"mill.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,"sloMs":500,"priority":1,"service":"s","attempts":1,"public":true},
-{"name":"look","host":"mill.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":1500,"sloMs":500,"priority":1,"service":"s","attempts":2,"public":true}],
+{"name":"look","host":"mill.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":1500,"sloMs":500,"priority":1,"service":"s","attempts":2,"public":true},
+{"name":"keyed","host":"mill.example","pathPrefix":"/keyed/","kind":"streaming","timeoutMs":8000,"sloMs":500,"gapSloMs":500,"priority":1,"service":"s","attempts":1}],
 "services":[{"name":"s","healthPath":"/healthz","maxConns":900}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"mill","apiKeys":["key-m"],"unit":"request","ratePerS":10,"burst":10}]}`
 
 // noPathHooks judge paths by connections, and tell nobody.
 var noPathHooks = pathHooks{
@@ -56,6 +57,8 @@
 
 	// silent is closed once it answers entries; nil if it does from the start.
 	silent chan struct{}
+	// emptyPools is how many reservations find the quota's pool empty.
+	emptyPools atomic.Int64
 
 	mu      sync.Mutex
 	reports map[string]control.AccountRequest
@@ -102,6 +105,12 @@
 		}
 		return k.account(request), nil
 	})
+	server.On(peer.Reserve, func(context.Context, []byte) (any, error) {
+		if k.emptyPools.Add(-1) >= 0 {
+			return &control.ReserveReply{RetryAfter: 20 * time.Millisecond}, nil
+		}
+		return &control.ReserveReply{OK: true}, nil
+	})
 	return k
 }
 
@@ -286,6 +295,7 @@
 	request.Host = "mill.example"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "30000")
+	request.Header.Set("Authorization", "Token key-m")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return false
--- a/ingress/start_test.go
+++ b/ingress/start_test.go
@@ -25,6 +25,18 @@
 	g.Eventually(served, 5*time.Second).Should(gomega.Receive(gomega.BeTrue()))
 }
 
+// TestRequestsWaitForAnEmptyQuotaPoolWhileTheEntryStarts guards against refusals with 429 after a loss
+// of all power: the pool of the new leader begins empty.
+func TestRequestsWaitForAnEmptyQuotaPoolWhileTheEntryStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, members := startCutUpstreams(t, 1)
+	k := startCutKeeper(t, members)
+	e := startCutEntry(t, "e1", k)
+	k.emptyPools.Store(3)
+	g.Expect(e.first("/keyed/x", "r1", "{}")).To(gomega.BeTrue())
+	g.Expect(k.emptyPools.Load()).To(gomega.BeNumerically("<", 0))
+}
+
 // TestBodyBeyondTheDefaultIsNotTooLargeAtStart guards against a caller that is refused for good by
 // the default limit while the entry doesn't know the configuration's, which may be higher.
 func TestBodyBeyondTheDefaultIsNotTooLargeAtStart(t *testing.T) {
