keeper: Begin no attempt at the very end of a call

A change that no keeper had taken was answered 503 with ran unknown: the end of the call cut off an attempt that had just begun.

--- a/keeper/client.go
+++ b/keeper/client.go
@@ -25,9 +25,12 @@
 	attemptTimeout = time.Second
 	minAttempts    = 5
 	retryDelay     = 50 * time.Millisecond
-	applyTimeout   = 8 * time.Second
-	claimTimeout   = 2 * time.Second
-	settleTimeout  = claim.OwnerTimeout
+	// lastAttemptPart is the part of a call's time before its end in which no attempt begins any
+	// more: one that the end cuts off leaves the outcome unknown.
+	lastAttemptPart = 40
+	applyTimeout    = 8 * time.Second
+	claimTimeout    = 2 * time.Second
+	settleTimeout   = claim.OwnerTimeout
 )
 
 // Client sends commands to the keeper that leads. Commands may be repeated, so
@@ -103,6 +106,7 @@
 func (c *Client) propose(ctx context.Context, command Command, timeout time.Duration) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	var lastErr error
 	// ran is "no" while no keeper may have taken the command.
 	ran := result.RanNo
@@ -110,6 +114,9 @@
 	unanswered := map[consensus.ID]int{}
 	for {
 		for _, to := range c.candidates(ctx, unanswered) {
+			if lastErr != nil && time.Since(began) > timeout-timeout/lastAttemptPart {
+				break
+			}
 			reply, err := c.proposeTo(ctx, to, command, min(attemptTimeout, timeout/minAttempts))
 			if err == nil && !reply.NotLeader {
 				c.setLeader(to)
