--- a/exchange/client.go
+++ b/exchange/client.go
@@ -12,11 +12,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
@@ -72,15 +74,30 @@
 	// Body is the whole body. HasBody distinguishes an empty body from none.
 	Body    []byte
 	HasBody bool
+	// ID is the request's ID, by which its response is told from others.
+	ID string
 	// Matches reports whether a response belongs to the request. used says that
 	// the connection has carried another exchange before, so that the response
 	// may be a late one to an earlier request.
 	Matches func(response *http.Response, used bool) bool
 }
 
+// Trace tells what carried an exchange.
+type Trace struct {
+	// Local is this end of the connection; not valid if there is none.
+	Local netip.AddrPort
+	// Number is that of the exchange on its connection, from 1.
+	Number int
+	// Repeated says that the connection had carried a request with the same ID before.
+	Repeated bool
+	// Skipped is the number of responses to other requests that were read before.
+	Skipped int
+}
+
 // Response is a response whose body is still to be read.
 type Response struct {
 	*http.Response
+	Trace
 	conn   *connection
 	client *Client
 	// stopCancel detaches the connection from the context of Do.
@@ -99,7 +116,8 @@
 type Error struct {
 	// Sent says that bytes may have reached the upstream.
 	Sent bool
-	err  error
+	Trace
+	err error
 }
 
 // Error implements error.
@@ -126,8 +144,9 @@
 	// headBytes is how many more bytes may be read while a head is read.
 	headBytes   int
 	readingHead bool
-	// used says that an exchange on the connection has ended.
-	used bool
+	// carried are hashes of the IDs of the requests that the connection has carried, with the
+	// present one.
+	carried []uint64
 	// idleUntil is when the connection is closed if it stays idle.
 	idleUntil time.Time
 }
@@ -289,18 +308,34 @@
 			return nil, &Error{err: err}
 		}
 	}
+	trace := conn.carry(r.ID)
 	stopCancel := context.AfterFunc(ctx, conn.abort)
-	response, err := c.roundTrip(conn, r)
+	response, err := c.roundTrip(conn, r, &trace)
 	if err != nil {
 		stopCancel()
 		conn.abort()
+		err.Trace = trace
 		return nil, err
 	}
-	response.stopCancel = stopCancel
+	response.Trace, response.stopCancel = trace, stopCancel
 	return response, nil
 }
 
-func (c *Client) roundTrip(conn *connection, r *Request) (*Response, error) {
+// carry records that the connection carries one more request.
+func (c *connection) carry(id string) Trace {
+	hash := xxhash.Sum64String(id)
+	repeated := slices.Contains(c.carried, hash)
+	c.carried = append(c.carried, hash)
+	local, _ := netip.ParseAddrPort(c.LocalAddr().String())
+	return Trace{Local: local, Number: len(c.carried), Repeated: repeated}
+}
+
+// used reports whether the connection has carried an exchange before the present one.
+func (c *connection) used() bool { return len(c.carried) > 1 }
+
+// roundTrip sends the request and reads the head of its response. It counts in the trace what
+// it skips.
+func (c *Client) roundTrip(conn *connection, r *Request, trace *Trace) (*Response, *Error) {
 	head := encodeHead(r)
 	bodyWritten := make(chan error, 1)
 	if len(r.Body) < asyncBodyBytes {
@@ -317,7 +352,7 @@
 		go func() { bodyWritten <- conn.upload(r.Body) }()
 	}
 	conn.headBytes = maxHeadBytes
-	for foreign := 0; foreign <= maxForeignResponses; {
+	for trace.Skipped <= maxForeignResponses {
 		response, err := conn.readHead(r.Method)
 		switch {
 		case err != nil:
@@ -326,10 +361,10 @@
 			return nil, &Error{Sent: true, err: errors.New("the upstream switched to another protocol unasked")}
 		case response.StatusCode < http.StatusOK:
 			continue
-		case r.Matches(response, conn.used):
+		case r.Matches(response, conn.used()):
 			return &Response{Response: response, conn: conn, client: c, bodyWritten: bodyWritten}, nil
 		}
-		foreign++
+		trace.Skipped++
 		if err := conn.skip(response); err != nil {
 			return nil, &Error{Sent: true, err: errors.Wrap(err, "response belongs to another request, and the connection can't be read further")}
 		}
@@ -392,7 +427,7 @@
 }
 
 // First reports whether the response is the first one on its connection.
-func (r *Response) First() bool { return !r.conn.used }
+func (r *Response) First() bool { return !r.conn.used() }
 
 // Await reads the body ahead until enough says that the bytes so far suffice, or the body
 // ends. Read returns them again. The error is that of a body that broke off.
@@ -453,7 +488,7 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.conn.idleUntil, r.conn.used = time.Now().Add(idleTimeout(r.Header)), true
+	r.conn.idleUntil = time.Now().Add(idleTimeout(r.Header))
 	r.client.releaseIdle(r.conn)
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -299,10 +299,12 @@
 	}
 }
 
-// responseHead is the head of an upstream's answer to the request; its status is 0 if none came.
+// responseHead is the head of an upstream's answer to the request, with what carried it; its
+// status is 0 if none came.
 type responseHead struct {
 	status int
 	platform.ResponseInfo
+	exchange.Trace
 }
 
 // logAttempt logs an attempt that has ended, with the response that was relayed, if there
@@ -329,7 +331,8 @@
 	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
 		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "rollout", choice.Rollout, "releaseBy", choice.Reason, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
-		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "signed", head.Signed, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit, "err", o.cause)
+		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "signed", head.Signed, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit,
+		"connection", head.Local.Port(), "exchange", head.Number, "repeated", head.Repeated, "skipped", head.Skipped, "err", o.cause)
 	if failure == retry.Broken.String() {
 		klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 			"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
@@ -344,7 +347,7 @@
 	lastEvent, resumes := d.events.position()
 	d.mu.Unlock()
 	response, err := in.upstreamClient.Do(ctx, grant.Upstream.Address, &exchange.Request{
-		Method: r.method, Target: r.target, Host: r.host, Body: r.body, HasBody: r.hasBody,
+		Method: r.method, Target: r.target, Host: r.host, Body: r.body, HasBody: r.hasBody, ID: r.ID,
 		Header: platform.EncodeForward(r.header, platform.Forward{
 			Upstream: grant.Upstream.ID, Organisation: r.organisation(), Remaining: r.deadline - in.options.Clock(),
 			LastEvent: lastEvent, Resumes: resumes, Rank: r.rank, Ranked: r.route.ByPrefix,
@@ -359,9 +362,13 @@
 	if err != nil {
 		o = outcome{failure: retry.NotSent, cause: err}
 		var e *exchange.Error
-		if errors.As(err, &e) && e.Sent {
-			o.failure, o.sent = retry.Broken, true
+		if errors.As(err, &e) {
+			head.Trace = e.Trace
+			if e.Sent {
+				o.failure, o.sent = retry.Broken, true
+			}
 		}
+		in.meters.skipped.Inc(int64(head.Skipped))
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
 		return nil, head, o
 	}
@@ -369,7 +376,8 @@
 		in.paths.Answered(grant.Upstream.Address, response.First())
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
-	head = responseHead{response.StatusCode, answer}
+	head = responseHead{response.StatusCode, answer, response.Trace}
+	in.meters.skipped.Inc(int64(head.Skipped))
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -23,6 +23,8 @@
 	// unstated counts upstreams' answers with a status that promises that the request has not
 	// run, without their statement.
 	unstated metrics.Counter
+	// skipped counts responses to other requests that were read before an answer.
+	skipped metrics.Counter
 
 	// hedged counts second attempts beside silent upstreams, and hedgesUsed those whose
 	// response was relayed.
@@ -63,6 +65,7 @@
 
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
 		unstated:   metrics.GetOrRegisterCounter("ingress.unstatedRefusal", r),
+		skipped:    metrics.GetOrRegisterCounter("ingress.skippedResponse", r),
 		panics:     metrics.GetOrRegisterCounter("ingress.panics", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
