--- /dev/null
+++ b/exchange/carried_test.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// refusalOf is a refusal of the request with the ID, and answerTo its answer.
+func refusalOf(id string) string {
+	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\nX-Id: %s\nContent-Length: 7\n\nrefused", id)
+}
+
+func answerTo(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\nX-Id: %s\nContent-Length: 3\n\nran", id)
+}
+
+// TestCopyOfItsRefusalDoesNotAnswerARequest guards against an upstream that refuses a request,
+// gets it again, and sends the refusal once more before its answer: the request runs, and
+// is taken for refused.
+func TestCopyOfItsRefusalDoesNotAnswerARequest(t *testing.T) {
+	refused := map[string]bool{"a": true, "c": true}
+	for _, tc := range []struct {
+		name string
+		// ids are those of the requests, in order. The first request with an ID in refused is
+		// refused, and the refusal sent again before each of the next answers on its connection.
+		ids         []string
+		connections int64
+	}{
+		{"at once", []string{"a", "a"}, 2},
+		{"after another request", []string{"a", "b", "a"}, 2},
+		{"after another refused one", []string{"a", "c", "c", "a"}, 2},
+		{"on the connection of its second attempt", []string{"a", "a", "a"}, 3},
+		{"others use the connection", []string{"a", "b", "d", "e"}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var mu sync.Mutex
+			refusals := map[string]bool{}
+			copies := map[net.Conn]string{}
+			s := startServer(t, func(c net.Conn, r *http.Request) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				id := r.Header.Get("X-Id")
+				if refused[id] && !refusals[id] {
+					refusals[id] = true
+					copies[c] += refusalOf(id)
+					return writeCRLF(c, refusalOf(id))
+				}
+				due := copies[c]
+				delete(copies, c)
+				return writeCRLF(c, due+answerTo(id))
+			})
+			c := New(func() {})
+			sent := map[string]bool{}
+			for _, id := range tc.ids {
+				want := "ran"
+				if refused[id] && !sent[id] {
+					want = "refused"
+				}
+				sent[id] = true
+				g.Expect(fetch(t, c, s, newRequest(id))).To(gomega.Equal(want), id)
+			}
+			g.Expect(s.accepted.Load()).To(gomega.Equal(tc.connections))
+			g.Expect(s.requests.Load()).To(gomega.BeEquivalentTo(len(tc.ids)))
+		})
+	}
+}
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -61,7 +61,7 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method: http.MethodGet, Target: "/a//b/../c?x=%2F", Host: "mill.example", Header: http.Header{"X-Id": {id}},
+		Method: http.MethodGet, Target: "/a//b/../c?x=%2F", Host: "mill.example", Header: http.Header{"X-Id": {id}}, ID: id,
 		Matches: func(r *http.Response, _ bool) bool { return r.Header.Get("X-Id") == id },
 	}
 }
