exchange: Carry each request ID once over a connection

What callers saw: 503, ran no, for a request that runs, or a second run of a request that may not repeat, when an upstream sent a copy of its refusal.

Cause: a response was taken for the answer if it named the request. That proves something only while the connection has carried the ID once. Nothing in exchange saw to that; it rested on fleet, which excludes the upstreams that failed a ticket by their IDs, while connections are pooled by address, and on callers never using an ID twice.

Change: a connection keeps hashes of the IDs that it has carried, and a request gets one that hasn't carried its ID, whoever sends it. After 1,024 requests (8 KiB) a connection isn't used again, and one of a request without an ID isn't either. So a response that names the request is never one to an earlier exchange: by construction, for each status, and for copies of successes too. The lines attempt have passedOver in place of repeated, which can't be true any more.

TestConnectionsCarryEachIDOnce sends 3,073 requests with IDs that come again.

--- a/exchange/carried_test.go
+++ b/exchange/carried_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -36,6 +38,7 @@
 		{"after another refused one", []string{"a", "c", "c", "a"}, 2},
 		{"on the connection of its second attempt", []string{"a", "a", "a"}, 3},
 		{"others use the connection", []string{"a", "b", "d", "e"}, 1},
+		{"requests without an ID have connections of their own", []string{"b", "", "", "d"}, 3},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -70,3 +73,30 @@
 		})
 	}
 }
+
+// TestConnectionsCarryEachIDOnce guards against a connection on which the ID of a response proves
+// nothing, whichever IDs come again, and against one that keeps IDs without end.
+func TestConnectionsCarryEachIDOnce(t *testing.T) {
+	const requests = 3*maxExchanges + 1
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	carried := map[net.Conn]map[string]bool{}
+	s := startServer(t, func(c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		id := r.Header.Get("X-Id")
+		if carried[c] == nil {
+			carried[c] = map[string]bool{}
+		}
+		if carried[c][id] || len(carried[c]) >= maxExchanges {
+			t.Errorf("request %s after %d others, sent here before: %v", id, len(carried[c]), carried[c][id])
+		}
+		carried[c][id] = true
+		return writeCRLF(c, answerTo(id))
+	})
+	c := New(func() {})
+	for n := range requests {
+		g.Expect(fetch(t, c, s, newRequest(strconv.Itoa(n-random.IntN(min(n, 3)+1))))).To(gomega.Equal("ran"))
+	}
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -47,6 +47,9 @@
 	// client closes first.
 	idleMargin        = time.Second
 	maxIdlePerAddress = 16
+	// maxExchanges is the number of requests that a connection carries, as it keeps 8 bytes of
+	// the ID of each.
+	maxExchanges = 1024
 	// asyncBodyBytes is the size from which a body is written while the response
 	// is read: an upstream may respond before it has read the body.
 	asyncBodyBytes  = 8 << 10
@@ -74,7 +77,9 @@
 	// Body is the whole body. HasBody distinguishes an empty body from none.
 	Body    []byte
 	HasBody bool
-	// ID is the request's ID, by which its response is told from others.
+	// ID is the request's ID, by which its response is told from others. A connection carries
+	// each ID once, as a copy of an earlier response may still come on it. A request without an
+	// ID has a connection of its own.
 	ID string
 	// Matches reports whether a response belongs to the request. used says that
 	// the connection has carried another exchange before, so that the response
@@ -88,8 +93,9 @@
 	Local netip.AddrPort
 	// Number is that of the exchange on its connection, from 1.
 	Number int
-	// Repeated says that the connection had carried a request with the same ID before.
-	Repeated bool
+	// PassedOver is the number of idle connections that weren't used, as they had carried a
+	// request with the same ID.
+	PassedOver int
 	// Skipped is the number of responses to other requests that were read before.
 	Skipped int
 }
@@ -147,6 +153,9 @@
 	// carried are hashes of the IDs of the requests that the connection has carried, with the
 	// present one.
 	carried []uint64
+	// singleUse says that the present request has no ID: a copy of its response couldn't be told
+	// from the next one.
+	singleUse bool
 	// idleUntil is when the connection is closed if it stays idle.
 	idleUntil time.Time
 }
@@ -209,25 +218,34 @@
 	}
 }
 
-// acquireIdle takes a usable idle connection from the pool, or returns nil.
-func (c *Client) acquireIdle(address netip.AddrPort) *connection {
+// acquireIdle takes a usable idle connection that hasn't carried the request's ID from the pool,
+// or returns nil. It also returns the number of those that have carried it.
+func (c *Client) acquireIdle(address netip.AddrPort, id uint64) (conn *connection, passedOver int) {
 	for {
-		c.mu.Lock()
-		list := c.idle[address]
-		if len(list) == 0 {
-			c.mu.Unlock()
-			return nil
-		}
-		conn := list[len(list)-1]
-		c.idle[address] = list[:len(list)-1]
-		c.mu.Unlock()
-		if time.Now().Before(conn.idleUntil) && conn.usable() {
-			return conn
+		conn, passedOver = c.takeIdle(address, id)
+		if conn == nil || time.Now().Before(conn.idleUntil) && conn.usable() {
+			return conn, passedOver
 		}
 		_ = conn.Close()
 	}
 }
 
+// takeIdle takes the connection that was used last, of those that haven't carried the ID.
+func (c *Client) takeIdle(address netip.AddrPort, id uint64) (last *connection, passedOver int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	for i, conn := range slices.Backward(list) {
+		if slices.Contains(conn.carried, id) {
+			passedOver++
+			continue
+		}
+		c.idle[address] = slices.Delete(list, i, i+1)
+		return conn, passedOver
+	}
+	return nil, passedOver
+}
+
 // usable reports whether an idle connection is open and has no unread bytes.
 func (c *connection) usable() bool {
 	tcp, ok := c.Conn.(*net.TCPConn)
@@ -301,14 +319,21 @@
 // error is always an *Error. If ctx ends before the response is closed, the
 // connection is closed.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, r *Request) (*Response, error) {
-	conn := c.acquireIdle(address)
+	var conn *connection
+	var trace Trace
+	id := xxhash.Sum64String(r.ID)
+	if r.ID != "" {
+		conn, trace.PassedOver = c.acquireIdle(address, id)
+	}
 	if conn == nil {
 		var err error
 		if conn, err = c.open(ctx, address); err != nil {
-			return nil, &Error{err: err}
+			return nil, &Error{Trace: trace, err: err}
 		}
 	}
-	trace := conn.carry(r.ID)
+	conn.carried, conn.singleUse = append(conn.carried, id), r.ID == ""
+	trace.Local, _ = netip.ParseAddrPort(conn.LocalAddr().String())
+	trace.Number = len(conn.carried)
 	stopCancel := context.AfterFunc(ctx, conn.abort)
 	response, err := c.roundTrip(conn, r, &trace)
 	if err != nil {
@@ -321,15 +346,6 @@
 	return response, nil
 }
 
-// carry records that the connection carries one more request.
-func (c *connection) carry(id string) Trace {
-	hash := xxhash.Sum64String(id)
-	repeated := slices.Contains(c.carried, hash)
-	c.carried = append(c.carried, hash)
-	local, _ := netip.ParseAddrPort(c.LocalAddr().String())
-	return Trace{Local: local, Number: len(c.carried), Repeated: repeated}
-}
-
 // used reports whether the connection has carried an exchange before the present one.
 func (c *connection) used() bool { return len(c.carried) > 1 }
 
@@ -493,7 +509,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.complete || r.Response.Close || !r.Framed() || r.conn.reader.Buffered() > 0 {
+	if !r.complete || r.Response.Close || !r.Framed() || r.conn.reader.Buffered() > 0 || r.conn.singleUse || len(r.conn.carried) >= maxExchanges {
 		return false
 	}
 	select {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -332,7 +332,7 @@
 		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "rollout", choice.Rollout, "releaseBy", choice.Reason, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
 		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "signed", head.Signed, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit,
-		"connection", head.Local.Port(), "exchange", head.Number, "repeated", head.Repeated, "skipped", head.Skipped, "err", o.cause)
+		"connection", head.Local.Port(), "exchange", head.Number, "passedOver", head.PassedOver, "skipped", head.Skipped, "err", o.cause)
 	if failure == retry.Broken.String() {
 		klog.InfoS("attempt broke off", "request", r.ID, "upstream", grant.Upstream.ID, "incarnation", grant.Upstream.Incarnation,
 			"fingerprint", strconv.FormatUint(r.fingerprint(), 16), "parts", r.sharedPartIDs())
@@ -368,7 +368,7 @@
 				o.failure, o.sent = retry.Broken, true
 			}
 		}
-		in.meters.skipped.Inc(int64(head.Skipped))
+		in.meters.carried(head.Trace)
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
 		return nil, head, o
 	}
@@ -377,7 +377,7 @@
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
 	head = responseHead{response.StatusCode, answer, response.Trace}
-	in.meters.skipped.Inc(int64(head.Skipped))
+	in.meters.carried(head.Trace)
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -255,7 +255,7 @@
 	h.cancel()
 	klog.InfoS("second upstream not used", "request", d.r.ID, "upstream", h.grant.Upstream.ID, "number", h.grant.Attempt,
 		"took", d.in.options.Clock()-h.startedAt, "dropped", dropped, "failure", o.failure.String(), "status", h.head.status, "notRun", h.head.NotRun, "named", h.head.RequestID == d.r.ID, "limit", h.head.Limit,
-		"connection", h.head.Local.Port(), "exchange", h.head.Number, "repeated", h.head.Repeated, "skipped", h.head.Skipped, "err", o.cause)
+		"connection", h.head.Local.Port(), "exchange", h.head.Number, "passedOver", h.head.PassedOver, "skipped", h.head.Skipped, "err", o.cause)
 	if !dropped {
 		d.in.meters.attemptFailed(o.failure)
 		d.in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.HedgeFailed(now, h.ticket, o.failure) })
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
 	"github.com/hyssopladder/hyssopladder/retry"
 )
@@ -23,8 +24,9 @@
 	// unstated counts upstreams' answers with a status that promises that the request has not
 	// run, without their statement.
 	unstated metrics.Counter
-	// skipped counts responses to other requests that were read before an answer.
-	skipped metrics.Counter
+	// skipped counts responses to other requests that were read before an answer, passedOver the
+	// connections that weren't used as they had carried the request before.
+	skipped, passedOver metrics.Counter
 
 	// hedged counts second attempts beside silent upstreams, and hedgesUsed those whose
 	// response was relayed.
@@ -66,11 +68,18 @@
 		unreadable: metrics.GetOrRegisterCounter("ingress.unreadableHeader", r),
 		unstated:   metrics.GetOrRegisterCounter("ingress.unstatedRefusal", r),
 		skipped:    metrics.GetOrRegisterCounter("ingress.skippedResponse", r),
+		passedOver: metrics.GetOrRegisterCounter("ingress.connectionPassedOver", r),
 		panics:     metrics.GetOrRegisterCounter("ingress.panics", r),
 		firstByte:  metrics.GetOrRegisterTimer("ingress.firstByte", r),
 	}
 }
 
+// carried counts what an exchange met on its connection.
+func (m *meters) carried(t exchange.Trace) {
+	m.skipped.Inc(int64(t.Skipped))
+	m.passedOver.Inc(int64(t.PassedOver))
+}
+
 // registerGauges registers the gauges, which are computed when they are read.
 func (in *Ingress) registerGauges(r metrics.Registry) {
 	register := func(name string, value func() int64) {
