entry: Send each attempt on a connection of its own

Requests that may be repeated went out on pooled connections. There an answer too many, written late, is read as the answer to the next request: the copy of a refusal as a second one of the same request, which has the same ID, and any copy without an ID as the answer to another caller's. dispatch.place sends a refused request to the same upstream again if there is no other, after its backoff.

Now no connection carries a second request, so that there is no next answer for which a copy could be taken. The pools, and what drops them, are gone. Weighed: an ID for each attempt, which doesn't help with upstreams that repeat no ID.

Before, with the calls that may be repeated: 20 of 20 cases of TestCopiesAreNoAnswers fail (15 return the copy, 5 an error since the copy names another request), and 2 of 4 of TestRefusedRequestsRunOnce, where the request runs twice. All pass now.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -181,10 +181,7 @@
 func (c *chatCall) watchedAttempt(ctx context.Context, u upstream.Announcement, number, offset int) (failure retry.Failure, moved bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := c.entry.watch(c.job, c.entry.options.Settings.ProgressTimeout, func() {
-		c.entry.upstreams.dropPool(u.Address)
-		cancel()
-	})
+	watch := c.entry.watch(c.job, c.entry.options.Settings.ProgressTimeout, cancel)
 	failure, err = c.relayFrom(ctx, watch, u, number, offset)
 	fired, moved := watch.stop()
 	if fired && failure == retry.Broken {
@@ -201,7 +198,7 @@
 	if err != nil {
 		return retry.NotSent, err
 	}
-	trip, err := c.entry.upstreams.do(ctx, u.Address, r, c.call.Repeatable)
+	trip, err := c.entry.upstreams.do(ctx, r)
 	if err != nil {
 		return sendFailure(trip.connected), nil
 	}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -217,10 +217,7 @@
 func (p *plainCall) watchedAttempt(ctx context.Context, u upstream.Announcement) (response *plainResponse, failure retry.Failure, moved bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := p.entry.watch(p.job, p.timeout, func() {
-		p.entry.upstreams.dropPool(u.Address)
-		cancel()
-	})
+	watch := p.entry.watch(p.job, p.timeout, cancel)
 	response, failure, err = p.attempt(ctx, u)
 	fired, moved := watch.stop()
 	if fired && failure == retry.Broken {
@@ -235,7 +232,7 @@
 	if err != nil {
 		return nil, retry.NotSent, err
 	}
-	x, err := p.entry.upstreams.do(ctx, u.Address, r, p.call.Repeatable)
+	x, err := p.entry.upstreams.do(ctx, r)
 	if err != nil {
 		return nil, sendFailure(x.connected), nil
 	}
