entry: Take no success for a refusal

A plain call whose answer states by X-Ran that it has not run counted as refused whatever its status was: after a success it was sent to another upstream, also if it may not be repeated, and ended as not run. The header is meant for the entry and isn't passed on.

Before, all 6 cases of the new row of TestCutPlainAnswersAreNeverWhole fail.

--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -45,6 +45,8 @@
 	undecided := newUndecided(t)
 	for name, head := range map[string]string{
 		"200": "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-More: a\r\n b\r\n",
+		// A success that states that it has not run contradicts itself, and has run.
+		"201": "HTTP/1.1 201 Made\r\n" + headerRan + ": no\r\n",
 		"500": "HTTP/1.1 500 Broken\r\n",
 		"503": "HTTP/1.1 503 Full\r\n" + headerRan + ": no\r\n",
 	} {
@@ -67,6 +69,7 @@
 					case name != "503" && whole:
 						g.Expect(response).NotTo(gomega.BeNil(), about)
 						g.Expect(fmt.Sprint(response.status)).To(gomega.Equal(name))
+						g.Expect(response.header).NotTo(gomega.HaveKey(headerRan))
 						g.Expect(string(response.body)).To(gomega.Equal(body))
 					default:
 						g.Expect(response).To(gomega.BeNil(), about)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -39,7 +39,7 @@
 // which the entry sets itself.
 var strippedHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", headerKey, "X-" + headerKey, headerCall,
+	"Transfer-Encoding", "Upgrade", "Content-Length", headerKey, "X-" + headerKey, headerCall, headerRan,
 }
 
 // plainResponse is the complete response of a plain service.
@@ -237,7 +237,7 @@
 		return nil, sendFailure(x.connected), nil
 	}
 	defer func() { _ = x.response.Body.Close() }()
-	if x.response.Header.Get(headerRan) == string(result.RanNo) {
+	if statesNotRun(x.response) {
 		return nil, retry.Refused, nil
 	}
 	answer, err := p.entry.responses.Read(ctx, x.response.Body, maxResponseBytes)
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -170,12 +170,17 @@
 // request.
 const headerRan = "X-Ran"
 
+// statesNotRun reports whether a response states that the request did not run. A success that does
+// contradicts itself, and has run.
+func statesNotRun(r *http.Response) bool {
+	return r.StatusCode >= http.StatusBadRequest && r.Header.Get(headerRan) == string(result.RanNo)
+}
+
 // classifyStatus handles a response with a status other than 200. A server error
-// is a failure of the upstream, a client error is returned to the caller. The upstream
-// states by headerRan if it did not run the request.
+// is a failure of the upstream, a client error is returned to the caller.
 func classifyStatus(r *http.Response) (failure retry.Failure, refusal *result.Error) {
 	ran := result.RanUnknown
-	if r.Header.Get(headerRan) == string(result.RanNo) {
+	if statesNotRun(r) {
 		ran = result.RanNo
 	}
 	switch {
