--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -23,8 +23,7 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
-// newCutEntry is an entry that only sends to upstreams. It has no connections: one that is
-// used again while its upstream closes it is another failure.
+// newCutEntry is an entry that only sends to upstreams.
 func newCutEntry(dispatch *dispatchActor) *Entry {
 	return &Entry{
 		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes, responsesWait),
