--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -23,8 +23,7 @@
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
-// newCutEntry is an entry that only sends to upstreams. It has no connections: one that is
-// used again while its upstream closes it is another failure.
+// newCutEntry is an entry that only sends to upstreams.
 func newCutEntry(dispatch *dispatchActor) *Entry {
 	return &Entry{
 		options: Options{Settings: settings.Entry{ProgressTimeout: 2 * time.Second, WriteTimeout: time.Second}}, upstreams: newUpstreamClient(), responses: readahead.New(maxResponsesBytes, responsesWait),
@@ -45,6 +44,8 @@
 	undecided := newUndecided(t)
 	for name, head := range map[string]string{
 		"200": "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-More: a\r\n b\r\n",
+		// A success that states that it has not run contradicts itself, and has run.
+		"201": "HTTP/1.1 201 Made\r\n" + headerRan + ": no\r\n",
 		"500": "HTTP/1.1 500 Broken\r\n",
 		"503": "HTTP/1.1 503 Full\r\n" + headerRan + ": no\r\n",
 	} {
@@ -67,6 +68,7 @@
 					case name != "503" && whole:
 						g.Expect(response).NotTo(gomega.BeNil(), about)
 						g.Expect(fmt.Sprint(response.status)).To(gomega.Equal(name))
+						g.Expect(response.header).NotTo(gomega.HaveKey(headerRan))
 						g.Expect(string(response.body)).To(gomega.Equal(body))
 					default:
 						g.Expect(response).To(gomega.BeNil(), about)
