fleet: Let an upstream that moves leave its address

Cause: idByAddress kept the former address of an upstream that announced another one. The next upstream at that address was compared with the one that had moved: the older of the two counted as replaced for as long as it lived, and got no requests. Other entries could also ask for tunnels to the former address.

Change: an upstream that announces another address gives up the one before.

Evidence: TestMovedUpstreamLeavesItsAddress fails before in its three cases.

--- a/fleet/fleet__directory.go
+++ b/fleet/fleet__directory.go
@@ -35,9 +35,7 @@
 		case now-u.endedAt > endedRetention && u.running == 0:
 			f.remove(u)
 			f.paces.Drop(id)
-			if address := u.Address.String(); f.idByAddress[address] == id {
-				delete(f.idByAddress, address)
-			}
+			f.releaseAddress(u)
 		}
 	}
 }
@@ -53,6 +51,11 @@
 		return
 	case m.Ended && !ok:
 		return
+	}
+	if ok && m.Address != u.Address {
+		f.releaseAddress(u)
+	}
+	switch {
 	case ok && m.Incarnation == u.Incarnation:
 		f.noteRelease(now, u)
 		u.Member = m
@@ -119,6 +122,13 @@
 	}
 }
 
+// releaseAddress forgets the upstream's address, unless another one has it.
+func (f *Fleet) releaseAddress(u *upstreamView) {
+	if address := u.Address.String(); f.idByAddress[address] == u.ID {
+		delete(f.idByAddress, address)
+	}
+}
+
 func (f *Fleet) remove(u *upstreamView) {
 	delete(f.upstreams, u.ID)
 	u.replaced = true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -98,6 +98,34 @@
 	}
 }
 
+// TestMovedUpstreamLeavesItsAddress guards against an upstream that gets no requests any more: one
+// restarts under its ID at another address, and a third one starts at its former address.
+func TestMovedUpstreamLeavesItsAddress(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		moved, successor uint64
+	}{
+		{"the successor is newer", 2, 3},
+		{"the successor is older", 3, 2},
+		{"the upstream moves without a restart", 1, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := plainFleet(member("u1", 1, 1))
+			moved, successor := member("u1", 2, c.moved), member("u2", 1, c.successor)
+			moved.Sequence = 2
+			f.Merge(0, []upstream.Member{moved})
+			g.Expect(f.Accepts(0, member("u1", 1, 1).Address)).To(gomega.BeFalse())
+			f.Merge(0, []upstream.Member{successor})
+			g.Expect(f.Accepts(0, moved.Address)).To(gomega.BeTrue())
+			g.Expect(f.Accepts(0, successor.Address)).To(gomega.BeTrue())
+			g.Expect(f.upstreams["u1"].present()).To(gomega.BeTrue())
+			g.Expect(f.upstreams["u2"].present()).To(gomega.BeTrue())
+			g.Expect(f.idByAddress).To(gomega.HaveLen(2))
+		})
+	}
+}
+
 // TestRetryByKindOfFailure fails the first attempt with each kind of failure.
 func TestRetryByKindOfFailure(t *testing.T) {
 	cases := []struct {
