exchange: Send HEAD requests on connections of their own

What callers saw: nothing is known of; found by reading. With copies of answers, 502 for a request that ran, as the answer can't be read.

Cause: the length of a response depends on the method of its request. A copy of an earlier response is read as one to the present request: beside HEAD, its body stays on the connection, or the first bytes of the answer go with it.

Change: a connection of a HEAD request carries nothing else.

Evidence: TestCopiesBesideHEAD fails before, with malformed HTTP version "ranHTTP/1.1".

--- a/exchange/carried_test.go
+++ b/exchange/carried_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -74,6 +75,34 @@
 	}
 }
 
+// TestCopiesBesideHEAD guards against a copy of an earlier response that is read with the length of
+// another method's: what is left of it then breaks the answer.
+func TestCopiesBesideHEAD(t *testing.T) {
+	for _, methods := range [][]string{{http.MethodGet, http.MethodHead}, {http.MethodHead, http.MethodGet}, {http.MethodHead, http.MethodHead}} {
+		g := gomega.NewWithT(t)
+		copies := map[net.Conn]string{}
+		var mu sync.Mutex
+		s := startServer(t, func(c net.Conn, r *http.Request) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			answer := answerTo(r.Header.Get("X-Id"))
+			if r.Method == http.MethodHead {
+				answer = strings.TrimSuffix(answer, "ran")
+			}
+			due := copies[c]
+			copies[c] = answer
+			return writeCRLF(c, due+answer)
+		})
+		c := New(func() {})
+		for id, method := range methods {
+			r := newRequest(strconv.Itoa(id))
+			r.Method = method
+			_, err := fetch(t, c, s, r)
+			g.Expect(err).NotTo(gomega.HaveOccurred(), "%v", methods)
+		}
+	}
+}
+
 // TestConnectionsCarryEachIDOnce guards against a connection on which the ID of a response proves
 // nothing, whichever IDs come again, and against one that keeps IDs without end.
 func TestConnectionsCarryEachIDOnce(t *testing.T) {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -79,7 +79,7 @@
 	HasBody bool
 	// ID is the request's ID, by which its response is told from others. A connection carries
 	// each ID once, as a copy of an earlier response may still come on it. A request without an
-	// ID has a connection of its own.
+	// ID has a connection of its own, and so has a HEAD request.
 	ID string
 	// Matches reports whether a response belongs to the request. used says that
 	// the connection has carried another exchange before, so that the response
@@ -153,8 +153,8 @@
 	// carried are hashes of the IDs of the requests that the connection has carried, with the
 	// present one.
 	carried []uint64
-	// singleUse says that the present request has no ID: a copy of its response couldn't be told
-	// from the next one.
+	// singleUse says that the present request has no ID or is a HEAD request: a copy of its
+	// response couldn't be told from the next one, or be read to its end.
 	singleUse bool
 	// idleUntil is when the connection is closed if it stays idle.
 	idleUntil time.Time
@@ -322,7 +322,9 @@
 	var conn *connection
 	var trace Trace
 	id := xxhash.Sum64String(r.ID)
-	if r.ID != "" {
+	// The length of a response depends on the method of its request, and a copy doesn't tell that.
+	singleUse := r.ID == "" || r.Method == http.MethodHead
+	if !singleUse {
 		conn, trace.PassedOver = c.acquireIdle(address, id)
 	}
 	if conn == nil {
@@ -331,7 +333,7 @@
 			return nil, &Error{Trace: trace, err: err}
 		}
 	}
-	conn.carried, conn.singleUse = append(conn.carried, id), r.ID == ""
+	conn.carried, conn.singleUse = append(conn.carried, id), singleUse
 	trace.Local, _ = netip.ParseAddrPort(conn.LocalAddr().String())
 	trace.Number = len(conn.carried)
 	stopCancel := context.AfterFunc(ctx, conn.abort)
