--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -227,17 +228,18 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Id", "1")
+	httpServer := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		_, _ = io.WriteString(w, "ok")
 	})}
 	go func() { _ = httpServer.Serve(l) }()
 	defer func() { _ = httpServer.Close() }()
-	c := New(func() {})
+	dials := 0
+	c := New(func() { dials++ })
 	address := l.Addr().(*net.TCPAddr).AddrPort()
 	b.ReportAllocs()
-	for b.Loop() {
-		response, err := c.Do(context.Background(), address, newRequest("1"))
+	for id := 0; b.Loop(); id++ {
+		response, err := c.Do(context.Background(), address, newRequest(strconv.Itoa(id)))
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -246,4 +248,5 @@
 		}
 		response.Close()
 	}
+	b.ReportMetric(float64(dials)/float64(b.N), "dials/op")
 }
