exchange: Ask for an ID after a response that was skipped

What callers saw: nothing is known of; found by reading.

Cause: a refusal without an ID is taken for the answer on the first exchange of a connection, where nothing else can be due. It was taken there too after a response that names another request, which shows that something else was.

Change: Matches is told so, as on a connection that was used before.

Evidence: TestUnnamedResponseAfterASkippedOneIsNotTheFirst fails before: the refusal is read, and the answer that names the request follows it.

--- a/exchange/carried_test.go
+++ b/exchange/carried_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// TestUnnamedResponseAfterASkippedOneIsNotTheFirst guards against a refusal without an ID that is taken
+// for the answer, on a new connection on which a response to another request came before.
+func TestUnnamedResponseAfterASkippedOneIsNotTheFirst(t *testing.T) {
+	const unnamed = "HTTP/1.1 503 Service Unavailable\nContent-Length: 7\n\nrefused"
+	for before, want := range map[string]string{"": "refused", answerTo("b"): "ran"} {
+		g := gomega.NewWithT(t)
+		s := startServer(t, func(c net.Conn, _ *http.Request) bool { return writeCRLF(c, before+unnamed+answerTo("a")) })
+		r := newRequest("a")
+		r.Matches = func(response *http.Response, used bool) bool {
+			id := response.Header.Get("X-Id")
+			return id == "a" || id == "" && !used
+		}
+		g.Expect(fetch(t, New(func() {}), s, r)).To(gomega.Equal(want))
+	}
+}
+
 // TestCopiesBesideHEAD guards against a copy of an earlier response that is read with the length of
 // another method's: what is left of it then breaks the answer.
 func TestCopiesBesideHEAD(t *testing.T) {
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -82,8 +82,8 @@
 	// ID has a connection of its own, and so has a HEAD request.
 	ID string
 	// Matches reports whether a response belongs to the request. used says that
-	// the connection has carried another exchange before, so that the response
-	// may be a late one to an earlier request.
+	// the connection has carried another exchange or a response to another request
+	// before, so that the response may be a late one to an earlier request.
 	Matches func(response *http.Response, used bool) bool
 }
 
@@ -379,7 +379,7 @@
 			return nil, &Error{Sent: true, err: errors.New("the upstream switched to another protocol unasked")}
 		case response.StatusCode < http.StatusOK:
 			continue
-		case r.Matches(response, conn.used()):
+		case r.Matches(response, conn.used() || trace.Skipped > 0):
 			return &Response{Response: response, conn: conn, client: c, bodyWritten: bodyWritten}, nil
 		}
 		trace.Skipped++
