ingress: Don't take another upstream's limit for that of the expected one

Cause: Server-Limit in a 421 was recorded for the upstream that was expected at the address, while another one had answered, and was told to the leader. A signed 421 without it lifted the limit of the expected one. Server-Leaving and Retry-After weren't concerned.

Change: a limit is read from the expected upstream's answers only.

Evidence: TestLimitOfAnotherUpstreamIsNotTheExpectedOnes fails before.

--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -381,7 +381,7 @@
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
-	if answer.Limited || answer.Signed {
+	if !answer.OtherUpstream && (answer.Limited || answer.Signed) {
 		in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
 			return f.Named(now, ticket, answer.Limit, answer.Limited)
 		})
--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/fleet"
 )
 
 // TestNamedLimitIsKept guards against incident LIMIT: an upstream that named a
@@ -45,3 +47,21 @@
 	g.Expect(float64(atLimited.Load())).To(gomega.BeNumerically("<=", allowed), "the other got %d", atOther.Load())
 	g.Expect(atLimited.Load()).To(gomega.BeNumerically(">=", 5), "it may be used up to its limit")
 }
+
+// TestLimitOfAnotherUpstreamIsNotTheExpectedOnes guards against an upstream that gets fewer requests than
+// it takes, at all entries: another one has an address at which it was expected, and names its
+// own limit.
+func TestLimitOfAnotherUpstreamIsNotTheExpectedOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	other := startUpstream(t, func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 421 Misdirected\r\nX-Request-Id: "+requestID+"\r\nServer-Limit: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	in, url := startIngress(t, config.Route{Kind: config.Idempotent}, 5*time.Second, other)
+	status, _, err := get(url)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action {
+		g.Expect(f.Limits(now)).To(gomega.BeEmpty())
+		return nil
+	})
+}
