exchange, ingress: Keep 4 bytes of each ID, and name what is traced

A hash of 32 bits costs half; two IDs with one hash cost a connection. Tests of copied refusals were easily taken for those of an entry's own refusals, and are named for what they send.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -47,7 +47,7 @@
 	// client closes first.
 	idleMargin        = time.Second
 	maxIdlePerAddress = 16
-	// maxExchanges is the number of requests that a connection carries, as it keeps 8 bytes of
+	// maxExchanges is the number of requests that a connection carries, as it keeps 4 bytes for
 	// the ID of each.
 	maxExchanges = 1024
 	// asyncBodyBytes is the size from which a body is written while the response
@@ -152,7 +152,7 @@
 	readingHead bool
 	// carried are hashes of the IDs of the requests that the connection has carried, with the
 	// present one.
-	carried []uint64
+	carried []uint32
 	// singleUse says that the present request has no ID or is a HEAD request: a copy of its
 	// response couldn't be told from the next one, or be read to its end.
 	singleUse bool
@@ -218,9 +218,13 @@
 	}
 }
 
+// hashID is what a connection keeps of the ID of a request. Two IDs with one hash cost a
+// connection.
+func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // acquireIdle takes a usable idle connection that hasn't carried the request's ID from the pool,
 // or returns nil. It also returns the number of those that have carried it.
-func (c *Client) acquireIdle(address netip.AddrPort, id uint64) (conn *connection, passedOver int) {
+func (c *Client) acquireIdle(address netip.AddrPort, id uint32) (conn *connection, passedOver int) {
 	for {
 		conn, passedOver = c.takeIdle(address, id)
 		if conn == nil || time.Now().Before(conn.idleUntil) && conn.usable() {
@@ -231,7 +235,7 @@
 }
 
 // takeIdle takes the connection that was used last, of those that haven't carried the ID.
-func (c *Client) takeIdle(address netip.AddrPort, id uint64) (last *connection, passedOver int) {
+func (c *Client) takeIdle(address netip.AddrPort, id uint32) (last *connection, passedOver int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
@@ -321,7 +325,7 @@
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, r *Request) (*Response, error) {
 	var conn *connection
 	var trace Trace
-	id := xxhash.Sum64String(r.ID)
+	id := hashID(r.ID)
 	// The length of a response depends on the method of its request, and a copy doesn't tell that.
 	singleUse := r.ID == "" || r.Method == http.MethodHead
 	if !singleUse {
@@ -334,7 +338,9 @@
 		}
 	}
 	conn.carried, conn.singleUse = append(conn.carried, id), singleUse
-	trace.Local, _ = netip.ParseAddrPort(conn.LocalAddr().String())
+	if local, ok := conn.LocalAddr().(*net.TCPAddr); ok {
+		trace.Local = local.AddrPort()
+	}
 	trace.Number = len(conn.carried)
 	stopCancel := context.AfterFunc(ctx, conn.abort)
 	response, err := c.roundTrip(conn, r, &trace)
--- a/ingress/own_refusal_test.go
+++ b/ingress/copied_refusal_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// ownRefusals are the refusals of the request in these tests, by status.
-func ownRefusals() map[int]string {
+// copiedRefusals are the refusals of which these tests send copies, by status.
+func copiedRefusals() map[int]string {
 	refusals := map[int]string{}
 	for _, status := range []int{400, 408, 421, 429, 503} {
 		refusals[status] = fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Not-Run: 1\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", status, requestID)
@@ -63,7 +63,7 @@
 // its request hasn't run: an upstream refused the caller's first attempt under the ID, runs
 // the second one, and sends the refusal again before the answer.
 func TestRequestThatRunsIsNotAnsweredByACopyOfItsRefusal(t *testing.T) {
-	for status, refusal := range ownRefusals() {
+	for status, refusal := range copiedRefusals() {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			u := &refusingUpstream{refusal: refusal}
@@ -83,7 +83,7 @@
 // and is refused: another upstream than the expected one has the address and refuses, is then
 // known there, runs the request, and sends its refusal again before the answer.
 func TestRequestsRunOnceAtAnAddressThatChangesHands(t *testing.T) {
-	for status, refusal := range ownRefusals() {
+	for status, refusal := range copiedRefusals() {
 		for _, third := range []bool{false, true} {
 			t.Run(fmt.Sprint(status, " third upstream=", third), func(t *testing.T) {
 				g := gomega.NewWithT(t)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -368,7 +368,7 @@
 				o.failure, o.sent = retry.Broken, true
 			}
 		}
-		in.meters.carried(head.Trace)
+		in.meters.observeTrace(head.Trace)
 		in.upstreamClient.CloseIdle(grant.Upstream.Address)
 		return nil, head, o
 	}
@@ -377,7 +377,7 @@
 	}
 	answer := platform.DecodeResponse(response.StatusCode, response.Header)
 	head = responseHead{response.StatusCode, answer, response.Trace}
-	in.meters.carried(head.Trace)
+	in.meters.observeTrace(head.Trace)
 	if answer.Limited {
 		in.meters.limited.Inc(1)
 	}
--- a/ingress/meters.go
+++ b/ingress/meters.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// carried counts what an exchange met on its connection.
-func (m *meters) carried(t exchange.Trace) {
+// observeTrace counts what an exchange met on its connection.
+func (m *meters) observeTrace(t exchange.Trace) {
 	m.skipped.Inc(int64(t.Skipped))
 	m.passedOver.Inc(int64(t.PassedOver))
 }
