e2e: Test requests that get back to a connection with the copy of their refusal

What callers saw: 503, ran no, for a request that runs, or two runs of a request that may not repeat.

The replicas of the soak refuse requests now, keep the bytes of a refusal and send them again on the same connection: when another request has been read, amid its run, or in the same bytes as its answer. A replica can start again under another ID at its address.

--- a/e2e/disruption_test.go
+++ b/e2e/disruption_test.go
@@ -283,10 +283,11 @@
 	s.mu.Lock()
 	keepers := slices.Clone(s.keepers)
 	s.mu.Unlock()
-	r := startFaulty(release, id, service, zone, keepers, s.paths, rand.New(rand.NewPCG(random.Uint64(), s.seed)))
+	r := newFaulty(release, id, service, zone, s.paths, rand.New(rand.NewPCG(random.Uint64(), s.seed)))
 	if !strings.HasSuffix(id, "steady") {
 		r.crashPart = "bad"
 	}
+	r.start(keepers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replicas = append(s.replicas, r)
@@ -558,7 +559,7 @@
 			s.mixVersions(random)
 			s.platformDeployment.start()
 			s.nodes = append(slices.Clone(s.keepers), s.entries...)
-			s.paths = &paths{faults: map[int]pathFault{}, healed: map[int]chan struct{}{}, conns: map[*faultyConn]bool{}}
+			s.paths = newPaths()
 			ginkgo.DeferCleanup(s.keepLogs)
 			gomega.Eventually(func() int { return s.putConfig(1, variedConfig(3, random)) }, startLimit).Should(gomega.Equal(http.StatusOK))
 			for i, release := range []string{firstRelease, "v2"} {
--- a/e2e/faulty_replica_test.go
+++ b/e2e/faulty_replica_test.go
@@ -1,12 +1,15 @@
 package e2e
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +43,10 @@
 	conns  map[*faultyConn]bool
 }
 
+func newPaths() *paths {
+	return &paths{faults: map[int]pathFault{}, healed: map[int]chan struct{}{}, conns: map[*faultyConn]bool{}}
+}
+
 // cut begins a fault of the paths of an entry, which lasts until the returned function is
 // called.
 func (p *paths) cut(entry int, fault pathFault) (heal func()) {
@@ -83,6 +90,13 @@
 	randomMu sync.Mutex
 	random   *rand.Rand
 
+	// refuse is the status with which the next request is refused, if it isn't 0; nextCopy, if it
+	// isn't nil, decides on the copy of a refusal.
+	refuse   atomic.Int64
+	nextCopy func() (at copyMoment, again bool)
+	// refusals, if it isn't nil, decides which requests are refused.
+	refusals *rand.Rand
+
 	openMu sync.Mutex
 	// open are the requests under way, by the address of their connection; broke are those that
 	// the replica itself has broken off.
@@ -90,6 +104,30 @@
 	broke map[string]bool
 }
 
+// copyMoment is when the copy of a refusal is sent, on a connection that carries another request.
+type copyMoment int
+
+const (
+	noCopy copyMoment = iota
+	// copyWhenRead is before the request runs, copyAmidRun some time before its answer, and
+	// copyBeforeAnswer in the same bytes as the answer.
+	copyWhenRead
+	copyAmidRun
+	copyBeforeAnswer
+)
+
+// refusalCopy is the copy of a refusal that is still to be sent.
+type refusalCopy struct {
+	at copyMoment
+	// again says that it waits for the request that was refused, by its ID.
+	again bool
+	id    string
+	text  []byte
+}
+
+// copyPause is the time between a copy amid a run and the answer.
+const copyPause = 20 * time.Millisecond
+
 // faultyListener accepts the connections of a faulty replica.
 type faultyListener struct {
 	net.Listener
@@ -113,6 +151,34 @@
 	// entry is the index of the entry that has opened the connection, -1 while it isn't known.
 	entry  int
 	closed chan struct{}
+	// kept is the copy of the last refusal, and due the one that goes before the next answer.
+	kept, due refusalCopy
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// begin sends the copy of an earlier refusal, or lets the next answer send it.
+func (c *faultyConn) begin(id string) {
+	if c.kept.at == noCopy || c.kept.again && c.kept.id != id {
+		return
+	}
+	c.due, c.kept = c.kept, refusalCopy{}
+	if c.due.at == copyWhenRead {
+		_, _ = c.Conn.Write(c.due.text)
+		c.due = refusalCopy{}
+	}
+}
+
+// keepRefusal keeps the copy of an answer that is a refusal.
+func (c *faultyConn) keepRefusal(b []byte) {
+	if c.replica.nextCopy == nil || !bytes.HasPrefix(b, []byte("HTTP/1.1 421")) && !bytes.Contains(b, []byte("\r\nX-Not-Run: ")) {
+		return
+	}
+	if match := requestIDPattern.FindSubmatch(b); match != nil {
+		c.kept = refusalCopy{id: string(match[1]), text: bytes.Clone(b)}
+		c.kept.at, c.kept.again = c.replica.nextCopy()
+	}
 }
 
 // requestIDPattern finds the ID in the head of a request.
@@ -181,6 +247,17 @@
 
 // Write implements net.Conn. A silence begins before any of the bytes.
 func (c *faultyConn) Write(b []byte) (int, error) {
+	due := c.due
+	c.due = refusalCopy{}
+	c.keepRefusal(b)
+	switch due.at {
+	case copyAmidRun:
+		_, _ = c.Conn.Write(due.text)
+		c.waitFor(copyPause)
+	case copyBeforeAnswer:
+		n, err := c.Conn.Write(slices.Concat(due.text, b))
+		return max(n-len(due.text), 0), err
+	}
 	at, silence := c.replica.nextSilence(len(b))
 	n, err := c.Conn.Write(b[:at])
 	if err != nil {
@@ -232,23 +309,57 @@
 	return failureStatuses[r.random.IntN(len(failureStatuses))]
 }
 
+// Of refusalShare requests one is refused, and of copyShare refusals one is copied.
+const (
+	refusalShare = 8
+	copyShare    = 2
+)
+
+var refusalStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest}
+
+// nextRefusal returns the status with which the next request is refused; 0 if it isn't.
+func (r *faultyReplica) nextRefusal() int {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	if r.refusals != nil && r.refusals.IntN(refusalShare) == 0 {
+		return refusalStatuses[r.refusals.IntN(len(refusalStatuses))]
+	}
+	return int(r.refuse.Swap(0))
+}
+
+// refuseAtRandom lets the replica refuse requests, and copy refusals.
+func (r *faultyReplica) refuseAtRandom(random *rand.Rand) {
+	r.refusals = random
+	r.nextCopy = func() (copyMoment, bool) {
+		r.randomMu.Lock()
+		defer r.randomMu.Unlock()
+		if random.IntN(copyShare) > 0 {
+			return noCopy, false
+		}
+		return copyMoment(1 + random.IntN(3)), random.IntN(2) == 0
+	}
+}
+
 func randomSilence(random *rand.Rand) time.Duration {
 	return time.Duration(300+random.IntN(1200)) * time.Millisecond
 }
 
-// startFaulty starts a replica on paths that may fail.
-func startFaulty(release, id, service, zone string, keepers []*process, p *paths, random *rand.Rand) *faultyReplica {
-	ginkgo.GinkgoHelper()
+// newFaulty returns a replica on paths that may fail.
+func newFaulty(release, id, service, zone string, p *paths, random *rand.Rand) *faultyReplica {
 	r := &faultyReplica{replica: newReplica(release, id, service, zone), paths: p, random: random, open: map[string]string{}, broke: map[string]bool{}}
 	r.pace = time.Duration(20+random.IntN(80)) * time.Millisecond
 	r.failure = r.nextFailure
+	return r
+}
+
+func (r *faultyReplica) start(keepers []*process) {
 	r.server = httptest.NewUnstartedServer(http.HandlerFunc(r.serve))
 	r.server.Listener = faultyListener{Listener: r.server.Listener, replica: r}
 	r.server.Config.ConnState = r.stateChanged
+	r.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	r.server.Start()
 	ginkgo.DeferCleanup(func() { r.server.CloseClientConnections(); _ = r.server.Listener.Close() })
-	r.stopAnnouncing = announce(id, release, service, zone, r.server.Listener.Addr(), keepers, &r.leaving)
-	return r
+	r.stopAnnouncing = announce(r.id, r.release, r.service, r.zone, r.server.Listener.Addr(), keepers, &r.leaving)
 }
 
 func (r *faultyReplica) serve(w http.ResponseWriter, request *http.Request) {
@@ -262,6 +373,15 @@
 			panic(cause)
 		}
 	}()
+	request.Context().Value(connKey{}).(*faultyConn).begin(id)
+	if request.Header.Get("X-Expect-Replica") == r.name() {
+		if status := r.nextRefusal(); status != 0 {
+			w.Header().Set("X-Request-Id", id)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(status)
+			return
+		}
+	}
 	r.replica.serve(w, request)
 }
 
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -52,6 +52,8 @@
 	// nanoseconds since 1970, it turns requests away and says for how long.
 	saysLeaving atomic.Bool
 	closedUntil atomic.Int64
+	// renamed is the ID under which the replica has started again at its address, nil for id.
+	renamed atomic.Pointer[string]
 	// stopAnnouncing ends the heartbeats.
 	stopAnnouncing context.CancelFunc
 
@@ -148,7 +150,7 @@
 	r.received = append(r.received, request)
 	r.mu.Unlock()
 	w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
-	if request.Header.Get("X-Expect-Replica") != r.id {
+	if request.Header.Get("X-Expect-Replica") != r.name() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -167,7 +169,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("X-Replica-Seal", "seal-"+r.id)
+	w.Header().Set("X-Replica-Seal", "seal-"+r.name())
 	r.mu.Lock()
 	r.runs[request.Header.Get("X-Request-Id")]++
 	r.mu.Unlock()
@@ -184,7 +186,7 @@
 	}
 	if !strings.HasPrefix(request.URL.Path, "/ask/") && !strings.HasPrefix(request.URL.Path, "/talk/") {
 		body, _ := io.ReadAll(request.Body)
-		_, _ = fmt.Fprintf(w, "%s %s %s by %s for %s", request.Method, request.RequestURI, body, r.id, request.Header.Get("X-Tenant"))
+		_, _ = fmt.Fprintf(w, "%s %s %s by %s for %s", request.Method, request.RequestURI, body, r.name(), request.Header.Get("X-Tenant"))
 		if strings.Contains(request.URL.Path, bigPath) {
 			_, _ = w.Write(bytes.Repeat([]byte("."), bigBytes))
 		}
@@ -222,6 +224,27 @@
 	}
 }
 
+// name is the replica's present ID.
+func (r *replica) name() string {
+	if id := r.renamed.Load(); id != nil {
+		return *id
+	}
+	return r.id
+}
+
+// announceAgain sends heartbeats under the present ID in place of those before.
+func (r *replica) announceAgain(keepers []*process) {
+	r.stopAnnouncing()
+	r.stopAnnouncing = announce(r.name(), r.release, r.service, r.zone, r.server.Listener.Addr(), keepers, &r.leaving)
+}
+
+// ran returns how often a request ran.
+func (r *replica) ran(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
 func (r *replica) requests() []*http.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
