fleet, capacity: Dump the age of a pace and the last answer

The dump of an entry had the pace of an upstream and the slowness beyond it, and not how old either is, what the entry's own last answer took, or how many requests it sent there: whether an entry acts on an old pace couldn't be told from it. paceAge, lastAnswer, answerAge and sent are new; two dumps a second apart give what each upstream got.

--- a/capacity/table.go
+++ b/capacity/table.go
@@ -93,5 +93,14 @@
 	return pace, held.Knee
 }
 
+// Age returns the time since the leader last confirmed the upstream's pace; 0 if none is known.
+func (t *Table) Age(now clock.Instant, id string, incarnation uint64) time.Duration {
+	held, ok := t.paces[id]
+	if !ok || held.Incarnation != incarnation {
+		return 0
+	}
+	return t.age(now, held)
+}
+
 // Drop forgets an upstream that is gone.
 func (t *Table) Drop(id string) { delete(t.paces, id) }
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -138,6 +138,13 @@
 	Pace     float64 `json:"pace"`
 	Knee     int     `json:"knee,omitempty"`
 	Slowness float64 `json:"slowness"`
+	// PaceAge is the time since the leader last confirmed the pace; 0 if it has named none.
+	PaceAge time.Duration `json:"paceAge,omitempty"`
+	// Sent is the number of this entry's attempts there. LastAnswer is the time that its last
+	// whole answer took, which ended AnswerAge ago; both are 0 before the first.
+	Sent       uint64        `json:"sent"`
+	LastAnswer time.Duration `json:"lastAnswer,omitempty"`
+	AnswerAge  time.Duration `json:"answerAge,omitempty"`
 }
 
 // State describes the upstreams for a dump.
@@ -149,11 +156,16 @@
 			if u.limit.limited {
 				share = u.limit.shareOf(f.entries)
 			}
+			answerAge := time.Duration(0)
+			if u.answeredIn > 0 {
+				answerAge = now - u.answeredAt
+			}
 			list = append(list, UpstreamState{
 				Limit: u.limit.rate, Share: share,
 				ID: u.ID, Service: u.Services, Zone: u.Zone, Release: u.Release, Usable: u.usable(now), Leaving: u.Leaving || u.saidLeaving, ClosedFor: max(u.closedUntil-now, 0), Silent: u.Silent,
 				Running: u.running, BacklogTokens: u.backlogTokens, MemoryTokens: u.memoryTokens, OtherWork: u.otherWork, Failures: u.failureRate, SinceProgress: now - u.lastProgress,
 				Pace: u.pace, Knee: u.knee, Slowness: s.recentSlowness(now, u),
+				PaceAge: f.paces.Age(now, u.ID, u.Incarnation), Sent: u.sent, LastAnswer: u.answeredIn, AnswerAge: answerAge,
 			})
 		}
 	}
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -231,6 +231,7 @@
 	f.SetPaces(second, &capacity.Update{Term: 1, Version: 1, Paces: []capacity.Pace{{Upstream: "u0", Incarnation: 1, Percent: 160}}})
 	g.Expect(u.pace).To(gomega.Equal(1.6))
 	g.Expect(u.slowness * u.pace).To(gomega.BeNumerically("~", 2, 1e-9))
+	g.Expect(f.State(3 * second)).To(gomega.ContainElement(gomega.And(gomega.HaveField("ID", "u0"), gomega.HaveField("PaceAge", 2*second), gomega.HaveField("Pace", 1.6))))
 	f.Tick(25 * second)
 	g.Expect(u.pace).To(gomega.Equal(1.0))
 	g.Expect(u.slowness).To(gomega.Equal(1.0), "measured long ago")
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -20,6 +20,8 @@
 	// running is the number of this entry's requests there, backlogTokens their
 	// prompt tokens before prefill, and memoryTokens the KV memory they occupy.
 	running, backlogTokens, memoryTokens int
+	// sent counts this entry's attempts there.
+	sent uint64
 	// otherWork is the last reported work of all other entries there.
 	otherWork Work
 	// lastProgress is when the upstream last sent bytes, or got a request while
@@ -103,6 +105,7 @@
 		u.lastProgress = now
 	}
 	u.running++
+	u.sent++
 	u.backlogTokens += t.prefillTokens
 	u.memoryTokens += t.memoryTokens
 	if t.trial = u.trialLimit > 0; t.trial {
