--- a/fleet/pace_plain_test.go
+++ b/fleet/pace_plain_test.go
@@ -11,17 +11,20 @@
 	"github.com/hyssopladder/hyssopladder/capacity"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
 
 // pacedUpstream answers in a fixed time per request, four times as long if it begins one above
-// its knee, and queues what is beyond its slots.
+// its knee, and queues what is beyond its slots. If maxQueue isn't 0, it turns away what is beyond that.
 type pacedUpstream struct {
-	member  upstream.Member
-	time    func(now clock.Instant) time.Duration
-	knee    int
-	running int
-	queue   []func()
+	member         upstream.Member
+	time           func(now clock.Instant) time.Duration
+	knee, maxQueue int
+	running        int
+	queue          []func()
+	// got counts the requests since the last trace.
+	got int
 }
 
 // pacedSite is an emulation of plain upstreams.
@@ -86,6 +89,11 @@
 
 func (p *pacedSite) send(t *emulatedTicket, u *pacedUpstream) {
 	p.starts++
+	u.got++
+	if u.maxQueue > 0 && len(u.queue) >= u.maxQueue {
+		p.schedule(time.Millisecond, func() { p.carryOut(t.entry.Failed(p.now, t.ID, retry.Refused)) })
+		return
+	}
 	begin := func() {
 		u.running++
 		took := u.time(p.now)
