fleet, capacity: Draw the plain upstreams that answer in time

Callers of a service with upstreams too slow for their target got 10% to 25% of their answers late with learned paces, and 1% without them. A pace says what an upstream carries; the draw sent each its part of the load by that, also to those whose answers take longer than the target. Ruled out as the main loss: old paces, which cost 5% of the two seconds after an exchange.

Now those are drawn that can answer in time by the entry's own last answers, and by the pace where there are none; then a queue at one of them; then any. Entries shrink their requests at upstreams that answer late, and keep to their parts of a knee.

--- a/capacity/curve.go
+++ b/capacity/curve.go
@@ -84,7 +84,7 @@
 			c.probeAfter = firstProbe
 		}
 		c.knee, c.setAt, c.probed = fit, now, false
-	case c.knee > 0 && fit == 0 && now-c.setAt > c.probeAfter && c.buckets[c.knee].weight > 1:
+	case c.knee > 0 && fit == 0 && now-c.setAt > c.probeAfter && c.reached():
 		c.knee, c.setAt, c.probed = c.knee+1, now, true
 		if c.knee > maxKnee {
 			c.knee = 0
@@ -93,6 +93,16 @@
 	return c.knee
 }
 
+// reached reports whether the load has come near the knee lately. Entries that keep to their parts of
+// it don't come up to it.
+func (c *curve) reached() bool {
+	weight := 0.0
+	for load := c.knee/2 + 1; load <= c.knee; load++ {
+		weight += c.buckets[load].weight
+	}
+	return weight > 1
+}
+
 // fit returns the load below the step that fits the answers best; 0 if they don't slow down. A
 // knee below which the upstream would do less than it has done in fact isn't one.
 func (c *curve) fit(throughput float64) int {
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -102,6 +102,9 @@
 func (f *Fleet) SetOtherWork(now clock.Instant, o OtherWork) {
 	for id, u := range f.upstreams {
 		if o.Covers(id) {
+			if u.otherWorkAt == 0 {
+				u.usualOthers = float64(o.ByUpstream[id].Running)
+			}
 			u.otherWork, u.otherWorkAt = o.ByUpstream[id], now
 			u.usualOthers += usualWeight * (float64(u.otherWork.Running) - u.usualOthers)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,6 +110,8 @@
 	serving []string
 	// entries is the number of entries that share the upstreams, as of the last paces.
 	entries int
+	// paceTime is the time of a plain answer at a pace of 1, without queueing; 0 before the first.
+	paceTime time.Duration
 	// uneven says that a pace or a knee of an upstream is known.
 	uneven bool
 }
--- a/fleet/fleet__explain.go
+++ b/fleet/fleet__explain.go
@@ -77,7 +77,7 @@
 	for _, c := range f.candidates {
 		estimates[c.upstream] = c.estimate
 	}
-	chosen, e := f.pick(now, s)
+	chosen, e := f.pick(now, s, t)
 	allLeave := !s.anyServing(t)
 	for _, u := range s.upstreams {
 		p.Candidates = append(p.Candidates, f.candidate(now, s, t, u, estimates, allLeave))
--- a/fleet/fleet__pace.go
+++ b/fleet/fleet__pace.go
@@ -46,6 +46,8 @@
 	spread      bool
 	// bias is the entry's bias in the rankings of engines.
 	bias time.Duration
+	// answers are those of a plain upstream.
+	answers plainAnswers
 }
 
 // candidate is an upstream that a ticket may be sent to.
@@ -117,10 +119,14 @@
 				}
 				u.pace = pace
 			}
+			knew := u.knee > 0
 			u.knee = 0
 			if s.config.Engine == nil {
 				u.knee = capacity.KneeSlots(knee, u.Slots)
 			}
+			if u.knee > 0 && !knew {
+				u.answers.limitTo(u.knee, f.entries)
+			}
 			s.uneven = s.uneven || u.pace != 1 || u.knee > 0
 		}
 		if s.uneven != was && s.config.Engine == nil {
@@ -230,6 +236,7 @@
 	u := t.upstream
 	// The load may change during the answer; u doesn't count the ticket any more.
 	load := (t.load + s.expectedBusy(now, u) + 1) / 2
+	s.recordPlainTime(now, t, load)
 	f.meter.Add(capacity.Answer{
 		Service: s.name, Upstream: u.ID, Incarnation: u.Incarnation, Load: capacity.LoadStep(load, u.Slots),
 		Took: now - t.sentAt, Expected: t.expectedModel, Work: capacity.PlainTime / time.Duration(max(u.Slots, 1)), Weight: 1, Exact: true,
@@ -245,25 +252,35 @@
 }
 
 // pick returns the best of the offered upstreams, or nil, and forgets them. Engines are chosen
-// by ranking. Of plain upstreams with equal rankings, two are drawn by their free room, since
-// all entries have the same view of them; if the upstreams of the service are uneven, of all
-// below their knees.
-func (f *Fleet) pick(now clock.Instant, s *service) (*upstreamView, estimate) {
+// by ranking. Of the plain upstreams that can answer in time, two are drawn by their free room, since
+// all entries have the same view of them.
+func (f *Fleet) pick(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
 	offered := f.candidates
 	f.candidates = offered[:0]
 	if len(offered) == 0 {
 		return nil, estimate{}
 	}
-	best := 0
+	best := lowest(offered)
+	if f.learns() && s.config.Engine == nil {
+		if offered = f.timely(now, s, t, offered); len(offered) == 0 {
+			return nil, estimate{}
+		}
+		best = lowest(offered)
+		if len(offered) > 1 {
+			best = f.draw(now, s, offered, best)
+		}
+	}
+	return offered[best].upstream, offered[best].estimate
+}
+
+// lowest returns the index of the candidate with the lowest ranking.
+func lowest(offered []candidate) (best int) {
 	for i := range offered {
 		if offered[i].estimate.ranking < offered[best].estimate.ranking {
 			best = i
 		}
 	}
-	if f.learns() && s.config.Engine == nil && len(offered) > 1 {
-		best = f.draw(now, s, offered, best)
-	}
-	return offered[best].upstream, offered[best].estimate
+	return best
 }
 
 // maxDrawn is the difference of rankings from which on an upstream isn't drawn beside another one.
@@ -337,6 +354,10 @@
 		// The entry's even part is never too much, whatever the reports say.
 		return true
 	}
+	if u.knee > 0 && s.entries <= u.knee {
+		// Above a knee all answers are slow, so that entries keep to their parts of it.
+		return false
+	}
 	blind := min(max(float64(s.entries-fewEntries)/(manyEntries-fewEntries), 0), 1)
 	return s.expectedBusy(now, u)+1 <= limit+blind*(most-limit)+limitMargin
 }
@@ -394,6 +415,9 @@
 		return 0
 	}
 	room := max(limit-busy/2, minRoom*limit)
+	if s.paceTime > 0 {
+		return room * float64(s.paceTime) / float64(max(s.expectedTime(now, u, 1), 1))
+	}
 	return room / (u.pace * slowness)
 }
 
--- a/fleet/pace_plain_test.go
+++ b/fleet/pace_plain_test.go
@@ -32,6 +32,8 @@
 	*emulation
 	upstreams map[string]*pacedUpstream
 	target    time.Duration
+	// variation is the part of an answer's time that varies, exponentially.
+	variation float64
 	// inTime, late and refused count the requests. queuedStarts are those that were queued by their
 	// upstream while another one had a free slot.
 	inTime, late, refused, starts, queuedStarts int
@@ -97,6 +99,9 @@
 	begin := func() {
 		u.running++
 		took := u.time(p.now)
+		if p.variation > 0 {
+			took = time.Duration(float64(took) * (1 - p.variation + p.variation*p.random.ExpFloat64()))
+		}
 		if u.knee > 0 && u.running > u.knee {
 			took *= 4
 		}
--- a/fleet/upstream_view.go
+++ b/fleet/upstream_view.go
@@ -285,7 +285,7 @@
 func (f *Fleet) choose(now clock.Instant, s *service, t *ticket) (*upstreamView, estimate) {
 	f.askSplit(now, t)
 	f.rank(now, s, t)
-	return f.pick(now, s)
+	return f.pick(now, s, t)
 }
 
 // rank offers the upstreams that the ticket may be sent to now, with their estimates.
