capacity: Find no knee where loads are known too late

Callers of drawn loads at nine tenths were served worst where a knee was found at an upstream that has none: after a burst or an exchange entries hear of each other's requests 0.3 s late, answers queue at loads that look low, and the step between them and the others looks like a knee. It held an upstream of 20 ms at 150 requests a second for seconds.

The sum of the answers' times by the span in which they came is how many requests were there. While the reported loads are under 0.8 of it, no knee is fitted.

--- a/capacity/board.go
+++ b/capacity/board.go
@@ -175,6 +175,7 @@
 	if sample.Load > 0 {
 		s.loaded = true
 		s.curve.add(now, sample.Load, weight, log)
+		s.curve.occupy(log, sample.Load, time.Duration(sample.Work)*time.Millisecond)
 	}
 }
 
--- a/capacity/board_test.go
+++ b/capacity/board_test.go
@@ -346,6 +346,31 @@
 	}
 }
 
+// TestQueuesAtLoadsThatAreKnownLateAreNoKnee guards against a limit below the slots of an upstream that
+// has no knee: answers queue behind its slots in bursts, in which the entry knows of a quarter of the requests.
+func TestQueuesAtLoadsThatAreKnownLateAreNoKnee(t *testing.T) {
+	const slots, answerTime = 8, 20 * time.Millisecond
+	b, m, random := NewBoard(1), NewMeter(), rand.New(rand.NewPCG(5, 1))
+	for now := second; now < 8*second; now += 10 * time.Millisecond {
+		requests := 1 + random.IntN(4)
+		if random.IntN(4) == 0 {
+			requests = 24 + random.IntN(12)
+		}
+		for range min(requests, slots) * int(10*time.Millisecond) / int(answerTime) {
+			m.Add(Answer{
+				Service: "s", Upstream: "u", Incarnation: 1, Load: LoadStep(float64(min(requests, 4+requests/8)), slots), Weight: 1, Exact: true,
+				Took: answerTime * time.Duration(max(requests, slots)) / slots, Expected: PlainTime, Work: PlainTime / slots,
+			})
+		}
+		if now%(300*time.Millisecond) == 0 {
+			b.Observe(now, "entry", 1, m.Report())
+			for _, p := range b.Since(&Report{}).Paces {
+				gomega.NewWithT(t).Expect(p.Knee).To(gomega.BeZero(), "%v", now)
+			}
+		}
+	}
+}
+
 // TestMessagesAreChecked guards against a peer's values out of range, which would become a pace.
 func TestMessagesAreChecked(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/capacity/curve.go
+++ b/capacity/curve.go
@@ -45,6 +45,9 @@
 	setAt      clock.Instant
 	probeAfter time.Duration
 	probed     bool
+	// span is the time that the buckets cover, and occupied for how long the answers have taken a
+	// slot, as a part of all slots. Both decay with the buckets.
+	span, occupied float64
 }
 
 func (c *curve) add(now clock.Instant, load int, weight, log float64) {
@@ -61,6 +64,10 @@
 		return
 	}
 	factor := math.Exp(-float64(now-c.decayedAt) / float64(curveMemory))
+	if c.decayedAt > 0 {
+		c.span = c.span*factor + (now - c.decayedAt).Seconds()
+	}
+	c.occupied *= factor
 	c.decayedAt = now
 	for i := range c.buckets {
 		b := &c.buckets[i]
@@ -69,7 +76,30 @@
 }
 
 // changed forgets the answers, as the upstream has become faster or slower at every load.
-func (c *curve) changed() { c.buckets = [maxLoad + 1]bucket{} }
+func (c *curve) changed() { c.buckets, c.span, c.occupied = [maxLoad + 1]bucket{}, 0, 0 }
+
+// occupy adds the time for which answers have taken slots, as a part of all slots.
+func (c *curve) occupy(log float64, load int, work time.Duration) {
+	c.occupied += math.Exp(log) * max(float64(load)/loadSteps, 1) * work.Seconds()
+}
+
+// plausible reports whether the loads agree with the time for which the answers have taken slots.
+// If an entry knows the others' requests late, its loads are too low, and queues look like a knee.
+func (c *curve) plausible() bool {
+	weight, loads := 0.0, 0.0
+	for load, b := range c.buckets {
+		if b.weight > 0 {
+			w := b.weight * math.Exp(b.logs/b.weight) * max(float64(load)/loadSteps, 1)
+			weight += w
+			loads += w * float64(load) / loadSteps
+		}
+	}
+	return c.span > 0 && weight > 0 && c.occupied/c.span <= plausibleLoad*loads/weight
+}
+
+// plausibleLoad is the ratio of the requests that must have been there to those that the entries
+// knew of, up to which their loads are right.
+const plausibleLoad = 1.25
 
 // evaluate returns the knee. It falls at once and is raised by a step
 // after a time without slow answers, if the load has reached it.
@@ -104,13 +134,14 @@
 }
 
 // fit returns the load below the step that fits the answers best; 0 if they don't slow down. A
-// knee below which the upstream would do less than it has done in fact isn't one.
+// knee below which the upstream would do less than it has done in fact isn't one, nor is a step
+// between loads that can't be right.
 func (c *curve) fit(throughput float64) int {
 	var all bucket
 	for _, b := range c.buckets {
 		all.add(b)
 	}
-	if all.weight < 2*kneeAnswers {
+	if all.weight < 2*kneeAnswers || !c.plausible() {
 		return 0
 	}
 	best, bestGain := 0, 0.0
