--- a/settings/settings.go
+++ b/settings/settings.go
@@ -190,7 +190,6 @@
 		Ingress: Ingress{
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 			AssumedEntries: 16, UsageWindow: 5 * time.Second, DrainWithin: 2 * time.Second,
-			LearnPace: true,
 		},
 		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second, HolderLease: 3 * time.Second},
 	}
