fleet, settings: Learn the paces of engines, and of plain upstreams on request

Change: learnPace, on by default as before, is for engines. learnPlainPace, off by default, adds plain upstreams; it is for deployments of few entries.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,8 +20,10 @@
 // Options configure a Fleet.
 type Options struct {
 	// Name is the entry's name. With one, the entry measures the upstreams for the leader, uses
-	// the paces that the leader names, and spreads near-ties in its own way.
-	Name string
+	// the paces that the leader names, and spreads near-ties in its own way. It does that for
+	// engines, and with LearnPlain for plain upstreams too.
+	Name       string
+	LearnPlain bool
 	// Zone is the entry's availability zone.
 	Zone string
 	// RetryRatio and RetrySlack are the retry budget that all entries share:
@@ -206,7 +208,11 @@
 // SetConfig applies the services of a configuration.
 func (f *Fleet) SetConfig(now clock.Instant, r *config.Revision) []Action {
 	for i := range r.Services {
-		f.service(r.Services[i].Name).config = r.Services[i]
+		s := f.service(r.Services[i].Name)
+		s.config = r.Services[i]
+		for _, u := range s.upstreams {
+			f.initPace(s, u)
+		}
 	}
 	f.scheduleAll(now)
 	return f.takeActions()
--- a/fleet/fleet__directory.go
+++ b/fleet/fleet__directory.go
@@ -65,10 +65,10 @@
 			f.remove(u)
 		}
 		u = newUpstreamView(now, m)
-		f.initPace(u)
 		f.upstreams[m.ID] = u
 		if len(m.Services) > 0 {
 			s := f.service(m.Services[0])
+			f.initPace(s, u)
 			f.noteRelease(now, u)
 			s.upstreams = append(s.upstreams, u)
 			sort.Slice(s.upstreams, func(i, j int) bool { return s.upstreams[i].ID < s.upstreams[j].ID })
--- a/fleet/fleet__pace.go
+++ b/fleet/fleet__pace.go
@@ -81,6 +81,11 @@
 // learns reports whether the entry measures answers and hears of paces.
 func (f *Fleet) learns() bool { return f.options.Name != "" }
 
+// learnsFor reports whether the entry does that for the upstreams of the service.
+func (f *Fleet) learnsFor(s *service) bool {
+	return f.learns() && (s.config.Engine != nil || f.options.LearnPlain)
+}
+
 // Capacity returns what was measured since the last report, for the leader; nil if the entry
 // doesn't learn.
 func (f *Fleet) Capacity() *capacity.Report {
@@ -105,6 +110,9 @@
 func (f *Fleet) refreshPaces(now clock.Instant) {
 	f.pacesAt = now
 	for _, s := range f.services {
+		if !f.learnsFor(s) {
+			continue
+		}
 		was := s.uneven
 		s.uneven, s.entries = false, f.entries
 		for _, u := range s.upstreams {
@@ -148,10 +156,10 @@
 	}
 }
 
-// initPace sets what is known of a new upstream, or a new run of one.
-func (f *Fleet) initPace(u *upstreamView) {
-	if f.learns() {
-		u.spread = true
+// initPace sets how an upstream of the service is ranked: a new one, a new run of one, or one whose
+// service has changed.
+func (f *Fleet) initPace(s *service, u *upstreamView) {
+	if u.spread = f.learnsFor(s); u.spread {
 		u.bias = time.Duration(float64(mixHash(xxhash.Sum64String(u.ID)^xxhash.Sum64String(f.options.Name))>>11) / (1 << 53) * float64(maxEntryBias))
 	}
 }
@@ -223,14 +231,14 @@
 		u.updateSlowness(took, time.Duration(float64(t.expectedAtPace)*u.slowness))
 	}
 	u.slownessAt = now
-	if s.config.Engine != nil && t.expectedModel > 0 && f.learns() {
+	if s.config.Engine != nil && t.expectedModel > 0 && f.learnsFor(s) {
 		f.meter.Add(capacity.Answer{Service: s.name, Upstream: u.ID, Incarnation: u.Incarnation, Took: took, Expected: t.expectedModel, Work: t.expectedWork, Weight: t.certainty * t.certainty})
 	}
 }
 
 // wholeAnswer measures a whole answer of a plain upstream, which has just ended.
 func (f *Fleet) wholeAnswer(now clock.Instant, s *service, t *ticket) {
-	if s.config.Engine != nil || t.expectedModel <= 0 || !f.learns() {
+	if s.config.Engine != nil || t.expectedModel <= 0 || !f.learnsFor(s) {
 		return
 	}
 	u := t.upstream
@@ -261,7 +269,7 @@
 		return nil, estimate{}
 	}
 	best := lowest(offered)
-	if f.learns() && s.config.Engine == nil {
+	if s.config.Engine == nil && f.learnsFor(s) {
 		if offered = f.timely(now, s, t, offered); len(offered) == 0 {
 			return nil, estimate{}
 		}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -130,7 +130,7 @@
 	in.upstreamClient = exchange.NewWithDial(in.paths.Dial, func() { in.meters.dials.Inc(1) })
 	in.rollouts = newRollouts(o.Settings.Rollouts, o.Metrics, rand.Float64)
 	in.dispatcher = newDispatcher(ctx, o.Clock, fleet.New(fleet.Options{
-		Name: learningName(o), Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
+		Name: learningName(o), LearnPlain: o.Settings.LearnPlainPace, Zone: o.Zone, RetryRatio: o.Settings.RetryRatio, RetrySlack: o.Settings.RetrySlack, Entries: o.Settings.AssumedEntries,
 		DrainWithin: o.Settings.DrainWithin, Random: rand.Float64, Split: in.rollouts.fleetSplit(),
 	}), in.upstreamClient.Refuses)
 	in.tunnels = &tunnels{dispatcher: in.dispatcher, direct: o.DialUpstream, broken: in.paths.BrokenTo, stopping: in.stopping.Load, meters: &in.meters}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,9 +88,10 @@
 	// HoldAtStart is how long a request may wait that comes before the entry can serve; 0
 	// refuses it at once.
 	HoldAtStart time.Duration
-	// LearnPace makes the entry measure how fast upstreams answer, use what the leader makes of
-	// it, and spread its choices among equal upstreams.
-	LearnPace bool
+	// LearnPace makes the entry measure how fast engines answer, use what the leader makes of
+	// it, and spread its choices among equal engines. With LearnPlainPace it does that for plain
+	// upstreams too.
+	LearnPace, LearnPlainPace bool
 	// Rollouts bounds what a new release may get until it is known to be good.
 	Rollouts Rollouts
 }
@@ -190,6 +191,7 @@
 		Ingress: Ingress{
 			Listen: loopback, Ready: loopback, RevokeWithin: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 50,
 			AssumedEntries: 16, UsageWindow: 5 * time.Second, DrainWithin: 2 * time.Second,
+			LearnPace: true,
 		},
 		Cloud: Cloud{UsageWindow: 5 * time.Second, UsageWithin: 10 * time.Second, HolderLease: 3 * time.Second},
 	}
@@ -385,6 +387,9 @@
 	if r.Has("learnPace") {
 		i.LearnPace = r.Bool("learnPace")
 	}
+	if r.Has("learnPlainPace") {
+		i.LearnPlainPace = r.Bool("learnPlainPace")
+	}
 	i.Rollouts.read(r)
 }
 
