fleet: Reserve the usual time of plain answers, not the mean

Cause: latestStart leaves the upstream the mean of the last answers' times. One long answer raises that for dozens of requests, several at once up to 0.7 of the target.

Change: it leaves the median of the last 31.

Evidence: TestFewLongAnswersLeaveTimeToWait fails before, with 409 of 450 ms to wait after long answers that come one at a time.

--- a/fleet/fleet__organisation.go
+++ b/fleet/fleet__organisation.go
@@ -21,8 +21,6 @@
 	// cached until it is measured, and uncachedWeight the weight of one measurement.
 	initialUncached = 0.3
 	uncachedWeight  = 0.02
-	// answerTimeWeight is the weight of one answer in answerTime.
-	answerTimeWeight = 0.05
 )
 
 // localSignalTime is how long after a sign of saturation at this entry it reports the
@@ -50,9 +48,10 @@
 	maxRunning int
 	// uncached is the part of shared prompt tokens that is not cached.
 	uncached float64
-	// answerTime is the average time of answers, and quickTime about the shortest, without
+	// answerTimes are the times of the last answers, and quickTime is about the shortest, without
 	// the time in upstreams' queues; 0 before the first.
-	answerTime, quickTime time.Duration
+	answerTimes recentTimes
+	quickTime   time.Duration
 }
 
 func (f *Fleet) newFairState() fairState {
@@ -142,12 +141,12 @@
 	}
 	took := now - t.sentAt
 	t.upstream.answeredAt, t.upstream.answeredIn = now, took
-	if s.fair.answerTime == 0 {
-		s.fair.answerTime, s.fair.quickTime = took, took
+	if s.fair.quickTime == 0 {
+		s.fair.quickTime = took
 	}
 	const quickWeight = 0.01
 	s.fair.quickTime = min(took, s.fair.quickTime+time.Duration(quickWeight*float64(took-s.fair.quickTime)))
-	s.fair.answerTime += time.Duration(answerTimeWeight * float64(took-s.fair.answerTime))
+	s.fair.answerTimes.add(took)
 }
 
 // withdrawTurn gives an organisation back the turn of a ticket that won't start, and
--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -64,15 +64,15 @@
 }
 
 // reservedTime is the part of the ticket's target that its upstream needs: for a plain
-// service the measured time of its answers, which the caller needs in full. For engines
+// service the usual time of its answers, which the caller needs in full. For engines
 // meetsTarget compares the estimate of the upstream with the target.
 func (s *service) reservedTime(t *ticket) time.Duration {
 	// Where the target is hardly longer than an answer, requests have to be tried.
 	const maxFraction = 0.7
-	if s.config.Engine != nil || s.fair.answerTime == 0 {
+	if s.config.Engine != nil {
 		return minServiceTime
 	}
-	return max(minServiceTime, min(s.fair.answerTime, time.Duration(maxFraction*float64(t.Target))))
+	return max(minServiceTime, min(s.fair.answerTimes.median, time.Duration(maxFraction*float64(t.Target))))
 }
 
 // expectedWait estimates the time until the ticket starts, or until an upstream wants
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -252,6 +252,26 @@
 	g.Expect(destination(actions)).To(gomega.Equal(result.Saturated.String()))
 }
 
+// TestFewLongAnswersLeaveTimeToWait guards against requests that are refused while they could still
+// be answered in time, as one of forty answers takes three times the target and the others take
+// some milliseconds.
+func TestFewLongAnswersLeaveTimeToWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := plainFleet(member("u1", 1, 1))
+	now := clock.Instant(second)
+	for id := range uint64(400) {
+		took := 5 * time.Millisecond
+		if id%40 == 39 {
+			took = 1500 * time.Millisecond
+		}
+		f.Submit(now, newTicket(id))
+		now += took
+		f.Finish(now, id, true, true)
+	}
+	waiting := &ticket{Ticket: Ticket{Target: 500 * time.Millisecond}, arrivedAt: now}
+	g.Expect(f.services["s"].latestStart(waiting) - now).To(gomega.Equal(waiting.Target - minServiceTime))
+}
+
 // TestMemoryReserveStaysFree sends long requests to an engine until it
 // has no room: a reserve of its KV memory must stay free.
 func TestMemoryReserveStaysFree(t *testing.T) {
