--- a/fleet/fleet__queue.go
+++ b/fleet/fleet__queue.go
@@ -72,7 +72,7 @@
 	if s.config.Engine != nil {
 		return minServiceTime
 	}
-	return max(minServiceTime, min(s.fair.answerTimes.median, time.Duration(maxFraction*float64(t.Target))))
+	return max(minServiceTime, min(s.fair.answerTimes.usual, time.Duration(maxFraction*float64(t.Target))))
 }
 
 // expectedWait estimates the time until the ticket starts, or until an upstream wants
--- a/fleet/organisation_fault_test.go
+++ b/fleet/organisation_fault_test.go
@@ -96,7 +96,7 @@
 		f.Finish(second+time.Duration(100-99*id)*time.Millisecond, uint64(id), success, true)
 	}
 	fair := &f.services["s"].fair
-	g.Expect([]time.Duration{fair.quickTime, fair.answerTimes.median, f.upstreams["i"].answeredIn}).To(gomega.HaveEach(100 * time.Millisecond))
+	g.Expect([]time.Duration{fair.quickTime, fair.answerTimes.usual, f.upstreams["i"].answeredIn}).To(gomega.HaveEach(100 * time.Millisecond))
 }
 
 // TestFirstReportIsNoPeak guards against a report right after the first request of a service, whose
--- a/fleet/recent_times.go
+++ b/fleet/recent_times.go
@@ -5,16 +5,20 @@
 	"time"
 )
 
-// recentTimesLength is the number of answers that a recentTimes remembers.
-const recentTimesLength = 31
+const (
+	// recentTimesLength is the number of answers that a recentTimes remembers.
+	recentTimesLength = 31
+	// longestPart of them, one in so many, don't count.
+	longestPart = 10
+)
 
-// recentTimes knows the usual time of answers. A few long ones among many short ones don't
-// change it, as they would a mean.
+// recentTimes knows the usual time of answers: the mean without the longest tenth. So a few long
+// answers among many short ones don't change it, and slow upstreams among fast ones do.
 type recentTimes struct {
 	times [recentTimesLength]time.Duration
 	count int
-	// median is that of the remembered times; 0 before the first.
-	median time.Duration
+	// usual is that of the remembered times; 0 before the first.
+	usual time.Duration
 }
 
 // add records the time of one answer.
@@ -24,5 +28,10 @@
 	sorted := r.times
 	known := sorted[:min(r.count, recentTimesLength)]
 	slices.Sort(known)
-	r.median = known[len(known)/2]
+	known = known[:len(known)-len(known)/longestPart]
+	sum := time.Duration(0)
+	for _, t := range known {
+		sum += t
+	}
+	r.usual = sum / time.Duration(len(known))
 }
