--- a/exchange/client.go
+++ b/exchange/client.go
@@ -354,9 +354,6 @@
 	return response, nil
 }
 
-// used reports whether the connection has carried an exchange before the present one.
-func (c *connection) used() bool { return len(c.carried) > 1 }
-
 // roundTrip sends the request and reads the head of its response. It counts in the trace what
 // it skips.
 func (c *Client) roundTrip(conn *connection, r *Request, trace *Trace) (*Response, *Error) {
@@ -385,7 +382,7 @@
 			return nil, &Error{Sent: true, err: errors.New("the upstream switched to another protocol unasked")}
 		case response.StatusCode < http.StatusOK:
 			continue
-		case r.Matches(response, conn.used() || trace.Skipped > 0):
+		case r.Matches(response, trace.Number > 1 || trace.Skipped > 0):
 			return &Response{Response: response, conn: conn, client: c, bodyWritten: bodyWritten}, nil
 		}
 		trace.Skipped++
@@ -451,7 +448,7 @@
 }
 
 // First reports whether the response is the first one on its connection.
-func (r *Response) First() bool { return !r.conn.used() }
+func (r *Response) First() bool { return r.Number == 1 }
 
 // Await reads the body ahead until enough says that the bytes so far suffice, or the body
 // ends. Read returns them again. The error is that of a body that broke off.
