--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -624,16 +624,17 @@
 
 		ginkgo.By("sending nothing to a draining upstream")
 		booking[1].leaving.Store(true)
-		gomega.Eventually(func() string {
-			_, body := d.sendRequest(1, "GET", "/look/x", "", "")
-			return body
-		}, 2*time.Second).Should(gomega.ContainSubstring("by i-b0"))
-		before := len(booking[1].requests())
-		for range 10 {
-			status, _ = d.sendRequest(1, "GET", "/look/x", "", "")
-			gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+		arriveAtDraining := func() int {
+			before := len(booking[1].requests())
+			for range 10 {
+				status, _ = d.sendRequest(1, "GET", "/look/x", "", "")
+				gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+			}
+			return len(booking[1].requests()) - before
 		}
-		gomega.Expect(booking[1].requests()).To(gomega.HaveLen(before))
+		// One answer of the other upstream says nothing: it may just be the quicker one.
+		gomega.Eventually(arriveAtDraining, 2*time.Second).Should(gomega.BeZero())
+		gomega.Expect(arriveAtDraining()).To(gomega.BeZero())
 
 		ginkgo.By("accepting changes after the loss of one keeper, and refusing keys without a majority")
 		d.keepers[0].Kill().Wait(stopLimit)
