--- a/fleet/fleet__pace.go
+++ b/fleet/fleet__pace.go
@@ -175,7 +175,13 @@
 // plainTime is the expected time of a plain answer at an upstream with so many requests,
 // including the new one, if the upstreams of the service are uneven.
 func (s *service) plainTime(u *upstreamView, requests float64) time.Duration {
-	expected := float64(s.slotTime) * max(requests/float64(max(u.Slots, 1)), 1)
+	return u.timeAtLoad(s.slotTime, requests)
+}
+
+// timeAtLoad is the expected time of a plain answer with so many requests, if it takes slotTime
+// in a slot of its own.
+func (u *upstreamView) timeAtLoad(slotTime time.Duration, requests float64) time.Duration {
+	expected := float64(slotTime) * max(requests/float64(max(u.Slots, 1)), 1)
 	if u.knee > 0 && requests > float64(u.knee) {
 		expected *= overKneeFactor
 	}
--- a/fleet/fleet__plain.go
+++ b/fleet/fleet__plain.go
@@ -137,11 +137,7 @@
 
 // expectedTime is the expected time of an answer of a plain upstream with so many requests.
 func (s *service) expectedTime(now clock.Instant, u *upstreamView, requests float64) time.Duration {
-	expected := float64(s.slotTimeAt(now, u)) * max(requests/float64(max(u.Slots, 1)), 1)
-	if u.knee > 0 && requests > float64(u.knee) {
-		expected *= overKneeFactor
-	}
-	return time.Duration(expected)
+	return u.timeAtLoad(s.slotTimeAt(now, u), requests)
 }
 
 // isQuiet reports whether the upstream should have answered a request by now. It has
