--- a/common/cuttest/copies.go
+++ b/common/cuttest/copies.go
@@ -15,11 +15,8 @@
 // writes the first one again.
 func StartCopying(t *testing.T, answer func(number int64, r *http.Request) string) netip.AddrPort {
 	t.Helper()
-	l := Listen(t)
-	t.Cleanup(func() { _ = l.Close() })
 	var requests atomic.Int64
-	serve := func(c net.Conn) {
-		defer func() { _ = c.Close() }()
+	return accept(t, func(c net.Conn) {
 		reader, first := bufio.NewReader(c), ""
 		for {
 			r, err := http.ReadRequest(reader)
@@ -33,15 +30,5 @@
 				first = text
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	})
 }
--- a/common/cuttest/cuttest.go
+++ b/common/cuttest/cuttest.go
@@ -90,6 +90,19 @@
 // Serve starts a server that reads one request of each connection, calls answer, and closes the
 // connection.
 func Serve(t *testing.T, answer func(c net.Conn, r *http.Request)) netip.AddrPort {
+	t.Helper()
+	return accept(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer(c, r)
+	})
+}
+
+// accept starts a server that calls serve for each connection, and then closes it.
+func accept(t *testing.T, serve func(c net.Conn)) netip.AddrPort {
 	t.Helper()
 	l := Listen(t)
 	t.Cleanup(func() { _ = l.Close() })
@@ -101,12 +114,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				answer(c, r)
+				serve(c)
 			}()
 		}
 	}()
