--- a/review/rig2/deregister.go
+++ b/review/rig2/deregister.go
@@ -73,7 +73,7 @@
 	var servers []*server
 	for i := range 3 {
 		s := &server{
-			id: fmt.Sprintf("i-7f3a91c%d", i), service: "agenda", zone: fmt.Sprintf("home-%c", 'a'+i), address: freeAddress(), c: c, slots: 6, work: 100 * time.Millisecond,
+			id: fmt.Sprintf("i-7f3a91c%d", i), service: "agenda", zone: fmt.Sprintf("home-%c", 'a'+i), address: freeAddress(), c: c, slots: 6, queue: 24, work: 100 * time.Millisecond,
 			onRun: func(s *server, id string) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -35,6 +35,10 @@
 	http    *http.Server
 	stop    context.CancelFunc
 	running atomic.Int64
+	// queue is how many requests wait at most, beside those that run.
+	queue int
+	// room has one element for each request that runs; the others wait.
+	room chan struct{}
 }
 
 // start begins an incarnation. Its heartbeats arrive late.
@@ -45,7 +49,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
-	s.version, s.born, s.seq, s.stop = version, time.Now().UnixMilli(), 0, cancel
+	s.version, s.born, s.seq, s.stop, s.room = version, time.Now().UnixMilli(), 0, cancel, make(chan struct{}, s.slots)
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 5 * time.Second}
 	h := s.http
 	s.mu.Unlock()
@@ -137,16 +141,23 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if int(s.running.Add(1)) > s.slots*5 {
+	if int(s.running.Add(1)) > s.slots+s.queue {
 		s.running.Add(-1)
+		s.c.record.add(s.id, "turns %s away: it is full", id)
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer s.running.Add(-1)
 	s.mu.Lock()
-	version := s.version
+	version, room := s.version, s.room
 	s.mu.Unlock()
+	select {
+	case room <- struct{}{}:
+		defer func() { <-room }()
+	case <-r.Context().Done():
+		return
+	}
 	s.c.record.add(s.id, "runs %s of %d bytes, software %s, last event %q", id, len(body), version, r.Header.Get("Last-Event-Id"))
 	if s.onRun != nil {
 		s.onRun(s, id)
--- a/review/rig2/versions.go
+++ b/review/rig2/versions.go
@@ -97,7 +97,7 @@
 	var servers []*server
 	for i := range 4 {
 		s := &server{
-			id: fmt.Sprintf("i-91c2b0e%d", i), service: "asistente", zone: fmt.Sprintf("home-%c", 'a'+i%3), address: freeAddress(), c: c, slots: 64,
+			id: fmt.Sprintf("i-91c2b0e%d", i), service: "asistente", zone: fmt.Sprintf("home-%c", 'a'+i%3), address: freeAddress(), c: c, slots: 64, queue: 134,
 			events: 64, pace: 70 * time.Millisecond,
 		}
 		if err := s.start("v1", 0); err != nil {
