--- a/review/rig2/deregister.go
+++ b/review/rig2/deregister.go
@@ -71,9 +71,9 @@
 	}
 	var arrivals []arrival
 	var servers []*server
-	for i := range 3 {
+	for i := range 6 {
 		s := &server{
-			id: fmt.Sprintf("i-7f3a91c%d", i), service: "agenda", zone: fmt.Sprintf("home-%c", 'a'+i), address: freeAddress(), c: c, slots: 6, queue: 24, work: 100 * time.Millisecond,
+			id: fmt.Sprintf("i-7f3a91c%d", i), service: "agenda", zone: fmt.Sprintf("home-%c", 'a'+i%3), address: freeAddress(), c: c, slots: 6, queue: 24, work: 100 * time.Millisecond,
 			onRun: func(s *server, id string) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -96,7 +96,7 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	var number atomic.Int64
-	for i := range 24 {
+	for i := range 40 {
 		n := c.entries[i%len(c.entries)]
 		clients.Go(func() {
 			client := &http.Client{Transport: &http.Transport{}}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]scenario{
 	"deregister": deregister,
 	"versions":   versions,
+	"bodies":     bodies,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/versions.go
+++ b/review/rig2/versions.go
@@ -95,7 +95,7 @@
 		return cannotRun, err
 	}
 	var servers []*server
-	for i := range 4 {
+	for i := range 6 {
 		s := &server{
 			id: fmt.Sprintf("i-91c2b0e%d", i), service: "asistente", zone: fmt.Sprintf("home-%c", 'a'+i%3), address: freeAddress(), c: c, slots: 64, queue: 134,
 			events: 64, pace: 70 * time.Millisecond,
@@ -119,7 +119,7 @@
 	var mu sync.Mutex
 	var stories []*story
 	var number atomic.Int64
-	for i := range 40 {
+	for i := range 48 {
 		clients.Go(func() {
 			for {
 				select {
