control, docs: Log what a deregistration records

A deregistration left no line in any log, so that one that isn't recorded looked like one that reaches the entries late.

--- a/control/control.go
+++ b/control/control.go
@@ -252,6 +252,9 @@
 	case incarnation == 0 || incarnation == a.Incarnation:
 		a.Leaving, a.Lease = true, announcementLease
 		c.publishAnnouncement(r.Context(), a)
+		klog.InfoS("departure recorded", "upstream", id, "incarnation", a.Incarnation, "named", incarnation)
+	default:
+		klog.InfoS("departure not recorded", "upstream", id, "known", a.Incarnation, "named", incarnation)
 	}
 	w.WriteHeader(http.StatusOK)
 }
