departure, control: Record the departure of a start that isn't known yet

Cause: a keeper answered 200 to a deregistration of a start later than the one that it knew, and did nothing (log: known= named=). The heartbeats of that start came later, and said ready.

Now the record that is published has the start that the call names, and says leaving, which is final for that start. A later start replaces it and is used. What the call tells of itself is used where it is whole, so that an ID of which no keeper has heard can leave too. A call that names the start alone, for an upstream whose address another one has got since, is refused with 503: a record with that address would take the other one out of use.

--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/hyssopladder/hyssopladder/common/problem"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/departure"
 	"github.com/hyssopladder/hyssopladder/gossip"
 	"github.com/hyssopladder/hyssopladder/keeper"
 	"github.com/hyssopladder/hyssopladder/member"
@@ -235,28 +236,34 @@
 		writeError(w, result.New(result.AnnouncementInvalid, result.RanNo, "%v", err))
 		return
 	}
-	incarnation, err := platform.DecodeDeregistration(body)
+	notice, err := platform.DecodeDeregistration(id, body, announcementLease)
 	if err != nil {
 		writeError(w, result.New(result.AnnouncementInvalid, result.RanNo, "%v", err))
 		return
 	}
+	if err := c.recordDeparture(r.Context(), &notice); err != nil {
+		writeError(w, result.From(err))
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// recordDeparture records that a start of an upstream accepts no new work.
+func (c *Control) recordDeparture(ctx context.Context, n *departure.Notice) error {
 	c.mu.Lock()
-	a, ok := c.registry.get(id)
+	known := c.registry.stateFor(n)
 	c.mu.Unlock()
-	switch {
-	case !ok:
+	a, ok := n.Record(known)
+	if !ok {
 		// Another keeper may know the upstream, or this one will once
 		// gossip has brought the record.
-		writeError(w, result.New(result.NoUpstream, result.RanNo, "upstream %q isn't known here", id).WithRetry(time.Second))
-		return
-	case incarnation == 0 || incarnation == a.Incarnation:
-		a.Leaving, a.Lease = true, announcementLease
-		c.publishAnnouncement(r.Context(), a)
-		klog.InfoS("departure recorded", "upstream", id, "incarnation", a.Incarnation, "named", incarnation)
-	default:
-		klog.InfoS("departure not recorded", "upstream", id, "known", a.Incarnation, "named", incarnation)
+		klog.InfoS("departure not recorded", "upstream", n.ID, "named", n.Incarnation)
+		return result.New(result.NoUpstream, result.RanNo, "upstream %q isn't known here", n.ID).WithRetry(time.Second)
 	}
-	w.WriteHeader(http.StatusOK)
+	a.Lease = announcementLease
+	c.publishAnnouncement(ctx, a)
+	klog.InfoS("departure recorded", "upstream", n.ID, "incarnation", a.Incarnation, "named", n.Incarnation)
+	return nil
 }
 
 func (c *Control) servePutConfig(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/control/departure_test.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopladder/hyssopladder/rollout"
+)
+
+// Starts of the upstream "i-1" of these tests, in Unix milliseconds.
+const (
+	firstStart  = 1_700_000_000_000
+	secondStart = firstStart + 60_000
+	thirdStart  = secondStart + 60_000
+)
+
+// startDepartures starts three keepers, of which each has heard of the first start of the
+// upstream "i-1".
+func startDepartures(t *testing.T) *controlNodes {
+	k := startControlNodes(t, rollout.Limits{}, rollout.Limits{}, rollout.Limits{})
+	for i := range k.nodes {
+		gomega.NewWithT(t).Eventually(func() bool { return k.nodes[i].options.Keeper.Confirm(t.Context()) }, 10*time.Second).Should(gomega.BeTrue())
+	}
+	k.beat(0, "i-1", firstStart, 1, "ready")
+	k.awaitMarker("settled", 0)
+	return k
+}
+
+func upstreamState(id string, born uint64, seq int, state string) string {
+	return fmt.Sprintf(`{"service":"s","addr":"10.0.0.9:%d","zone":"a","version":"v1","slots":4,"state":%q,"seq":%d,"born":%d}`, 1+len(id), state, seq, born)
+}
+
+// beat sends a keeper a heartbeat, and returns the status of its response.
+func (k *controlNodes) beat(keeper int, id string, born uint64, seq int, state string) int {
+	return k.status(keeper, http.MethodPost, "/v1/replicas/"+id+"/heartbeat", upstreamState(id, born, seq, state))()
+}
+
+func (k *controlNodes) deregister(keeper int, body string) int {
+	return k.status(keeper, http.MethodPost, "/v1/replicas/i-1/deregister", body)()
+}
+
+// uses reports whether a keeper tells entries to use the upstream.
+func (k *controlNodes) uses(keeper int, id string) bool {
+	c := k.nodes[keeper].Control
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u, ok := c.registry.upstreams[id]
+	return ok && u.usable()
+}
+
+// awaitMarker announces another upstream at a keeper, and waits until all keepers have it: they have
+// heard then what that keeper has heard before.
+func (k *controlNodes) awaitMarker(id string, keeper int) {
+	g := gomega.NewWithT(k.t)
+	g.Expect(k.beat(keeper, id, firstStart, 1, "ready")).To(gomega.Equal(http.StatusOK))
+	for i := range k.nodes {
+		g.Eventually(func() bool { return k.uses(i, id) }, 10*time.Second, 10*time.Millisecond).Should(gomega.BeTrue(), "keeper %d", i)
+	}
+}
+
+// expectUnused checks that no keeper tells entries to use the upstream "i-1" after a late heartbeat
+// of a start has come to each of them, and that a later start is used.
+func (k *controlNodes) expectUnused(born, later uint64) {
+	g := gomega.NewWithT(k.t)
+	for i := range k.nodes {
+		k.beat(i, "i-1", born, 10+i, "ready")
+		k.awaitMarker(fmt.Sprint("marker-", i), i)
+		for j := range k.nodes {
+			g.Expect(k.uses(j, "i-1")).To(gomega.BeFalse(), "keeper %d after a heartbeat at keeper %d", j, i)
+		}
+	}
+	k.beat(1, "i-1", later, 1, "ready")
+	for i := range k.nodes {
+		g.Eventually(func() bool { return k.uses(i, "i-1") }, 10*time.Second, 10*time.Millisecond).Should(gomega.BeTrue(), "a later start, keeper %d", i)
+	}
+}
+
+// TestDepartureOfAnUnknownStartIsRecorded guards against an acknowledged deregistration that
+// no keeper remembers: it names a start whose heartbeats come later, and say ready.
+func TestDepartureOfAnUnknownStartIsRecorded(t *testing.T) {
+	whole := upstreamState("i-1", secondStart, 3, "draining")
+	for name, body := range map[string]string{"whole": whole, "start only": fmt.Sprintf(`{"born":%d}`, uint64(secondStart))} {
+		t.Run(name, func(t *testing.T) {
+			k := startDepartures(t)
+			gomega.NewWithT(t).Expect(k.deregister(0, body)).To(gomega.Equal(http.StatusOK))
+			k.expectUnused(secondStart, thirdStart)
+		})
+	}
+	t.Run("at a keeper that starts again", func(t *testing.T) {
+		k := startDepartures(t)
+		gomega.NewWithT(t).Expect(k.deregister(0, whole)).To(gomega.Equal(http.StatusOK))
+		k.nodes[0].stop()
+		k.start(0, rollout.Limits{})
+		k.expectUnused(secondStart, thirdStart)
+	})
+}
--- a/control/registry.go
+++ b/control/registry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/departure"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -117,12 +118,23 @@
 	return changed
 }
 
-// get returns the last announcement of an upstream.
-func (r *registry) get(id string) (upstream.Announcement, bool) {
-	if u, ok := r.upstreams[id]; ok {
-		return u.Announcement, true
+// stateFor returns the last announcement of the upstream of a notice; nil if it has none that
+// can stand for the start that leaves.
+func (r *registry) stateFor(n *departure.Notice) *upstream.Announcement {
+	known, ok := r.upstreams[n.ID]
+	if !ok {
+		return nil
+	}
+	if n.Incarnation > known.Incarnation {
+		for _, u := range r.upstreams {
+			if u.Address == known.Address && u.Incarnation > known.Incarnation {
+				// Another upstream has got the address of the earlier start.
+				return nil
+			}
+		}
 	}
-	return upstream.Announcement{}, false
+	a := known.Announcement
+	return &a
 }
 
 // changedSince returns the members that changed after the generation.
