control, gossip: Acknowledge a departure once a majority has it

An upstream that leaves was answered 200 by a keeper that nobody else could hear: the broadcast to the other keepers ended with its calls, also when all of them had failed. If that keeper was lost then, nobody knew of the departure, and a late heartbeat, or a keeper on the other side of a cut, put the upstream back in use.

Broadcast now returns the nodes that have the record. The keeper answers 2xx once these are a quorum of the log's members, 503 (5004) after 0.8 s otherwise, for deregistrations and for heartbeats that say draining; the record stays, so that entries that hear of it stop all the same. As before it waits 0.25 s for the keepers beyond the majority.

control.TestDepartureThatOneKeeperRecordedIsNotAcknowledged fails before in its five cases: one keeper of three is up, expected 503, got 200.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -37,6 +37,11 @@
 	return slices.Contains(c.Voters, id) || slices.Contains(c.Outgoing, id)
 }
 
+// Equal reports whether two configurations have the same members.
+func (c *Config) Equal(other *Config) bool {
+	return slices.Equal(c.Voters, other.Voters) && slices.Equal(c.Outgoing, other.Outgoing) && slices.Equal(c.Learners, other.Learners)
+}
+
 // Members returns the IDs of all members, sorted and without duplicates.
 func (c *Config) Members() []ID {
 	all := slices.Concat(c.Voters, c.Outgoing, c.Learners)
@@ -44,9 +49,9 @@
 	return slices.Compact(all)
 }
 
-// hasQuorum reports whether the IDs for which included returns true form a
+// HasQuorum reports whether the IDs for which included returns true form a
 // quorum.
-func (c *Config) hasQuorum(included func(ID) bool) bool {
+func (c *Config) HasQuorum(included func(ID) bool) bool {
 	return hasMajority(c.Voters, included) && (!c.Joint() || hasMajority(c.Outgoing, included))
 }
 
--- a/consensus/node__election.go
+++ b/consensus/node__election.go
@@ -62,7 +62,7 @@
 // quorumActive reports whether a quorum answered since the last check, and
 // clears the marks for the next one.
 func (n *Node) quorumActive() bool {
-	active := n.config.hasQuorum(func(id ID) bool {
+	active := n.config.HasQuorum(func(id ID) bool {
 		p := n.progress[id]
 		return id == n.options.ID || (p != nil && p.recentlyActive)
 	})
@@ -105,8 +105,8 @@
 }
 
 func (n *Node) countVotes() {
-	won := n.config.hasQuorum(func(id ID) bool { return n.votes[id] })
-	lost := n.config.hasQuorum(func(id ID) bool {
+	won := n.config.HasQuorum(func(id ID) bool { return n.votes[id] })
+	lost := n.config.HasQuorum(func(id ID) bool {
 		granted, answered := n.votes[id]
 		return answered && !granted
 	})
--- a/control/control.go
+++ b/control/control.go
@@ -38,8 +38,11 @@
 	// upstream and all keepers, since entries may still reach the upstream.
 	announcementLease = 40 * time.Second
 	// broadcastTimeout bounds the wait for the other nodes before a leaving
-	// upstream gets its answer. The upstream waits for one second at most.
+	// upstream gets its answer, once a majority has recorded that it leaves.
 	broadcastTimeout = 250 * time.Millisecond
+	// departureTimeout bounds the wait for that majority. The upstream waits for one second at
+	// most.
+	departureTimeout = 800 * time.Millisecond
 	// putTimeout bounds the wait for a majority to store a value. Operators
 	// try another node after a second, or later for large documents.
 	putTimeout = 3 * time.Second
@@ -211,22 +214,16 @@
 		writeError(w, result.New(result.AnnouncementInvalid, result.RanNo, "%v", err))
 		return
 	}
-	c.publishAnnouncement(r.Context(), a)
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(platform.HeartbeatResponse)
-}
-
-// publishAnnouncement publishes an announcement by gossip. If the upstream is
-// leaving, it waits for broadcastTimeout at most until every live node has the
-// record, so that the upstream is answered only then.
-func (c *Control) publishAnnouncement(ctx context.Context, a upstream.Announcement) {
-	if !a.Leaving {
+	if a.Leaving {
+		if err := c.recordDeparture(r.Context(), &departure.Notice{ID: a.ID, Incarnation: a.Incarnation, State: &a}); err != nil {
+			writeError(w, result.From(err))
+			return
+		}
+	} else {
 		c.options.Gossip.Publish(a.Record())
-		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, broadcastTimeout)
-	defer cancel()
-	c.options.Gossip.Broadcast(ctx, a.Record())
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(platform.HeartbeatResponse)
 }
 
 func (c *Control) serveDeregister(w http.ResponseWriter, r *http.Request) {
@@ -248,7 +245,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// recordDeparture records that a start of an upstream accepts no new work.
+// recordDeparture records that a start of an upstream accepts no new work. It returns an error
+// unless a majority of the keepers has the record, so that it outlives this one.
 func (c *Control) recordDeparture(ctx context.Context, n *departure.Notice) error {
 	c.mu.Lock()
 	known := c.registry.stateFor(n)
@@ -261,8 +259,19 @@
 		return result.New(result.NoUpstream, result.RanNo, "upstream %q isn't known here", n.ID).WithRetry(time.Second)
 	}
 	a.Lease = announcementLease
-	c.publishAnnouncement(ctx, a)
-	klog.InfoS("departure recorded", "upstream", n.ID, "incarnation", a.Incarnation, "named", n.Incarnation)
+	began := c.options.Clock()
+	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+	defer cancel()
+	v, _ := c.options.Keeper.View()
+	holders := c.options.Gossip.BroadcastUntil(ctx, a.Record(), broadcastTimeout, v.HasQuorum)
+	recorded := v.HasQuorum(holders)
+	klog.InfoS("departure", "upstream", n.ID, "incarnation", a.Incarnation, "named", n.Incarnation, "leaving", a.Leaving,
+		"recorded", recorded, "holders", len(holders), "voters", len(v.Members.Voters), "took", c.options.Clock()-began)
+	if !recorded {
+		metrics.GetOrRegisterCounter("control.departuresUnrecorded", c.options.Metrics).Inc(1)
+		return result.New(result.NoQuorum, result.RanNo, "no majority of keepers recorded that upstream %q leaves", n.ID).WithRetry(time.Second)
+	}
+	metrics.GetOrRegisterCounter("control.departures", c.options.Metrics).Inc(1)
 	return nil
 }
 
--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -90,7 +90,7 @@
 			k.expectUnused(secondStart, thirdStart)
 		})
 	}
-	t.Run("at a keeper that starts again", func(t *testing.T) {
+	t.Run("at a keeper that is started again", func(t *testing.T) {
 		k := startDepartures(t)
 		gomega.NewWithT(t).Expect(k.deregister(0, whole)).To(gomega.Equal(http.StatusOK))
 		k.nodes[0].stop()
@@ -98,3 +98,25 @@
 		k.expectUnused(secondStart, thirdStart)
 	})
 }
+
+// TestDepartureThatOneKeeperRecordedIsNotAcknowledged guards against an acknowledgement that is
+// lost with the keeper that gave it: the others were down.
+func TestDepartureThatOneKeeperRecordedIsNotAcknowledged(t *testing.T) {
+	for name, leave := range map[string]func(k *controlNodes) int{
+		"deregistration":        func(k *controlNodes) int { return k.deregister(0, upstreamState("i-1", firstStart, 2, "ready")) },
+		"heartbeat":             func(k *controlNodes) int { return k.beat(0, "i-1", firstStart, 2, "draining") },
+		"of an earlier start":   func(k *controlNodes) int { return k.deregister(0, fmt.Sprintf(`{"born":%d}`, firstStart-1)) },
+		"of an unknown start":   func(k *controlNodes) int { return k.deregister(0, fmt.Sprintf(`{"born":%d}`, firstStart+1)) },
+		"without a named start": func(k *controlNodes) int { return k.deregister(0, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			k := startDepartures(t)
+			k.nodes[1].stop()
+			k.nodes[2].stop()
+			g.Expect(leave(k)).To(gomega.Equal(http.StatusServiceUnavailable))
+			k.start(1, rollout.Limits{})
+			g.Eventually(func() int { return leave(k) }, 10*time.Second, 10*time.Millisecond).Should(gomega.Equal(http.StatusOK), "two of three keepers have it")
+		})
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,7 +9,6 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -162,26 +161,58 @@
 	return valid
 }
 
-// Broadcast publishes urgent records and also sends them directly to every live
-// node. It returns when all calls have ended, also those that failed, or when
-// ctx ends.
-func (h *Host) Broadcast(ctx context.Context, records ...member.Record) {
-	records = validRecords(records)
-	h.ref.Send(publish{records})
-	m := member.Exchange{From: h.options.Node.Name, Push: records}
-	var calls sync.WaitGroup
-	for _, n := range h.Nodes(ctx) {
+// Broadcast publishes an urgent record and also sends it directly to every live node. When all
+// calls have ended or ctx ends it returns the nodes that have the record or a newer one, this
+// one included.
+func (h *Host) Broadcast(ctx context.Context, r member.Record) []member.NodeInfo {
+	return h.BroadcastUntil(ctx, r, 0, func([]member.NodeInfo) bool { return false })
+}
+
+// BroadcastUntil is Broadcast that returns after patience as soon as the nodes that have the
+// record are enough.
+func (h *Host) BroadcastUntil(ctx context.Context, r member.Record, patience time.Duration, enough func(holders []member.NodeInfo) bool) []member.NodeInfo {
+	if err := r.Check(); err != nil {
+		klog.ErrorS(err, "record not published", "kind", r.Kind, "id", r.ID)
+		return nil
+	}
+	h.ref.Send(publish{[]member.Record{r}})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	nodes := h.Nodes(ctx)
+	answers := make(chan *member.NodeInfo, len(nodes))
+	for i := range nodes {
+		n := &nodes[i]
 		if n.Name == h.options.Node.Name {
+			answers <- n
 			continue
 		}
-		calls.Go(func() {
+		go func() {
 			var a member.Answer
-			if err := h.options.Server.Client.Call(ctx, n.Address, peer.Exchange, m, &a); err != nil {
-				klog.V(2).InfoS("gossip exchange failed", "instance", h.options.Node.Name, "peer", n.Address, "err", err)
+			if err := h.options.Server.Client.Call(ctx, n.Address, peer.Exchange, member.Exchange{From: h.options.Node.Name, Push: []member.Record{r}}, &a); err != nil {
+				klog.InfoS("record not sent", "instance", h.options.Node.Name, "peer", n.Address, "kind", r.Kind, "id", r.ID, "err", err)
+				n = nil
 			}
-		})
+			answers <- n
+		}()
+	}
+	wait := time.NewTimer(patience)
+	defer wait.Stop()
+	var holders []member.NodeInfo
+	impatient := false
+	for pending := len(nodes); pending > 0 && !(impatient && enough(holders)); {
+		select {
+		case n := <-answers:
+			pending--
+			if n != nil {
+				holders = append(holders, *n)
+			}
+		case <-wait.C:
+			impatient = true
+		case <-ctx.Done():
+			return holders
+		}
 	}
-	calls.Wait()
+	return holders
 }
 
 // Subscribe calls f with all records of the table and with each later change. f
--- a/keeper/keeper__read.go
+++ b/keeper/keeper__read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/consensus"
 	"github.com/hyssopladder/hyssopladder/level"
+	"github.com/hyssopladder/hyssopladder/member"
 	"github.com/hyssopladder/hyssopladder/peer"
 	"github.com/hyssopladder/hyssopladder/rollout"
 )
@@ -66,6 +68,18 @@
 	Rollouts *rollout.View
 	// Restored counts the snapshots from which this keeper has restored its state.
 	Restored int
+	// Members are those of the log, as far as this keeper has read it.
+	Members consensus.Config
+}
+
+// HasQuorum reports whether the keepers that run on the nodes are a quorum of the members.
+func (v *View) HasQuorum(nodes []member.NodeInfo) bool {
+	return v.Members.HasQuorum(func(id consensus.ID) bool {
+		return slices.ContainsFunc(nodes, func(n member.NodeInfo) bool {
+			other, ok := parseID(n.KeeperID)
+			return ok && other == id
+		})
+	})
 }
 
 // viewPublisher holds the newest View and notifies those who wait for changes.
@@ -98,12 +112,14 @@
 		Level:       k.machine.level,
 		Rollouts:    k.machine.rollouts(),
 		Restored:    k.machine.restored,
+		Members:     s.Config,
 	}
 	k.view.mu.Lock()
 	defer k.view.mu.Unlock()
 	current := k.view.current
 	if current.Config.Number == next.Config.Number && current.Applied == next.Applied && current.Leading == next.Leading &&
-		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow {
+		current.Term == next.Term && current.Leader == next.Leader && current.UsageWindow == next.UsageWindow &&
+		current.Members.Equal(&next.Members) {
 		// Level, Rollouts and Restored change with Applied only.
 		return
 	}
