departure, control: Let a departure without a start cover all starts before it

A deregistration, or a heartbeat that says draining, may name no start. It was recorded for the newest start that the keeper knew; if the heartbeats of a later one were late, that one was used once they came, though the call had been acknowledged. A whole heartbeat that names no start was acknowledged and dropped, as it counts as older than any start.

Such a call is now recorded for the time of the call: an upstream is one process, so every start that is numbered below it is over or leaves. The time is the median of the clocks of the keeper and the entries, which every keeper now has, not only the leader (entryClocks, in place of leaderState.wallTime); a keeper without leadership numbered the orders of rollouts by its own clock.

control.TestDepartureOfAnUnknownStartIsRecorded fails before in two of its five cases, 'no start named' and 'no start in a whole call': keeper 0 uses the upstream after a heartbeat at keeper 0.

--- a/control/account.go
+++ b/control/account.go
@@ -90,7 +90,9 @@
 	now := c.options.Clock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.usageCounts.applyReport(now, entryKey{request.Entry, request.Incarnation}, request.Usage)
+	entry := entryKey{request.Entry, request.Incarnation}
+	c.usageCounts.applyReport(now, entry, request.Usage)
+	c.entryClocks.observe(now, entry, request.Wall)
 	if !v.Leading || request.UsageOnly {
 		return &AccountReply{Leader: v.Leader, Term: v.Term}, nil
 	}
@@ -291,18 +293,6 @@
 	return sums
 }
 
-// wallTime returns the median of this keeper's wall clock, local, and those of
-// the entries that reported lately.
-func (s *leaderState) wallTime(now clock.Instant, local time.Time) time.Time {
-	offsets := []time.Duration{time.Duration(local.UnixNano()) - now}
-	for _, r := range s.reports {
-		if now-r.receivedAt <= reportMaxAge {
-			offsets = append(offsets, time.Duration(r.Wall.UnixNano())-r.receivedAt)
-		}
-	}
-	return clock.Median(now, offsets)
-}
-
 // isIdle reports whether a service has had no requests for a while, so that
 // its demand isn't known.
 func (s *leaderState) isIdle(now clock.Instant, service string) bool {
--- a/control/control.go
+++ b/control/control.go
@@ -90,6 +90,7 @@
 	// before the first.
 	leaderState *leaderState
 	usageCounts *usageCounts
+	entryClocks *entryClocks
 	// origins are the streams that entries have begun.
 	origins   *origin.Book
 	originLog *originLog
@@ -112,7 +113,7 @@
 // New registers the handlers and starts the background work, which ends with
 // ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), origins: origin.New(), changed: make(chan struct{}), rolloutsSentAt: map[string]clock.Instant{}}
+	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), entryClocks: newEntryClocks(), origins: origin.New(), changed: make(chan struct{}), rolloutsSentAt: map[string]clock.Instant{}}
 	c.newestConfig = func() uint64 {
 		v, _ := o.Keeper.View()
 		return v.Config.Number
@@ -251,7 +252,7 @@
 	c.mu.Lock()
 	known := c.registry.stateFor(n)
 	c.mu.Unlock()
-	a, ok := n.Record(known)
+	a, ok := n.Record(known, c.wallTime(c.options.Clock()))
 	if !ok {
 		// Another keeper may know the upstream, or this one will once
 		// gossip has brought the record.
--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,13 @@
 			k.expectUnused(secondStart, thirdStart)
 		})
 	}
+	for name, body := range map[string]string{"no start named": "", "no start in a whole call": strings.Replace(whole, `"born"`, `"none"`, 1)} {
+		t.Run(name, func(t *testing.T) {
+			k := startDepartures(t)
+			gomega.NewWithT(t).Expect(k.deregister(0, body)).To(gomega.Equal(http.StatusOK))
+			k.expectUnused(secondStart, uint64(time.Now().Add(time.Minute).UnixMilli()))
+		})
+	}
 	t.Run("at a keeper that is started again", func(t *testing.T) {
 		k := startDepartures(t)
 		gomega.NewWithT(t).Expect(k.deregister(0, whole)).To(gomega.Equal(http.StatusOK))
@@ -120,3 +128,19 @@
 		})
 	}
 }
+
+// TestStepsOfOneClockChangeNoTimeOfDay guards against a keeper whose clock has stepped ahead, and
+// that takes a start that follows a departure for an earlier one.
+func TestStepsOfOneClockChangeNoTimeOfDay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, now, wall := newEntryClocks(), 100*time.Second, time.UnixMilli(secondStart)
+	stepped := wall.Add(5 * time.Second)
+	g.Expect(c.timeOfDay(now, stepped)).To(gomega.BeTemporally("==", stepped), "no other clock is known")
+	for i := range 3 {
+		c.observe(now, entryKey{fmt.Sprint(i), 1}, wall.Add(time.Duration(i)*time.Millisecond))
+	}
+	c.observe(now, entryKey{"without a clock", 1}, time.Time{})
+	later := now + clockMaxAge
+	g.Expect(c.timeOfDay(later, stepped.Add(clockMaxAge))).To(gomega.BeTemporally("==", wall.Add(clockMaxAge+2*time.Millisecond)))
+	g.Expect(c.timeOfDay(later+1, stepped)).To(gomega.BeTemporally("==", stepped), "the entries are gone")
+}
--- a/control/duty__usage.go
+++ b/control/duty__usage.go
@@ -49,7 +49,7 @@
 	wall := time.Now()
 	d.control.mu.Lock()
 	if state := d.control.leaderState; state != nil && state.term == d.term {
-		wall = state.wallTime(now, wall)
+		wall = d.control.entryClocks.timeOfDay(now, wall)
 	}
 	d.control.mu.Unlock()
 	lastFinal := uint64(wall.Add(-settleTime).UnixNano()/int64(cloud.UsageWindow)) - 1
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -252,13 +252,10 @@
 	return found
 }
 
-// wallTime returns the time of day: on a leader the median of the entries' clocks and this
-// keeper's, on others that of this keeper.
+// wallTime returns the time of day: the median of this keeper's clock and those of the entries
+// that reported to it.
 func (c *Control) wallTime(now clock.Instant) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaderState == nil {
-		return time.Now()
-	}
-	return c.leaderState.wallTime(now, time.Now())
+	return c.entryClocks.timeOfDay(now, time.Now())
 }
