entry, gossip: Acknowledge that an upstream leaves once another node knows it

The role entry answered 204 to an announcement that says leaving as soon as it had put it into its queue for gossip. If the entry was killed within the round, nobody knew that the upstream leaves, and its last announcement kept it in use until the lease ran out.

The entry now sends such a record to three live nodes at once and answers 204 when one of them has it, 503 (5004) after 0.3 s otherwise; a node without others and without seeds is the only one, and answers as before.

entry.TestDepartureIsAcknowledgedOnceAnotherNodeHasIt fails before in two of its four cases: 204 while the other node is down, and at the other node expected to be leaving, found not.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -154,7 +154,11 @@
 	problem.Write(w, p)
 }
 
-// announce publishes an upstream's announcement by gossip.
+// replicationTimeout bounds the wait for another node to record that an upstream leaves.
+const replicationTimeout = 300 * time.Millisecond
+
+// announce publishes an upstream's announcement by gossip. That the upstream leaves is
+// acknowledged once another node has recorded it.
 func (e *Entry) announce(w http.ResponseWriter, r *http.Request) {
 	var a upstream.Announcement
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&a)
@@ -165,6 +169,16 @@
 		problem.Write(w, result.New(result.BadRequest, result.RanNo, "%v", err))
 		return
 	}
-	e.options.Gossip.Publish(a.Record())
+	if !a.Leaving {
+		e.options.Gossip.Publish(a.Record())
+	} else {
+		ctx, cancel := context.WithTimeout(r.Context(), replicationTimeout)
+		defer cancel()
+		if !e.options.Gossip.Replicate(ctx, a.Record()) {
+			klog.InfoS("departure not recorded", "instance", e.options.Node.Name, "upstream", a.ID, "incarnation", a.Incarnation)
+			problem.Write(w, result.New(result.NoQuorum, result.RanNo, "no other node recorded that upstream %q leaves", a.ID).WithRetry(time.Second))
+			return
+		}
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -31,6 +32,8 @@
 	// maxDirectPeers is the number of peers up to which a node pushes to all
 	// of them. It covers the 21 control instances expected within two years.
 	maxDirectPeers = 21
+	// replicas is the number of nodes that Replicate sends a record to.
+	replicas = 3
 	// compareEvery is the number of rounds between two comparisons.
 	compareEvery = 5
 	// renewEvery is the number of rounds between two pushes of renewals
@@ -171,14 +174,31 @@
 // BroadcastUntil is Broadcast that returns after patience as soon as the nodes that have the
 // record are enough.
 func (h *Host) BroadcastUntil(ctx context.Context, r member.Record, patience time.Duration, enough func(holders []member.NodeInfo) bool) []member.NodeInfo {
-	if err := r.Check(); err != nil {
-		klog.ErrorS(err, "record not published", "kind", r.Kind, "id", r.ID)
-		return nil
-	}
-	h.ref.Send(publish{[]member.Record{r}})
+	h.Publish(r)
+	return h.sendDirectly(ctx, h.Nodes(ctx), r, patience, enough)
+}
+
+// Replicate publishes an urgent record and also sends it directly to some live nodes. It reports
+// whether another node has the record or a newer one, so that it outlives this one. A node
+// that knows no other node, and has no seeds but itself, is the only one.
+func (h *Host) Replicate(ctx context.Context, r member.Record) bool {
+	h.Publish(r)
+	var nodes []member.NodeInfo
+	alone := false
+	h.View(ctx, func(now clock.Instant, t *member.Table) {
+		nodes = slices.DeleteFunc(liveNodes(now, t), func(n member.NodeInfo) bool { return n.Name == h.options.Node.Name })
+		alone = len(h.pickPeers(now, 1)) == 0
+		h.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	})
+	nodes = nodes[:min(len(nodes), replicas)]
+	return alone || len(h.sendDirectly(ctx, nodes, r, 0, func(holders []member.NodeInfo) bool { return len(holders) > 0 })) > 0
+}
+
+// sendDirectly sends a published record to nodes, and returns those that have it: when all calls
+// have ended, when ctx ends, or after patience as soon as they are enough.
+func (h *Host) sendDirectly(ctx context.Context, nodes []member.NodeInfo, r member.Record, patience time.Duration, enough func(holders []member.NodeInfo) bool) []member.NodeInfo {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	nodes := h.Nodes(ctx)
 	answers := make(chan *member.NodeInfo, len(nodes))
 	for i := range nodes {
 		n := &nodes[i]
