exchange, ingress: Take no status for an answer that HTTP lacks

An upstream in trouble answers with status 000, 001, 099, 600 or 999. Callers got 600 and 999 as they were; below 200 the response was read as an interim one, so that its body was read as the next response, or, where it had none, the caller waited until its deadline (504).

net/http's parser takes any three digits. httpstatus says which are interim ones (1xx) and which can be answers (200 to 599, RFC 9110); another one breaks the attempt, which may have run, and closes the connection at once.

ingress.TestStatusesThatHTTPLacksAreNoAnswers fails before in all its 30 cases (nine 200 from within a body, nine 504, three 600, three 999, six broken answers; wanted 502 in all), and TestWatchedHeadEndsWithAStatusThatHTTPLacks for 000.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/hyssopladder/hyssopladder/common/httpstatus"
 	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 )
 
@@ -276,8 +277,10 @@
 			return nil, &Error{Sent: true, err: errors.Wrap(err, "read response")}
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, &Error{Sent: true, err: errors.New("the upstream switched to another protocol unasked")}
-		case response.StatusCode < http.StatusOK:
+		case httpstatus.Interim(response.StatusCode):
 			continue
+		case !httpstatus.Final(response.StatusCode):
+			return nil, &Error{Sent: true, err: errors.Errorf("response with status %03d, which is none of HTTP's", response.StatusCode)}
 		case r.Matches(response, trace.Number > 1 || trace.Skipped > 0):
 			return &Response{Response: response, conn: conn, client: c, bodyWritten: bodyWritten}, nil
 		}
--- a/ingress/promise_test.go
+++ b/ingress/promise_test.go
@@ -12,6 +12,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/hyssopladder/hyssopladder/config"
+	"github.com/hyssopladder/hyssopladder/fleet"
 )
 
 // TestSuccessesAreNoRefusals guards against a caller that is told that its request hasn't run
@@ -106,3 +107,44 @@
 		}
 	}
 }
+
+// noStatuses are three digits that net/http's parser takes for a status, and HTTP doesn't have.
+var noStatuses = []string{"000", "001", "099", "600", "999"}
+
+// TestStatusesThatHTTPLacksAreNoAnswers guards against a caller that gets such a status, or waits until
+// its deadline for the answer that would follow if it were an interim one.
+func TestStatusesThatHTTPLacksAreNoAnswers(t *testing.T) {
+	for kind, route := range map[string]config.Route{"plain": {Kind: config.NonIdempotent}, "repeatable": {Kind: config.Idempotent}, "stream": {Kind: config.Streaming}} {
+		for _, status := range noStatuses {
+			for _, text := range []string{"", "HTTP/1.1 200 OK\r\nX-Replica-Seal: s\r\nX-Request-Id: " + requestID + "\r\nContent-Length: 0\r\n\r\n"} {
+				t.Run(fmt.Sprint(kind, " ", status, " with ", len(text)), func(t *testing.T) {
+					t.Parallel()
+					g := gomega.NewWithT(t)
+					upstream := startUpstream(t, func(c net.Conn, _ *http.Request) {
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Status\r\nX-Request-Id: %s\r\nX-Replica-Seal: s\r\nContent-Length: %d\r\n\r\n%s", status, requestID, len(text), text)
+						_, _ = io.Copy(io.Discard, c)
+					})
+					got, body, err := get(startEntry(t, route, 3*time.Second, upstream))
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					g.Expect(got).To(gomega.Equal(http.StatusBadGateway), body)
+				})
+			}
+		}
+	}
+}
+
+// TestWatchedHeadEndsWithAStatusThatHTTPLacks guards against a helper of a tunnel that takes the body of such
+// a response for the head of the next one.
+func TestWatchedHeadEndsWithAStatusThatHTTPLacks(t *testing.T) {
+	const notice = "HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\n\r\n"
+	told := func(before string) (told bool) {
+		w := headWatcher{notify: func(fleet.Notice) { told = true }}
+		w.write([]byte(before + notice))
+		return told
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(told("HTTP/1.1 103 Early Hints\r\n\r\n")).To(gomega.BeTrue())
+	for _, status := range noStatuses {
+		g.Expect(told("HTTP/1.1 "+status+" Status\r\n\r\n")).To(gomega.BeFalse(), status)
+	}
+}
--- a/ingress/tunnel.go
+++ b/ingress/tunnel.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
+	"github.com/hyssopladder/hyssopladder/common/httpstatus"
 	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 	"github.com/hyssopladder/hyssopladder/exchange"
 	"github.com/hyssopladder/hyssopladder/fleet"
@@ -245,10 +246,13 @@
 			return
 		}
 		h.head = h.head[end:]
-		if response.StatusCode < http.StatusOK {
+		if httpstatus.Interim(response.StatusCode) {
 			continue
 		}
 		h.done = true
+		if !httpstatus.Final(response.StatusCode) {
+			return
+		}
 		a := platform.DecodeResponse(response.StatusCode, response.Header)
 		if !a.OtherUpstream && (a.Leaving || a.RetryAfter > 0) {
 			h.notify(fleet.Notice{Leaving: a.Leaving, RetryAfter: a.RetryAfter})
