entry: Take no status for an answer that HTTP lacks

The role entry passed on, and kept for an idempotency key, whatever three digits an upstream sent as a status: 000 to 099 make net/http panic when they are written (the caller's connection breaks), 600 to 999 reach the caller, and 101 is kept though a protocol follows it, not an answer.

A response whose status can't be that of an answer now breaks the attempt, which may have run.

entry.TestStatusesThatHTTPLacksAreNoAnswers fails before with the first status, 000: the response is expected to be nil, with and without a body, and so is the kept one.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/claim"
+	"github.com/hyssopladder/hyssopladder/common/httpstatus"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -97,6 +98,9 @@
 		return nil, result.New(result.ClaimFull, result.RanNo, "the keepers have no room for another idempotency key").WithRetry(time.Minute)
 	case r.Reused:
 		return nil, result.New(result.KeyReused, result.RanNo, "the idempotency key was used for another call")
+	case r.State == claim.Answered && !httpstatus.Final(r.Answer.Status):
+		// Earlier versions stored what upstreams sent.
+		return nil, result.New(result.ClaimUnknown, result.RanUnknown, "the upstream answered with status %03d, so it is unknown whether the call ran; it won't be run again", r.Answer.Status)
 	case r.State == claim.Answered && r.Answer.Dropped:
 		return nil, result.New(result.ClaimAnswered, result.RanYes, "the call ran and returned status %d; its response is no longer stored", r.Answer.Status)
 	case r.State == claim.Answered:
--- a/entry/client.go
+++ b/entry/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hyssopladder/hyssopladder/common/httpstatus"
 	"github.com/hyssopladder/hyssopladder/common/tcpconn"
 )
 
@@ -67,8 +68,8 @@
 	return id != own && prefix != "" && strings.HasPrefix(id, prefix)
 }
 
-// do sends a request. Redirects aren't followed. A response that names another request is an
-// error.
+// do sends a request. Redirects aren't followed. A response that names another request, or whose
+// status can't be that of an answer, is an error.
 func (c *upstreamClient) do(ctx context.Context, r *http.Request) (roundTrip, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -77,5 +78,9 @@
 		_ = response.Body.Close()
 		return roundTrip{connected: true}, errOtherRequest
 	}
+	if err == nil && !httpstatus.Final(response.StatusCode) {
+		_ = response.Body.Close()
+		return roundTrip{connected: true}, errors.Errorf("response with status %03d, which is no answer", response.StatusCode)
+	}
 	return roundTrip{response: response, connected: connected.Load()}, err
 }
--- a/entry/cut_test.go
+++ b/entry/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,11 +13,13 @@
 	"github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/hyssopladder/hyssopladder/claim"
 	"github.com/hyssopladder/hyssopladder/common/actors"
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/cuttest"
 	"github.com/hyssopladder/hyssopladder/common/readahead"
 	"github.com/hyssopladder/hyssopladder/relay"
+	"github.com/hyssopladder/hyssopladder/result"
 	"github.com/hyssopladder/hyssopladder/retry"
 	"github.com/hyssopladder/hyssopladder/service"
 	"github.com/hyssopladder/hyssopladder/settings"
@@ -80,6 +83,34 @@
 	}
 }
 
+// TestStatusesThatHTTPLacksAreNoAnswers guards against a caller that gets such a status, or an answer
+// that stands in the body of one; and against one that is kept for a key.
+func TestStatusesThatHTTPLacksAreNoAnswers(t *testing.T) {
+	undecided := newUndecided(t)
+	for _, status := range []int{0, 1, 99, 101, 600, 999} {
+		for _, text := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+			t.Run(fmt.Sprintf("%03d with %d", status, len(text)), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				server := cuttest.Serve(t, func(c net.Conn, _ *http.Request) {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 %03d Status\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+				})
+				p := &plainCall{
+					entry: newCutEntry(undecided), job: &job{}, path: "/",
+					request: httptest.NewRequest(http.MethodPost, "/", nil), in: callerRequest{body: []byte("x")}, timeout: 2 * time.Second,
+				}
+				response, failure, err := p.attempt(t.Context(), upstream.Announcement{ID: "u", Address: server})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(response).To(gomega.BeNil())
+				g.Expect(failure.MayHaveRun()).To(gomega.BeTrue())
+			})
+		}
+		kept, err := heldKeyResponse(claim.Reply{State: claim.Answered, Answer: &claim.Answer{Status: status}})
+		g := gomega.NewWithT(t)
+		g.Expect(kept).To(gomega.BeNil())
+		g.Expect(result.From(err).Code).To(gomega.Equal(result.ClaimUnknown))
+	}
+}
+
 // TestCutStreamsAreNeverWhole guards against a stream that ends within its head, an event or
 // between events, and that looks complete: the first answer, and one that goes on with a
 // stream.
