fleet, control: Let an upstream that leaves make room at its address

A departure is recorded with the start that it names, or with its time, at the address of an earlier start if nothing else is known. If another upstream has got that address meanwhile, entries took it for replaced by the later start, and it got nothing for as long as it lived. The check at the keeper knew only calls that name a start.

An address still belongs to the newest start, but one that leaves gives way to any that doesn't; the check at the keeper is gone. A departure that repeats an earlier one is logged only if it isn't recorded.

fleet.TestUpstreamThatLeavesMakesRoomAtItsAddress fails before: 'left is known first', noUpstream, wanted sound.

--- a/control/control.go
+++ b/control/control.go
@@ -258,7 +258,7 @@
 // unless a majority of the keepers has the record, so that it outlives this one.
 func (c *Control) recordDeparture(ctx context.Context, n *departure.Notice) error {
 	c.mu.Lock()
-	known := c.registry.stateFor(n)
+	known := c.registry.get(n.ID)
 	c.mu.Unlock()
 	a, ok := n.Record(known, c.wallTime(c.options.Clock()))
 	if !ok {
@@ -274,8 +274,10 @@
 	v, _ := c.options.Keeper.View()
 	holders := c.options.Gossip.BroadcastUntil(ctx, a.Record(), broadcastTimeout, v.HasQuorum)
 	recorded := v.HasQuorum(holders)
-	klog.InfoS("departure", "upstream", n.ID, "incarnation", a.Incarnation, "named", n.Incarnation, "leaving", a.Leaving,
-		"recorded", recorded, "holders", len(holders), "voters", len(v.Members.Voters), "took", c.options.Clock()-began)
+	if again := known != nil && known.Leaving; !again || !recorded {
+		klog.InfoS("departure", "upstream", n.ID, "incarnation", a.Incarnation, "named", n.Incarnation, "leaving", a.Leaving,
+			"recorded", recorded, "holders", len(holders), "voters", len(v.Members.Voters), "took", c.options.Clock()-began)
+	}
 	if !recorded {
 		metrics.GetOrRegisterCounter("control.departuresUnrecorded", c.options.Metrics).Inc(1)
 		return result.New(result.NoQuorum, result.RanNo, "no majority of keepers recorded that upstream %q leaves", n.ID).WithRetry(time.Second)
--- a/control/registry.go
+++ b/control/registry.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
-	"github.com/hyssopladder/hyssopladder/departure"
 	"github.com/hyssopladder/hyssopladder/origin"
 	"github.com/hyssopladder/hyssopladder/upstream"
 )
@@ -118,21 +117,12 @@
 	return changed
 }
 
-// stateFor returns the last announcement of the upstream of a notice; nil if it has none that
-// can stand for the start that leaves.
-func (r *registry) stateFor(n *departure.Notice) *upstream.Announcement {
-	known, ok := r.upstreams[n.ID]
+// get returns the last announcement of an upstream, nil if there is none.
+func (r *registry) get(id string) *upstream.Announcement {
+	known, ok := r.upstreams[id]
 	if !ok {
 		return nil
 	}
-	if n.Incarnation > known.Incarnation {
-		for _, u := range r.upstreams {
-			if u.Address == known.Address && u.Incarnation > known.Incarnation {
-				// Another upstream has got the address of the earlier start.
-				return nil
-			}
-		}
-	}
 	a := known.Announcement
 	return &a
 }
--- a/fleet/fleet__directory.go
+++ b/fleet/fleet__directory.go
@@ -107,14 +107,15 @@
 }
 
 // assignAddress marks all but the newest upstream that announced an address as
-// replaced.
+// replaced. One that leaves makes room for any other: its start may be numbered by the time of
+// its departure, at the address of an earlier one.
 func (f *Fleet) assignAddress(u *upstreamView) {
 	address := u.Address.String()
 	other, taken := f.upstreams[f.idByAddress[address]]
 	switch {
 	case !taken || other == u:
 		f.idByAddress[address] = u.ID
-	case other.Incarnation > u.Incarnation:
+	case u.Leaving && !other.Leaving, u.Leaving == other.Leaving && other.Incarnation > u.Incarnation:
 		u.replaced = true
 	default:
 		other.replaced = true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// TestUpstreamThatLeavesMakesRoomAtItsAddress guards against a sound upstream that gets nothing, as
+// another one, which has left its address, is recorded with a later start.
+func TestUpstreamThatLeavesMakesRoomAtItsAddress(t *testing.T) {
+	left, sound := leaving(member("left", 1, 9)), member("sound", 1, 5)
+	for name, order := range map[string][]upstream.Member{"left is known first": {left, sound}, "sound is known first": {sound, left}} {
+		f := plainFleet(order[0])
+		f.Merge(0, order[1:])
+		gomega.NewWithT(t).Expect(destination(f.Submit(0, newTicket(1)))).To(gomega.Equal("sound"), name)
+	}
+}
+
 // TestMovedUpstreamLeavesItsAddress guards against an upstream that gets no requests any more: one
 // restarts under its ID at another address, and a third one starts at its former address.
 func TestMovedUpstreamLeavesItsAddress(t *testing.T) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -209,7 +209,7 @@
 		go func() {
 			var a member.Answer
 			if err := h.options.Server.Client.Call(ctx, n.Address, peer.Exchange, member.Exchange{From: h.options.Node.Name, Push: []member.Record{r}}, &a); err != nil {
-				klog.InfoS("record not sent", "instance", h.options.Node.Name, "peer", n.Address, "kind", r.Kind, "id", r.ID, "err", err)
+				klog.V(2).InfoS("record not sent", "instance", h.options.Node.Name, "peer", n.Address, "kind", r.Kind, "id", r.ID, "err", err)
 				n = nil
 			}
 			answers <- n
