--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -152,6 +152,7 @@
 	}
 	for i := range k.nodes {
 		k.start(i, rollout.Limits{})
+		g.Expect(k.view(i).Members.Voters).To(gomega.HaveLen(len(k.nodes)), "from its disk, before it can tell a majority")
 	}
 	k.expectUnused(secondStart, thirdStart)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -222,7 +222,7 @@
 	k.outbox = newOutbox(ctx, o.Server.Client, k.machine.reads)
 	k.announceLevel()
 	k.confirmRequests = make(chan chan<- bool, maxPending)
-	k.view = newViewPublisher(View{Rollouts: k.machine.rollouts(), Restored: k.machine.restored})
+	k.view = newViewPublisher(View{Rollouts: k.machine.rollouts(), Restored: k.machine.restored, Members: k.node.Config()})
 	k.ref = actors.Spawn(ctx, o.Actors, "keeper", k.receive)
 	o.Server.On(peer.Read, k.serveRead)
 	o.Server.On(peer.Step, k.serveStep)
