--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -14,6 +14,8 @@
 	return &upstream.Announcement{ID: "u", Incarnation: incarnation, Sequence: 7, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)}
 }
 
+// TestRecord guards against a departure that is recorded for another start than the one that leaves,
+// or not at all, so that a late heartbeat brings the upstream back.
 func TestRecord(t *testing.T) {
 	const first, second, now = 1000, 2000, 3000
 	cases := []struct {
