--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -24,6 +24,8 @@
 	pace   time.Duration
 	// plain says that it answers with a short text rather than a stream.
 	plain bool
+	// work is the time that a plain answer takes, in one of the slots.
+	work time.Duration
 	// cut says that the replica has no way to the core machines.
 	cut atomic.Bool
 
@@ -143,6 +145,7 @@
 	r.c.record.add("replica %s of version %s runs %s from event %d", r.id, version, id, last+1)
 	w.Header().Set("X-Replica-Seal", "seal-"+r.id)
 	if r.plain {
+		time.Sleep(r.work)
 		_, _ = fmt.Fprintf(w, "%s was booked", id)
 		return
 	}
