review: Drop two cases that earlier ones show, and number the rest

Cases 13 (ORDER, streams of two versions after a restart behind a cut) and 15 (Fault, large bodies) repeat review/6 and review/8. The case of the keys (CONFIG) is 13 now.

--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -10,11 +10,10 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
-// replica is a stand-in for a model replica. It may end and start again under its ID.
+// replica is a stand-in for a replica of a service.
 type replica struct {
 	c                         *cluster
 	id, service, zone, listen string
@@ -26,8 +25,6 @@
 	plain bool
 	// work is the time that a plain answer takes, in one of the slots.
 	work time.Duration
-	// cut says that the replica has no way to the core machines.
-	cut atomic.Bool
 
 	mu      sync.Mutex
 	version string
@@ -37,9 +34,6 @@
 	runs    []string
 }
 
-// downTime is how long a replica that has crashed is down.
-const downTime = 300 * time.Millisecond
-
 func newReplica(c *cluster, id, service, zone string) (*replica, error) {
 	address, err := c.address()
 	if err != nil {
@@ -83,11 +77,9 @@
 			"service": r.service, "addr": r.listen, "zone": r.zone, "version": version, "slots": r.slots, "state": "ready",
 			"coldLeftMs": 0, "stage": "mixed", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "seq": seq, "born": born,
 		})
-		if !r.cut.Load() {
-			acknowledged := r.c.heartbeat(ctx, seq, r.id, body)
-			if seq == 1 {
-				r.c.record.add("replica %s: first heartbeat of version %s, acknowledged: %t", r.id, version, acknowledged)
-			}
+		acknowledged := r.c.heartbeat(ctx, seq, r.id, body)
+		if seq == 1 {
+			r.c.record.add("replica %s: first heartbeat of version %s, acknowledged: %t", r.id, version, acknowledged)
 		}
 		select {
 		case <-time.After(heartbeatEvery):
@@ -115,13 +107,6 @@
 	r.end = nil
 }
 
-// restart lets the replica crash, and be back after a moment.
-func (r *replica) restart(version string) error {
-	r.crash()
-	time.Sleep(downTime)
-	return r.start(version)
-}
-
 func (r *replica) serve(ctx context.Context, version string, w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
--- a/review/rig3/unframed.go
+++ b/review/rig3/unframed.go
@@ -136,7 +136,7 @@
 			e := c.entries[i%len(c.entries)]
 			c.record.add("caller sends %s to %s", id, e.name)
 			outcomes[i] = callStream(e.front, id, unframedEvents)
-			c.record.add("caller got %s: status %d, %d of %d events, by %v, ended as complete: %t", id, outcomes[i].status, outcomes[i].events, unframedEvents, outcomes[i].versions, outcomes[i].complete)
+			c.record.add("caller got %s: status %d, %d of %d events, by %v, ended as complete: %t", id, outcomes[i].status, outcomes[i].events, unframedEvents, outcomes[i].sources, outcomes[i].complete)
 		})
 		time.Sleep(10 * time.Millisecond)
 	}
