--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -328,7 +328,7 @@
 		failure = o.failure.String()
 	}
 	choice := grant.ReleaseChoice()
-	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(),
+	klog.InfoS("attempt", "request", r.ID, "route", r.routeName(), "service", r.service, "organisation", r.organisation(), "rank", r.rank,
 		"revision", r.revision, "confirmed", in.link.ConfigAge(), "upstream", grant.Upstream.ID, "address", grant.Upstream.Address, "by", by, "zone", grant.Upstream.Zone, "release", grant.Upstream.Release, "rollout", choice.Rollout, "releaseBy", choice.Reason, "resumed", r.ResumedID, "number", grant.Attempt,
 		"waited", startedAt-r.arrived, "expected", grant.Estimate, "cached", grant.CachedTokens, "prompt", r.PromptTokens, "took", in.options.Clock()-startedAt,
 		"done", o.done, "failure", failure, "status", head.status, "notRun", head.NotRun, "named", head.RequestID == r.ID, "signed", head.Signed, "events", d.events.forwarded, "window", d.window, "begun", d.countedAfter(startedAt), "limit", head.Limit,
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -105,7 +105,7 @@
 	if e.Ran == result.RanNo {
 		in.refund(r)
 	}
-	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "revision", r.revision,
+	klog.InfoS("request refused", "request", r.ID, "route", r.routeName(), "organisation", r.organisation(), "rank", r.rank, "revision", r.revision,
 		"code", int(e.Code), "reason", e.Title, "detail", e.Detail, "ran", e.Ran, "retryAfter", e.RetryAfter, "held", in.options.Clock()-r.arrived)
 	switch e.Code {
 	case result.ConfigNotConfirmed, result.NotReady, result.Draining:
--- a/link/link.go
+++ b/link/link.go
@@ -411,7 +411,7 @@
 		l.tables.Replaced(l.options.Clock(), before)
 	}
 	l.options.OnConfig(table)
-	klog.InfoS("configuration in force", "revision", revision.Number, "routes", len(revision.Routes), "organisations", len(revision.Organisations))
+	klog.InfoS("configuration in force", "revision", revision.Number, "routes", len(revision.Routes), "organisations", len(revision.Organisations), "keysRequired", table.RequiresKeys())
 	return nil
 }
 
