fairness: Keep only the ranks that requests have, not all below them

Cause: Returns and Pace kept their values in slices indexed by the rank, so that a number which operators choose became a size. Order kept each rank for good. All three keep the ranks in use now, at most 256; beyond these the least urgent count together, and Order forgets the rank that was asked for the longest time ago, without going back in its tags.

--- a/fairness/order.go
+++ b/fairness/order.go
@@ -6,6 +6,9 @@
 // no credit for idle time. It isn't safe for concurrent use.
 type Order struct {
 	ranks map[int]*rankOrder
+	// entered counts the requests, and lastTag is the highest tag of a rank that was forgotten.
+	entered uint64
+	lastTag float64
 }
 
 type rankOrder struct {
@@ -13,6 +16,8 @@
 	// tags that the organisations' next requests get at the earliest.
 	virtualTime float64
 	finishTags  map[string]float64
+	// enteredAt is the number of the rank's last request.
+	enteredAt uint64
 }
 
 // maxIdleTags is the number of organisations in a rank from which on those that have
@@ -27,14 +32,37 @@
 	}
 	r, ok := o.ranks[key.Rank]
 	if !ok {
-		r = &rankOrder{finishTags: map[string]float64{}}
+		o.forgetOldest()
+		// Requests of the rank from before it was forgotten may still wait.
+		r = &rankOrder{finishTags: map[string]float64{}, virtualTime: o.lastTag}
 		o.ranks[key.Rank] = r
 	}
+	o.entered++
+	r.enteredAt = o.entered
 	tag := max(r.virtualTime, r.finishTags[key.Organisation])
 	r.finishTags[key.Organisation] = tag + cost
 	return tag
 }
 
+// forgetOldest forgets the rank whose last request came first, where there are too many.
+func (o *Order) forgetOldest() {
+	if len(o.ranks) < maxRanks {
+		return
+	}
+	oldest := 0
+	var r *rankOrder
+	for rank, other := range o.ranks {
+		if r == nil || other.enteredAt < r.enteredAt {
+			oldest, r = rank, other
+		}
+	}
+	o.lastTag = max(o.lastTag, r.virtualTime)
+	for _, finish := range r.finishTags {
+		o.lastTag = max(o.lastTag, finish)
+	}
+	delete(o.ranks, oldest)
+}
+
 // Started records that the request with the tag started.
 func (o *Order) Started(key Key, tag float64) {
 	r, ok := o.ranks[key.Rank]
--- a/fairness/pace.go
+++ b/fairness/pace.go
@@ -1,7 +1,9 @@
 package fairness
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -20,8 +22,14 @@
 	// starts: about the median if they come at random. The mean, 1, refuses at rates of
 	// a few starts per target what mostly starts in time.
 	nextStart = 0.5
+	// forgottenStarts is the number of starts below which a rank is forgotten.
+	forgottenStarts = 1e-3
 )
 
+// maxRanks bounds the ranks of a service that are told apart at one entry. Operators choose
+// their number; where there are more, the least urgent ones count together.
+const maxRanks = 256
+
 // Pace measures the rate at which one entry starts the requests of a service while some
 // of them wait. The rate at other times is that of the callers, not of the service. It
 // isn't safe for concurrent use.
@@ -29,10 +37,16 @@
 	at clock.Instant
 	// waiting says that requests have waited since at.
 	waiting bool
-	// busy is the time in seconds for which requests waited, and starts the starts by
-	// rank in that time, both decayed.
+	// busy is the time in seconds for which requests waited, and starts the starts of the ranks
+	// that had any in that time, the most urgent first. Both are decayed.
 	busy   float64
-	starts []float64
+	starts []rankStarts
+}
+
+// rankStarts is the decayed number of starts of a rank.
+type rankStarts struct {
+	rank   int
+	starts float64
 }
 
 // SetWaiting records whether requests wait from now on.
@@ -44,13 +58,18 @@
 // Start counts the start of a request.
 func (p *Pace) Start(now clock.Instant, rank int) {
 	p.advance(now)
-	if !p.waiting || rank < 0 {
+	if !p.waiting {
 		return
 	}
-	for len(p.starts) <= rank {
-		p.starts = append(p.starts, 0)
+	i, known := slices.BinarySearchFunc(p.starts, rank, func(s rankStarts, rank int) int { return cmp.Compare(s.rank, rank) })
+	if !known {
+		p.starts = slices.Insert(p.starts, i, rankStarts{rank: rank})
+	}
+	p.starts[i].starts++
+	if last := len(p.starts) - 1; last >= maxRanks {
+		p.starts[last-1].starts += p.starts[last].starts
+		p.starts = p.starts[:last]
 	}
-	p.starts[rank]++
 }
 
 func (p *Pace) advance(now clock.Instant) {
@@ -66,15 +85,16 @@
 	factor := math.Exp(-seconds / paceTime.Seconds())
 	p.busy *= factor
 	for i := range p.starts {
-		p.starts[i] *= factor
+		p.starts[i].starts *= factor
 	}
+	p.starts = slices.DeleteFunc(p.starts, func(s rankStarts) bool { return s.starts < forgottenStarts })
 	if p.waiting {
 		// The time that has just passed decays too.
 		p.busy += (1 - factor) * paceTime.Seconds()
 	}
 	if p.busy < 1e-6 {
 		p.busy = 0
-		clear(p.starts)
+		p.starts = p.starts[:0]
 	}
 }
 
@@ -86,10 +106,10 @@
 func (p *Pace) Rates(now clock.Instant, rank int, assumed float64) Rates {
 	p.advance(now)
 	var r Rates
-	for i, n := range p.starts {
-		r.Total += n
-		if i < rank {
-			r.Before += n
+	for _, s := range p.starts {
+		r.Total += s.starts
+		if s.rank < rank {
+			r.Before += s.starts
 		}
 	}
 	r.Total = (r.Total + assumed*priorSeconds) / (p.busy + priorSeconds)
--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -1,6 +1,8 @@
 package fairness
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -18,8 +20,15 @@
 // Returns is the virtual queue of the callers that were told to come back to a service.
 // It isn't safe for concurrent use.
 type Returns struct {
-	// free is by rank the first time that isn't taken by this or a more urgent rank.
-	free []clock.Instant
+	// steps are the ranks that have taken places to come, the most urgent first. The ranks
+	// between two of them have the places of the first.
+	steps []returnStep
+}
+
+// returnStep is the first time that isn't taken by the rank or a more urgent one.
+type returnStep struct {
+	rank int
+	free clock.Instant
 }
 
 // Place returns the time after which a refused caller should come back: its place among
@@ -27,30 +36,43 @@
 // longest it takes no place, since callers don't wait for that long. random, in [0, 1),
 // spreads callers within their places.
 func (r *Returns) Place(now clock.Instant, rank int, rate float64, earliest, longest time.Duration, random float64) time.Duration {
-	rank = max(rank, 0)
-	for len(r.free) <= rank {
-		last := clock.Instant(0)
-		if len(r.free) > 0 {
-			last = r.free[len(r.free)-1]
-		}
-		r.free = append(r.free, last)
-	}
+	r.forget(now)
 	interval := maxWait
 	if rate > 0 {
 		interval = min(time.Duration(float64(time.Second)/(returnPart*rate)), maxWait)
 	}
-	at := max(now+earliest, r.free[rank])
+	i, known := slices.BinarySearchFunc(r.steps, rank, func(s returnStep, rank int) int { return cmp.Compare(s.rank, rank) })
+	at := now + earliest
+	switch {
+	case known:
+		at = max(at, r.steps[i].free)
+	case i > 0:
+		at = max(at, r.steps[i-1].free)
+	}
 	if at-now > min(longest, max(placeHorizon, earliest)) {
 		return at - now
 	}
+	if !known {
+		r.steps = slices.Insert(r.steps, i, returnStep{rank: rank})
+	}
 	// Less urgent callers come after this one, if their places are still to come.
-	r.free[rank] = at + interval
-	for i := rank + 1; i < len(r.free); i++ {
-		if r.free[i] > now {
-			r.free[i] += interval
-		}
-		r.free[i] = max(r.free[i], at+interval)
+	r.steps[i].free = at + interval
+	for j := i + 1; j < len(r.steps); j++ {
+		s := &r.steps[j]
+		s.free = min(max(s.free+interval, at+interval), now+maxWait)
 	}
+	// The least urgent ranks share their places where there are too many.
+	r.steps = r.steps[:min(len(r.steps), maxRanks)]
 	spread := min(time.Duration(random*float64(interval)), max(longest-(at-now), 0))
 	return at - now + spread
 }
+
+// forget removes the ranks whose places have passed: the most urgent ones, as the times
+// increase with the rank.
+func (r *Returns) forget(now clock.Instant) {
+	i := slices.IndexFunc(r.steps, func(s returnStep) bool { return s.free > now })
+	if i < 0 {
+		i = len(r.steps)
+	}
+	r.steps = slices.Delete(r.steps, 0, i)
+}
