config: Give requests ranks in the order of the operators' numbers

Callers saw: an organisation with a priority of 4e18 went before all others, as three times its number overflowed; one with a negative priority spoils each report of the entries to the keepers while they refuse, since reports with negative ranks aren't accepted (by reading); and a route with a negative priority went before organisations that are more urgent.

The table maps the organisations' numbers to positions in the same order, from 0 to 2^20. Ranks of routes are bounded on both sides.

--- a/config/table.go
+++ b/config/table.go
@@ -13,6 +13,7 @@
 	// are in lower case.
 	routesByHost map[string][]*Route
 	ownersByKey  map[string]*Organisation
+	ranks        ranks
 }
 
 // NewTable returns the table of a checked revision.
@@ -21,6 +22,7 @@
 		Revision:     r,
 		routesByHost: map[string][]*Route{},
 		ownersByKey:  map[string]*Organisation{},
+		ranks:        newRanks(r),
 	}
 	for i := range r.Routes {
 		route := &r.Routes[i]
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -177,26 +177,13 @@
 		return drain.Error(false)
 	}
 	r.service = r.route.Pick(hashFraction(r.ID))
-	r.rank = rank(r.route, r.org)
+	r.rank = table.Rank(r.route, r.org)
 	if err := in.findOrigin(httpRequest.Context(), r); err != nil {
 		return err
 	}
 	return in.charge(httpRequest.Context(), r)
 }
 
-// routeRanks is the number of route ranks within each rank of organisations;
-// higher ones count as the last. Inference engines support ten ranks in all.
-const routeRanks = 3
-
-// rank is the request's rank: by the organisation's rank first, by the route's
-// rank among organisations of equal rank.
-func rank(route *config.Route, org *config.Organisation) int {
-	if org == nil || org.Rank == nil {
-		return min(route.Rank, routeRanks-1)
-	}
-	return routeRanks*(*org.Rank) + min(route.Rank, routeRanks-1)
-}
-
 // poolRetryAfter is the Retry-After while no leader answers: an election is
 // over by then.
 const poolRetryAfter = 500 * time.Millisecond
