config, ingress: Let engines tell organisations apart whatever their numbers

One with a negative number got a header that engines don't accept.

Engines get the position of the organisation's number among those of the configuration, with as many of routes' ranks as fit into ten. Configurations whose numbers are 0 to 2 keep their headers.

--- a/config/ranks_test.go
+++ b/config/ranks_test.go
@@ -70,3 +70,37 @@
 		g.Expect(last).To(gomega.BeNumerically("<=", 3*maxOrganisationRank+2))
 	}
 }
+
+// TestEnginesKeepTheOrderOfRanks guards against organisations that are one to engines as their
+// numbers are above those that engines accept.
+func TestEnginesKeepTheOrderOfRanks(t *testing.T) {
+	for _, c := range []struct{ organisations, want []int }{
+		{[]int{0, 1, 2}, []int{0, 1, 2, 3, 4, 5, 6, 7, 8}},
+		{[]int{1, 2}, []int{3, 4, 5, 6, 7, 8}},
+		{[]int{0, math.MaxInt32}, []int{0, 1, 2, 6, 7, 8}},
+		{[]int{-5, 1000, math.MaxInt}, []int{0, 0, 1, 4, 4, 5, 6, 6, 7}},
+		{[]int{0, 10, 20, 30, 40, 50, 60}, []int{0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5, 5, 6, 6, 6}},
+	} {
+		table := rankTable(c.organisations, []int{0, 1, 2})
+		var got []int
+		for i := range c.organisations {
+			for j := range 3 {
+				got = append(got, table.EngineRank(&table.Revision.Routes[j], &table.Revision.Organisations[i]))
+			}
+		}
+		gomega.NewWithT(t).Expect(got).To(gomega.Equal(c.want), "organisations %d", c.organisations)
+	}
+	g := gomega.NewWithT(t)
+	many := make([]int, 400)
+	for i := range many {
+		many[i] = 7 * i
+	}
+	table := rankTable(many, []int{0, 1, 2})
+	last := 0
+	for i := range many {
+		rank := table.EngineRank(&table.Revision.Routes[2], &table.Revision.Organisations[i])
+		g.Expect(rank).To(gomega.BeElementOf(last, last+1))
+		last = rank
+	}
+	g.Expect(last).To(gomega.Equal(9))
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -350,7 +350,7 @@
 		Method: r.method, Target: r.target, Host: r.host, Body: r.body, HasBody: r.hasBody, ID: r.ID,
 		Header: platform.EncodeForward(r.header, platform.Forward{
 			Upstream: grant.Upstream.ID, Organisation: r.organisation(), Remaining: r.deadline - in.options.Clock(),
-			LastEvent: lastEvent, Resumes: resumes, Rank: r.rank, Ranked: r.route.ByPrefix,
+			LastEvent: lastEvent, Resumes: resumes, Rank: r.engineRank, Ranked: r.route.ByPrefix,
 		}),
 		Matches: func(httpResponse *http.Response, used bool) bool {
 			// A refusal without an ID on a connection that was used before may be
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -46,9 +46,11 @@
 	org      *config.Organisation
 	service  string
 	// binding is that of a request that resumes a stream.
-	binding  upstream.Binding
-	rank     int
-	revision uint64
+	binding upstream.Binding
+	rank    int
+	// engineRank is the rank as engines know it.
+	engineRank int
+	revision   uint64
 	// unread says that the request has a body of which nothing was read.
 	unread bool
 	// gone says that the caller has closed the connection, or its sending side.
@@ -177,7 +179,7 @@
 		return drain.Error(false)
 	}
 	r.service = r.route.Pick(hashFraction(r.ID))
-	r.rank = table.Rank(r.route, r.org)
+	r.rank, r.engineRank = table.Rank(r.route, r.org), table.EngineRank(r.route, r.org)
 	if err := in.findOrigin(httpRequest.Context(), r); err != nil {
 		return err
 	}
