config, platform: Require keys also where the list of organisations is empty

Cause: the decoder kept no difference between a list that is there and one that is absent, and RequiresKeys asked for the number of organisations. Revision.KeysRequired says what the operator's document says: keys are required if it contains the list, empty or null.

Before the fix TestEmptyListOfOrganisationsOpensNoRoute got no error, want ConfigNotConfirmed; TestNewConfigurationsEndNoRequest got 200 for 401 ("organisation gone", "null for organisations"); the spec "A configuration without any organisation" got 200 for 401 without a key.

--- a/config/check.go
+++ b/config/check.go
@@ -62,6 +62,9 @@
 }
 
 func (r *Revision) checkKeys() error {
+	if len(r.Organisations) > 0 && !r.KeysRequired {
+		return invalid("%d organisations, but no keys are required", len(r.Organisations))
+	}
 	owners := map[string]string{}
 	for i := range r.Organisations {
 		organisation := &r.Organisations[i]
--- a/config/revision.go
+++ b/config/revision.go
@@ -30,6 +30,9 @@
 	Services      []Service
 	Limits        Limits
 	Organisations []Organisation
+	// KeysRequired says that requests to routes that aren't public need the key of an organisation,
+	// also while there is none.
+	KeysRequired bool
 }
 
 // Route sends the requests of a host and path prefix to services.
--- a/config/table.go
+++ b/config/table.go
@@ -59,7 +59,7 @@
 }
 
 // RequiresKeys reports whether requests to routes that aren't public need a key.
-func (t *Table) RequiresKeys() bool { return len(t.Revision.Organisations) > 0 }
+func (t *Table) RequiresKeys() bool { return t.Revision.KeysRequired }
 
 // Owner returns the organisation that the key belongs to, or nil.
 func (t *Table) Owner(key string) *Organisation {
--- a/ingress/new_config_test.go
+++ b/ingress/new_config_test.go
@@ -26,7 +26,9 @@
 		"routes moved away":       {change(`"host":"h"`, `"host":"elsewhere"`), http.StatusNotFound},
 		"routes lead elsewhere":   {change(`"service":"s"`, `"service":"none"`, `"service":"full"`, `"service":"none"`, `{"name":"s"},{"name":"full"}`, `{"name":"none"}`), http.StatusServiceUnavailable},
 		"key revoked":             {change(`"apiKeys":["k"]`, `"apiKeys":["other"]`), http.StatusUnauthorized},
-		"organisation gone":       {change(`{"name":"o","apiKeys":["k"]}`, ``), http.StatusOK},
+		"organisation gone":       {change(`{"name":"o","apiKeys":["k"]}`, ``), http.StatusUnauthorized},
+		"null for organisations":  {change(`[{"name":"o","apiKeys":["k"]}]`, `null`), http.StatusUnauthorized},
+		"no organisations at all": {change(`,"tenants":[{"name":"o","apiKeys":["k"]}]`, ``), http.StatusOK},
 		"limit of bodies lowered": {change(`"routes":[`, `"limits":{"maxBodyBytes":1},"routes":[`), http.StatusRequestEntityTooLarge},
 		"quota lowered":           {change(`"apiKeys":["k"]`, `"apiKeys":["k"],"ratePerS":0.001,"burst":0.001`), http.StatusTooManyRequests},
 	} {
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/link"
+	"github.com/hyssopladder/hyssopladder/platform"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -42,6 +43,25 @@
 	g.Expect(d.notConfirmedError().Ran).To(gomega.Equal(result.RanUnknown))
 }
 
+// TestEmptyListOfOrganisationsOpensNoRoute guards against a configuration whose list of
+// organisations is empty, and which asks neither for keys nor for its own confirmation.
+func TestEmptyListOfOrganisationsOpensNoRoute(t *testing.T) {
+	for tenants, want := range map[string]result.Code{`,"tenants":[]`: result.ConfigNotConfirmed, `,"tenants":null`: result.ConfigNotConfirmed, ``: 0} {
+		g := gomega.NewWithT(t)
+		revision, err := platform.DecodeConfig([]byte(`{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"idempotent","timeoutMs":1000,"service":"s"}],"services":[{"name":"s"}]` + tenants + `}`))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		table := config.NewTable(revision)
+		in := &Ingress{options: Options{Clock: func() clock.Instant { return 0 }}, link: &link.Link{}}
+		err = in.identify(&request{route: &table.Revision.Routes[0]}, table)
+		if want == 0 {
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			continue
+		}
+		g.Expect(err).To(gomega.HaveOccurred(), tenants)
+		g.Expect(result.From(err).Code).To(gomega.Equal(want))
+	}
+}
+
 func TestEventsPassOnceInOrder(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var e eventTracker
