plan: Spread upstreams over zones without counting them one by one

A valid configuration whose autoscale bounds are large or negative (min and max, or min -) made the leading keeper count up to them: the duty that scales never came to an end, and took a processor. The need, which comes from callers' token counts, was a loop as well.

The level that all zones reach is searched for; the time doesn't depend on the numbers. The need and the bounds of a zone are bounded, so that their sums don't overflow.

TestAddEvenlyAddsToTheLowest holds the result to that of adding one at a time, in 2,000 random cases.

--- a/plan/scaling.go
+++ b/plan/scaling.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +31,9 @@
 	ReclaimablePrice float64
 }
 
+// maxUpstreams bounds the need, and the bounds of a zone, so that they can be added up.
+const maxUpstreams = 1 << 20
+
 // ZoneTarget is the number of upstreams that a service should have in a zone.
 type ZoneTarget struct {
 	Zone               string
@@ -97,6 +101,10 @@
 	if len(zones) == 0 {
 		return nil
 	}
+	if need = min(need, maxUpstreams); !(need > 0) {
+		need = 0
+	}
+	b.Min, b.Max = min(max(b.Min, 0), maxUpstreams), min(max(b.Max, 0), maxUpstreams)
 	reclaimable := int(math.Ceil(need))
 	if n := len(zones); n > 1 {
 		reclaimable = max(reclaimable, int(math.Ceil(need*float64(n)/float64(n-1))))
@@ -114,7 +122,7 @@
 			targets[i].Fixed = max(b.Min-z.Reclaimable, 0)
 		}
 	}
-	addReclaimable(max(reclaimable, 0), byPrice, targets, b.Max)
+	addReclaimable(max(reclaimable, 0), targets, b.Max)
 	fraction := fixedFraction
 	for _, z := range zones {
 		if z.Refused {
@@ -136,18 +144,14 @@
 // addReclaimable adds count reclaimable upstreams to the targets, each to the zone
 // with the fewest; zones are in order of price, and of equal ones the cheapest gets
 // it.
-func addReclaimable(count int, zones []ZoneState, targets []ZoneTarget, maxPerZone int) {
-	for ; count > 0; count-- {
-		best := -1
-		for i := range zones {
-			if targets[i].Reclaimable < maxPerZone && (best < 0 || targets[i].Reclaimable < targets[best].Reclaimable) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return
-		}
-		targets[best].Reclaimable++
+func addReclaimable(count int, targets []ZoneTarget, maxPerZone int) {
+	numbers, limits := make([]int, len(targets)), make([]int, len(targets))
+	for i := range targets {
+		numbers[i], limits[i] = targets[i].Reclaimable, maxPerZone
+	}
+	addEvenly(count, numbers, limits)
+	for i := range targets {
+		targets[i].Reclaimable = numbers[i]
 	}
 }
 
@@ -156,23 +160,36 @@
 // and only where there are, with the reclaimable ones that serve, less than
 // maxPerZone.
 func addFixed(count int, zones []ZoneState, targets []ZoneTarget, maxPerZone int) {
+	numbers, limits := make([]int, len(targets)), make([]int, len(targets))
 	for i := range zones {
 		keep := max(min(count, zones[i].Fixed-targets[i].Fixed, maxPerZone-targets[i].Fixed), 0)
-		targets[i].Fixed += keep
+		numbers[i], limits[i] = targets[i].Fixed+keep, maxPerZone-zones[i].Reclaimable
 		count -= keep
 	}
-	for count > 0 {
-		best := -1
-		for i, z := range zones {
-			if targets[i].Fixed+z.Reclaimable < maxPerZone && (best < 0 || targets[i].Fixed < targets[best].Fixed) {
-				best = i
-			}
+	addEvenly(count, numbers, limits)
+	for i := range targets {
+		targets[i].Fixed = numbers[i]
+	}
+}
+
+// addEvenly adds count to the numbers, one after the other to the lowest that is below its limit, the
+// first of equal ones. Its time doesn't depend on count.
+func addEvenly(count int, numbers, limits []int) {
+	missing := func(level int) (sum int) {
+		for i, n := range numbers {
+			sum += max(min(level, limits[i])-n, 0)
 		}
-		if best < 0 {
-			return
+		return sum
+	}
+	// All numbers rise to level, and the first ones one further.
+	level := sort.Search(slices.Max(limits), func(level int) bool { return missing(level+1) > count })
+	count -= missing(level)
+	for i, n := range numbers {
+		numbers[i] = max(n, min(level, limits[i]))
+		if count > 0 && numbers[i] == level && level < limits[i] {
+			numbers[i]++
+			count--
 		}
-		targets[best].Fixed++
-		count--
 	}
 }
 
--- a/plan/scaling_test.go
+++ b/plan/scaling_test.go
@@ -1,6 +1,9 @@
 package plan
 
 import (
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,3 +105,47 @@
 		gomega.NewWithT(t).Expect(RequiredUpstreams(SupportedDemand(n, c), c)).To(gomega.BeNumerically("~", n, 1e-9))
 	}
 }
+
+// TestAnyBoundsAreSpreadAtOnce guards against a leader that counts up to a number which an
+// operator names as the bound of a zone, or which callers' token counts add up to.
+func TestAnyBoundsAreSpreadAtOnce(t *testing.T) {
+	for _, b := range []Bounds{{Min: math.MaxInt / 2, Max: math.MaxInt}, {Min: math.MinInt, Max: math.MaxInt}, {Min: 1, Max: math.MinInt}, {Max: math.MaxInt}} {
+		for _, need := range []float64{3, 1e30, math.Inf(1), math.NaN()} {
+			g := gomega.NewWithT(t)
+			for _, target := range Spread(need, zonesServing(6, 0, 6), b) {
+				g.Expect(target.Reclaimable).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", maxUpstreams)))
+				g.Expect(target.Fixed).To(gomega.BeNumerically(">=", 0))
+			}
+		}
+	}
+	gomega.NewWithT(t).Expect(Spread(1e30, zonesServing(0, 0), Bounds{Max: math.MaxInt})[0].Reclaimable).To(gomega.Equal(maxUpstreams))
+}
+
+// TestAddEvenlyAddsToTheLowest compares the result with that of adding one at a time.
+func TestAddEvenlyAddsToTheLowest(t *testing.T) {
+	random := rand.New(rand.NewPCG(20261207, 1))
+	for range 2000 {
+		numbers, limits := make([]int, 1+random.IntN(5)), []int(nil)
+		for i := range numbers {
+			numbers[i] = random.IntN(8)
+			limits = append(limits, random.IntN(12)-2)
+		}
+		count := random.IntN(40) - 3
+		want := slices.Clone(numbers)
+		for range count {
+			best := -1
+			for i := range want {
+				if want[i] < limits[i] && (best < 0 || want[i] < want[best]) {
+					best = i
+				}
+			}
+			if best < 0 {
+				break
+			}
+			want[best]++
+		}
+		got := slices.Clone(numbers)
+		addEvenly(count, got, limits)
+		gomega.NewWithT(t).Expect(got).To(gomega.Equal(want), "%d to %d, limits %d", count, numbers, limits)
+	}
+}
