--- a/ingress/new_config_test.go
+++ b/ingress/new_config_test.go
@@ -23,6 +23,7 @@
 	}{
 		"nothing but the number":  {change(), http.StatusOK},
 		"timeouts lowered":        {change(`"timeoutMs":20000`, `"timeoutMs":50`, `"sloMs":20000`, `"sloMs":50`, `"timeoutMs":1000`, `"timeoutMs":50`), http.StatusOK},
+		"timeouts of centuries":   {change(`"timeoutMs":20000`, `"timeoutMs":9223372036854`, `"sloMs":20000`, `"sloMs":9223372036854`), http.StatusOK},
 		"routes moved away":       {change(`"host":"h"`, `"host":"elsewhere"`), http.StatusNotFound},
 		"routes lead elsewhere":   {change(`"service":"s"`, `"service":"none"`, `"service":"full"`, `"service":"none"`, `{"name":"s"},{"name":"full"}`, `{"name":"none"}`), http.StatusServiceUnavailable},
 		"key revoked":             {change(`"apiKeys":["k"]`, `"apiKeys":["other"]`), http.StatusUnauthorized},
