config: Split routes by weights whose sum no number holds

A route that splits its requests by weights of 1.7e308 each sent all of them to its last service, as the weights add up to infinity. They are added up as parts of the highest one.

TestPickFollowsWeights failed before: 1,000 of 1,000 to the last service, want 500.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -55,6 +56,15 @@
 		counts[r.Pick(float64(i)/points)]++
 	}
 	g.Expect(counts).To(gomega.Equal(map[string]int{"a": 250, "c": 750}))
+	// Weights whose sum no number holds, and such as are hardly above 0.
+	for _, weight := range []float64{math.MaxFloat64, math.SmallestNonzeroFloat64} {
+		r = Route{Backends: []Backend{{"a", weight}, {"b", 0}, {"c", weight}}}
+		counts = map[string]int{}
+		for i := range points {
+			counts[r.Pick(float64(i)/points)]++
+		}
+		g.Expect(counts).To(gomega.Equal(map[string]int{"a": 500, "c": 500}), "%g", weight)
+	}
 }
 
 // TestStoreAgainstAnOracle applies random and repeated puts, with restarts from
--- a/config/table.go
+++ b/config/table.go
@@ -72,16 +72,22 @@
 // Pick returns the service of the backend at the point, from 0 to 1, of the
 // route's weights: evenly distributed points pick in proportion to the weights.
 func (r *Route) Pick(point float64) string {
+	// Weights are any numbers, so that their sum may be none.
+	highest := 0.0
+	for _, b := range r.Backends {
+		highest = max(highest, b.Weight)
+	}
 	total := 0.0
 	for _, b := range r.Backends {
-		total += b.Weight
+		total += b.Weight / highest
 	}
 	point *= total
 	for _, b := range r.Backends {
-		if point < b.Weight {
+		weight := b.Weight / highest
+		if point < weight {
 			return b.Service
 		}
-		point -= b.Weight
+		point -= weight
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
