limit: Share limits of any size among entries

An upstream that names a Server-Limit of 1e300, as one without a limit may, got requests from one entry only on x86-64: the number of owners overflowed, and the others' shares were 0.

TestHugeLimitsAreShared failed before: one entry got 1.8e308 of 1.8e308, want a sixth.

--- a/limit/board.go
+++ b/limit/board.go
@@ -149,7 +149,8 @@
 	})
 	// A restarted entry may be listed twice.
 	candidates = slices.CompactFunc(candidates, func(a, b candidate) bool { return a.name == b.name })
-	number := min(max(int(math.Ceil(s.Rate/ownerRate)), 1), len(candidates))
+	// Upstreams name any number: the ratio may be more than an integer holds.
+	number := int(min(max(math.Ceil(s.Rate/ownerRate), 1), float64(len(candidates))))
 	s.owners, s.ownersAt, s.chosen = make([]string, 0, number), now, true
 	for _, c := range candidates[:number] {
 		s.owners = append(s.owners, c.name)
--- a/limit/board_test.go
+++ b/limit/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -48,6 +49,19 @@
 	g.Expect(owners).To(gomega.Equal(1))
 }
 
+// TestHugeLimitsAreShared guards against a limit that stands for none, and of which one entry
+// gets all.
+func TestHugeLimitsAreShared(t *testing.T) {
+	for _, rate := range []float64{1e6, 1e19, math.MaxFloat64} {
+		g := gomega.NewWithT(t)
+		b := NewBoard()
+		b.Observe(second, []Observation{named("u", rate, 0)})
+		for _, e := range fleetOf(6)() {
+			g.Expect(b.Shares(second, e.Name, fleetOf(6))[0].Share).To(gomega.Equal(rate/6), "%g", rate)
+		}
+	}
+}
+
 func TestTheNewestAnswerDecides(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := NewBoard()
