quota: Bound the wait for the pool

With a ratePerS of 1e-6 the time until the pool holds the cost of a request is more than a time holds. The leader's answer had a negative wait, which entries don't accept, so that they asked again and then said that the pool can't be reached.

The wait is an hour at most.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -278,6 +278,9 @@
 // add adds tokens up to the capacity.
 func (b *bucket) add(tokens float64) { b.tokens = min(b.tokens+tokens, b.capacity) }
 
+// maxWait bounds the time that a caller is told to wait for the pool.
+const maxWait = time.Hour
+
 // spend takes the cost, or returns the time until the bucket holds enough. A cost
 // above the capacity needs a full bucket and leaves it overdrawn.
 func (b *bucket) spend(cost float64) (ok bool, retryAfter time.Duration) {
@@ -286,7 +289,8 @@
 	case b.rate <= 0:
 		return false, time.Second
 	case b.tokens < needed:
-		return false, time.Duration((needed - b.tokens) / b.rate * float64(time.Second))
+		// At the lowest rates that operators may name, the wait is longer than a time holds.
+		return false, time.Duration(min((needed-b.tokens)/b.rate*float64(time.Second), float64(maxWait)))
 	}
 	b.tokens -= cost
 	return true, 0
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -330,3 +330,14 @@
 		})
 	}
 }
+
+// TestWaitsForThePoolAreTimes guards against waits that overflow at the lowest rates: entries refuse
+// an answer with a negative one.
+func TestWaitsForThePoolAreTimes(t *testing.T) {
+	for _, limit := range []float64{1e-6, 1e-300, math.MaxFloat64} {
+		g := gomega.NewWithT(t)
+		r := NewLedger(0, 140_000).Reserve(0, "mill", limit, 1e12)
+		g.Expect(r.OK).To(gomega.BeFalse())
+		g.Expect(r.RetryAfter).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", maxWait)), "%g", limit)
+	}
+}
