--- a/exchange/client__idle.go
+++ b/exchange/client__idle.go
@@ -131,12 +131,15 @@
 	}
 }
 
+// maxIdleSeconds bounds the idle timeout that an upstream may name, in seconds.
+const maxIdleSeconds = 3600
+
 // idleTimeout is how long a connection may stay idle, by the response's headers.
 func idleTimeout(h http.Header) time.Duration {
 	for value := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		if seconds, found := strings.CutPrefix(strings.TrimSpace(value), "timeout="); found {
 			if n, err := strconv.Atoi(seconds); err == nil {
-				return max(time.Duration(n)*time.Second-idleMargin, 0)
+				return max(time.Duration(min(max(n, 0), maxIdleSeconds))*time.Second-idleMargin, 0)
 			}
 		}
 	}
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -250,3 +250,14 @@
 	}
 	b.ReportMetric(float64(dials)/float64(b.N), "dials/op")
 }
+
+// TestIdleTimeoutsDontOverflow guards against connections that are never used again as their
+// upstream names a long time.
+func TestIdleTimeoutsDontOverflow(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=30": 29 * time.Second, "timeout=10000000000": maxIdleSeconds*time.Second - idleMargin, "timeout=9223372036854775807": maxIdleSeconds*time.Second - idleMargin,
+		"timeout=-9223372036854775808": 0, "timeout=1, max=5": 0, "max=5": defaultIdleTimeout,
+	} {
+		gomega.NewWithT(t).Expect(idleTimeout(http.Header{"Keep-Alive": {text}})).To(gomega.Equal(want), text)
+	}
+}
