upstream: Bound the reported numbers of requests that are added up

An upstream of the role entry that reports 2^63-1 running and as many queued requests looked idle, as their sum is negative. TestBusyCorrectsLaggingReports, with such a report, failed before: 1 free slot, want 0.

--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -99,6 +99,12 @@
 	Queued  int `json:"queued"`
 }
 
+// requests is the number of running and queued requests, each bounded so that it can be added up.
+func (l *Load) requests() int {
+	const most = 1 << 20
+	return min(l.Running, most) + min(l.Queued, most)
+}
+
 // Check verifies a decoded load.
 func (l *Load) Check() error {
 	if l.Running < 0 || l.Queued < 0 {
--- a/upstream/directory.go
+++ b/upstream/directory.go
@@ -168,7 +168,7 @@
 // Busy estimates the requests at the upstream: the last reported load, corrected
 // by what this entry has started and finished since.
 func (u *Upstream) Busy() int {
-	return max(u.outstanding, u.Load.Running+u.Load.Queued+u.changeSinceReport, 0)
+	return max(u.outstanding, u.Load.requests()+u.changeSinceReport, 0)
 }
 
 // Free estimates the free slots.
@@ -176,7 +176,7 @@
 
 // Headroom is the number of free slots at the last announcement, negative if
 // requests were queued.
-func (u *Upstream) Headroom() int { return u.Slots - u.Load.Running - u.Load.Queued }
+func (u *Upstream) Headroom() int { return u.Slots - u.Load.requests() }
 
 // OwnFree is the number of free slots that are assigned to the entry: those in its
 // range of the slots that were free at the last announcement, less those that it
--- a/upstream/directory_test.go
+++ b/upstream/directory_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -66,6 +67,11 @@
 	d.Apply(0, report)
 	u.Finish()
 	g.Expect(u.Busy()).To(gomega.Equal(1))
+	report.Sequence = 3
+	report.Load = Load{Running: math.MaxInt, Queued: math.MaxInt}
+	d.Apply(0, report)
+	g.Expect(u.Free()).To(gomega.BeZero(), "a sum that overflows")
+	g.Expect(u.Headroom()).To(gomega.BeNumerically("<", 0))
 }
 
 func TestAnnouncementCheck(t *testing.T) {
