--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -39,7 +39,7 @@
 	r.forget(now)
 	interval := maxWait
 	if rate > 0 {
-		interval = min(time.Duration(float64(time.Second)/(returnPart*rate)), maxWait)
+		interval = time.Duration(min(float64(time.Second)/(returnPart*rate), float64(maxWait)))
 	}
 	i, known := slices.BinarySearchFunc(r.steps, rank, func(s returnStep, rank int) int { return cmp.Compare(s.rank, rank) })
 	at := now + earliest
