--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopladder/hyssopladder/config"
 	"github.com/hyssopladder/hyssopladder/link"
 	"github.com/hyssopladder/hyssopladder/platform"
+	"github.com/hyssopladder/hyssopladder/quota"
 	"github.com/hyssopladder/hyssopladder/result"
 )
 
@@ -43,6 +44,18 @@
 	g.Expect(d.notConfirmedError().Ran).To(gomega.Equal(result.RanUnknown))
 }
 
+// TestNoRequestAddsToTheQuota guards against a negative cost of requests without a token count.
+func TestNoRequestAddsToTheQuota(t *testing.T) {
+	g := gomega.NewWithT(t)
+	revision, err := platform.DecodeConfig([]byte(`{"version":1,"tenants":[{"name":"mill","unit":"token","plainTokens":-200,"ratePerS":10}]}`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	bucket := quota.NewLeasedBucket(0)
+	bucket.Renew(0, 0, 1000)
+	in := &Ingress{options: Options{Clock: func() clock.Instant { return 0 }}, quotas: map[string]*quota.LeasedBucket{"mill": bucket}}
+	g.Expect(in.charge(t.Context(), &request{org: &revision.Organisations[0]})).To(gomega.Succeed())
+	g.Expect(bucket.Acquire(0, 100)).To(gomega.Equal(100.0), "nothing was added")
+}
+
 // TestEmptyListOfOrganisationsOpensNoRoute guards against a configuration whose list of
 // organisations is empty, and which asks neither for keys nor for its own confirmation.
 func TestEmptyListOfOrganisationsOpensNoRoute(t *testing.T) {
