quota: Let an odd demand cost its own part only

A reported demand that is infinite or no number stayed in the leader's sums: no entry got its part of that organisation's quota any more, also once the entry that had reported it was gone.

TestOddDemandsCostOnlyTheirOwnPart failed before: NaN, want a rate of 50.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -58,6 +58,20 @@
 	Refunded float64
 }
 
+// maxRate bounds reported rates, so that sums of them can be subtracted again.
+const maxRate = 1e15
+
+// bound replaces what isn't a rate by the nearest one: what one entry reports mustn't change the
+// parts of the others.
+func (d *Demand) bound() {
+	for _, v := range []*float64{&d.Rate, &d.LeasedRate, &d.Refunded} {
+		if !(*v > 0) {
+			*v = 0
+		}
+		*v = min(*v, maxRate)
+	}
+}
+
 // demandSmoothing is the weight of a new report in the average demand, so that it
 // covers about ten reports: a single request may cost a second's quota.
 const demandSmoothing = 0.1
@@ -169,6 +183,7 @@
 		part.reportedRate = 0
 	}
 	for organisation, d := range demands {
+		d.bound()
 		part, ok := lease.parts[organisation]
 		if !ok {
 			part = &leasePart{}
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -341,3 +341,25 @@
 		g.Expect(r.RetryAfter).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", maxWait)), "%g", limit)
 	}
 }
+
+// TestOddDemandsCostOnlyTheirOwnPart guards against a report with a number that isn't a rate, after
+// which no entry gets its part of the quota any more.
+func TestOddDemandsCostOnlyTheirOwnPart(t *testing.T) {
+	for _, odd := range []float64{math.NaN(), math.Inf(1), -1e18, math.MaxFloat64} {
+		g := gomega.NewWithT(t)
+		l, limits := NewLedger(0, 0), map[string]float64{"mill": 100}
+		now := clock.Instant(0)
+		for range 30 {
+			now += 300 * time.Millisecond
+			l.Grant(now, "odd", 1, map[string]Demand{"mill": {Rate: odd, LeasedRate: odd, Refunded: odd}}, limits)
+			l.Grant(now, "sound", 1, map[string]Demand{"mill": {Rate: 30}}, limits)
+		}
+		// The odd entry ends, and the other one gets all.
+		var rates map[string]float64
+		for range 30 {
+			now += 300 * time.Millisecond
+			rates = l.Grant(now, "sound", 1, map[string]Demand{"mill": {Rate: 30, LeasedRate: rates["mill"]}}, limits)
+		}
+		g.Expect(rates["mill"]).To(gomega.BeNumerically("~", entryFraction*100, 1), "%g", odd)
+	}
+}
