control: Refuse configurations with more organisations than reports can name

A configuration with more than 10,000 organisations that have quotas was accepted, and then entries could read no answer to their reports: neither quotas nor shares nor limits. It is refused with 400 and the bound when it is put; one that is stored already goes on being read.

TestConfigurationsNameNoMoreOrganisationsThanReportsHold failed before: 200, want 400.

--- a/control/account_test.go
+++ b/control/account_test.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 	"github.com/hyssopladder/hyssopladder/common/clock"
 	"github.com/hyssopladder/hyssopladder/common/wire"
 	"github.com/hyssopladder/hyssopladder/limit"
+	"github.com/hyssopladder/hyssopladder/rollout"
 	"github.com/hyssopladder/hyssopladder/suspect"
 )
 
@@ -59,3 +63,20 @@
 	}
 	g.Expect(sum).To(gomega.Equal(1.5), "of one limit, at all entries")
 }
+
+// TestConfigurationsNameNoMoreOrganisationsThanReportsHold guards against a configuration that is
+// accepted, and after which neither reports nor their answers can be read.
+func TestConfigurationsNameNoMoreOrganisationsThanReportsHold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := startControlNodes(t, rollout.Limits{}, rollout.Limits{}, rollout.Limits{})
+	put := func(version, organisations int) func() int {
+		tenants := make([]string, organisations)
+		for i := range tenants {
+			tenants[i] = fmt.Sprintf(`{"name":"o%d","apiKeys":["k%d"],"ratePerS":1}`, i, i)
+		}
+		return k.status(0, http.MethodPost, "/v1/config/put", fmt.Sprintf(`{"version":%d,"tenants":[%s]}`, version, strings.Join(tenants, ",")))
+	}
+	g.Eventually(put(2, maxItems), 10*time.Second).Should(gomega.Equal(http.StatusOK))
+	g.Expect(put(3, maxItems+1)()).To(gomega.Equal(http.StatusBadRequest))
+	g.Expect(put(1, maxItems+1)()).To(gomega.Equal(http.StatusOK), "an older one changes nothing")
+}
--- a/control/control.go
+++ b/control/control.go
@@ -298,6 +298,11 @@
 		writeError(w, result.From(err))
 		return
 	}
+	if n := len(revision.Organisations); n > maxItems && c.isNewer(revision) {
+		klog.InfoS("configuration refused", "bytes", len(body), "organisations", n)
+		writeError(w, result.New(result.ConfigInvalid, result.RanNo, "configuration with %d organisations, want at most %d", n, maxItems))
+		return
+	}
 	packed, err := pack.Deflate(body)
 	if err != nil {
 		writeError(w, result.From(err))
@@ -317,6 +322,12 @@
 	}
 }
 
+// isNewer reports whether the revision would replace the one that this keeper knows.
+func (c *Control) isNewer(r *config.Revision) bool {
+	v, _ := c.options.Keeper.View()
+	return r.Number > v.Config.Number
+}
+
 func (c *Control) serveGetConfig(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), confirmTimeout)
 	defer cancel()
--- a/control/message.go
+++ b/control/message.go
@@ -26,6 +26,8 @@
 
 // Limits of the lists in a decoded message.
 const (
+	// maxItems bounds the quotas and demands too, and with them the organisations of a
+	// configuration.
 	maxItems = 10_000
 	maxPeers = 64
 )
