control, fairness: Let an odd number cost its own part of a report or reply

One number that can't be used made an entry's whole report unreadable, or the leader's whole reply: a negative rank of an organisation, a rate that is none. The entry got no quotas then, for as long as the number was reported. The numbers come from operators, callers and upstreams. A demand, an excess, a limit or a pace that can't be used is left out by itself now, and what was measured of releases or upstreams by itself; the reader logs why, once a second at most.

--- a/control/account.go
+++ b/control/account.go
@@ -79,6 +79,9 @@
 // over about ten reports, which is three seconds.
 const promptSmoothing = 0.1
 
+// oddReportInterval is the least time between two log lines on parts that can't be used.
+const oddReportInterval = time.Second
+
 // serveAccount records an entry's usage and, if this keeper leads, applies the
 // rest of its report and grants quotas.
 func (c *Control) serveAccount(_ context.Context, body []byte) (any, error) {
@@ -86,6 +89,9 @@
 	if err := wire.Decode(body, &request); err != nil {
 		return nil, err
 	}
+	if request.odd != nil && c.oddReports.Allow() {
+		klog.InfoS("part of an entry's report can't be used", "entry", request.Entry, "err", request.odd)
+	}
 	v, _ := c.options.Keeper.View()
 	now := c.options.Clock()
 	c.mu.Lock()
--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/hyssopladder/hyssopladder/common/clock"
@@ -90,6 +91,8 @@
 	// before the first.
 	leaderState *leaderState
 	usageCounts *usageCounts
+	// oddReports bounds the log lines on parts of reports that can't be used.
+	oddReports  *rate.Limiter
 	entryClocks *entryClocks
 	// origins are the streams that entries have begun.
 	origins   *origin.Book
@@ -115,7 +118,7 @@
 // New registers the handlers and starts the background work, which ends with
 // ctx.
 func New(ctx context.Context, o Options) *Control {
-	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), entryClocks: newEntryClocks(), origins: origin.New(), changed: make(chan struct{}), rolloutsSentAt: map[string]clock.Instant{}}
+	c := &Control{options: o, startedAt: o.Clock(), registry: newRegistry(), usageCounts: newUsageCounts(), oddReports: rate.NewLimiter(rate.Every(oddReportInterval), 1), entryClocks: newEntryClocks(), origins: origin.New(), changed: make(chan struct{}), rolloutsSentAt: map[string]clock.Instant{}}
 	c.newestConfig = func() uint64 {
 		v, _ := o.Keeper.View()
 		return v.Config.Number
--- a/control/message.go
+++ b/control/message.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -185,6 +186,8 @@
 	RolloutVersion uint64          `json:"rv,omitempty"`
 	// Capacity is what the entry measured of the upstreams; nil if it doesn't.
 	Capacity *capacity.Report `json:"pc,omitempty"`
+	// odd says why a part was left out when the report was decoded.
+	odd error
 }
 
 // Check verifies a decoded request.
@@ -193,27 +196,49 @@
 	if r.Entry == "" || len(r.Usage) > maxWindows || len(r.Demands) > maxItems || len(r.Loads) > maxItems {
 		return errors.New("account request without an entry, or with too many usage windows, demands or loads")
 	}
-	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Observation).Check); err != nil {
-		return err
+	if len(r.Limits) > limit.MaxObservations {
+		return errors.Errorf("account request with %d limits, want at most %d", len(r.Limits), limit.MaxObservations)
 	}
-	for _, load := range r.Loads {
-		if load.Fairness != nil {
-			if err := load.Fairness.Check(); err != nil {
-				return err
-			}
+	r.leaveOutOdd()
+	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
+}
+
+// leaveOutOdd leaves out the parts that can't be used. Their numbers come from operators, callers and
+// upstreams: an odd one mustn't cost the entry its quotas.
+func (r *AccountRequest) leaveOutOdd() {
+	r.Limits = keepValid(r.Limits, (*limit.Observation).Check, &r.odd)
+	for name, load := range r.Loads {
+		if load.Fairness == nil {
+			continue
+		}
+		load.Fairness.Demands = keepValid(load.Fairness.Demands, (*fairness.Demand).Check, &r.odd)
+		if err := load.Fairness.Check(); err != nil {
+			r.odd = err
+			load.Fairness = nil
+			r.Loads[name] = load
 		}
 	}
 	if r.Releases != nil {
 		if err := r.Releases.Check(); err != nil {
-			return err
+			r.odd, r.Releases = err, nil
 		}
 	}
 	if r.Capacity != nil {
 		if err := r.Capacity.Check(); err != nil {
-			return err
+			r.odd, r.Capacity = err, nil
 		}
 	}
-	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
+}
+
+// keepValid returns the valid values of a decoded list, and sets odd if there are others.
+func keepValid[T any](list []T, check func(*T) error, odd *error) []T {
+	return slices.DeleteFunc(list, func(value T) bool {
+		err := check(&value)
+		if err != nil {
+			*odd = err
+		}
+		return err != nil
+	})
 }
 
 // checkList verifies a decoded list of at most most values.
@@ -263,8 +288,13 @@
 	Fairness *fairness.Reply `json:"fs,omitempty"`
 	// Paces are what has changed of the upstreams' paces; nil if the entry reported none.
 	Paces *capacity.Update `json:"pc,omitempty"`
+	// odd says why a part was left out when the reply was decoded.
+	odd error
 }
 
+// Odd says why a part was left out when the reply was decoded; nil if all of it can be used.
+func (r *AccountReply) Odd() error { return r.odd }
+
 // Check verifies a decoded reply.
 func (r *AccountReply) Check() error {
 	if r.Lease < 0 || r.NextReport < 0 || r.NextReport > maxReportInterval || len(r.Rates) > maxItems || len(r.Others.ByUpstream) > maxItems {
@@ -273,20 +303,31 @@
 	if len(r.Helpers) > detour.MaxHelpers {
 		return errors.Errorf("account reply with %d helpers, want at most %d", len(r.Helpers), detour.MaxHelpers)
 	}
-	if err := checkList(r.Limits, limit.MaxObservations, (*limit.Share).Check); err != nil {
-		return err
+	if len(r.Limits) > limit.MaxObservations {
+		return errors.Errorf("account reply with %d limits, want at most %d", len(r.Limits), limit.MaxObservations)
 	}
+	r.leaveOutOdd()
+	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
+}
+
+// leaveOutOdd leaves out the parts that can't be used.
+func (r *AccountReply) leaveOutOdd() {
+	r.Limits = keepValid(r.Limits, (*limit.Share).Check, &r.odd)
 	if r.Fairness != nil {
+		for name, share := range r.Fairness.Services {
+			share.Excesses = keepValid(share.Excesses, (*fairness.Excess).Check, &r.odd)
+			r.Fairness.Services[name] = share
+		}
 		if err := r.Fairness.Check(); err != nil {
-			return err
+			r.odd, r.Fairness = err, nil
 		}
 	}
 	if r.Paces != nil {
+		r.Paces.Paces = keepValid(r.Paces.Paces, (*capacity.Pace).Check, &r.odd)
 		if err := r.Paces.Check(); err != nil {
-			return err
+			r.odd, r.Paces = err, nil
 		}
 	}
-	return checkList(r.Suspects, suspect.MaxEvidence, (*suspect.Evidence).Check)
 }
 
 // ReserveRequest asks for the cost of one request from the leader's pool.
--- a/fairness/fairness.go
+++ b/fairness/fairness.go
@@ -62,14 +62,22 @@
 	if len(r.Demands) > MaxDemands {
 		return errors.Errorf("fairness report with %d demands, want at most %d", len(r.Demands), MaxDemands)
 	}
-	for _, d := range r.Demands {
-		if !validRate(d.Rate) || d.Rank < 0 {
-			return errors.Errorf("fairness report with an invalid demand: rate %v, rank %d", d.Rate, d.Rank)
+	for i := range r.Demands {
+		if err := r.Demands[i].Check(); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// Check verifies a decoded demand.
+func (d *Demand) Check() error {
+	if !validRate(d.Rate) || d.Rank < 0 {
+		return errors.Errorf("fairness report with an invalid demand: rate %v, rank %d", d.Rate, d.Rank)
+	}
+	return nil
+}
+
 // validRate is false for NaN too.
 func validRate(v float64) bool { return v >= 0 && v <= MaxRate }
 
@@ -100,11 +108,19 @@
 		if len(s.Excesses) > MaxDemands {
 			return errors.Errorf("fairness reply with %d organisations of %q, want at most %d", len(s.Excesses), name, MaxDemands)
 		}
-		for _, e := range s.Excesses {
-			if !(e.Fraction >= 0 && e.Fraction <= 1) || e.Rank < 0 {
-				return errors.Errorf("fairness reply with an invalid fraction %v or rank %d", e.Fraction, e.Rank)
+		for i := range s.Excesses {
+			if err := s.Excesses[i].Check(); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
+
+// Check verifies a decoded excess.
+func (e *Excess) Check() error {
+	if !(e.Fraction >= 0 && e.Fraction <= 1) || e.Rank < 0 {
+		return errors.Errorf("fairness reply with an invalid fraction %v or rank %d", e.Fraction, e.Rank)
+	}
+	return nil
+}
--- a/formats/formats.go
+++ b/formats/formats.go
@@ -65,7 +65,7 @@
 		},
 		{
 			"account", 1, "`control.AccountRequest`, `control.AccountReply`", Ignored, Refused,
-			"Evidence of an unknown kind refuses the whole report or reply: the entry keeps its quotas until their lease ends.",
+			"Evidence of an unknown kind refuses the whole report or reply: the entry keeps its quotas until their lease ends. A number that can't be used costs its own part: a limit, a demand, what was measured.",
 		},
 		{"reserve", 1, "`control.ReserveRequest`, `control.ReserveReply`", Ignored, None, ""},
 		{
--- a/link/link.go
+++ b/link/link.go
@@ -523,6 +523,9 @@
 		return reportFailed
 	}
 	if reply.Leading {
+		if err := reply.Odd(); err != nil {
+			klog.InfoS("part of the leader's reply can't be used", "leader", leader, "err", err)
+		}
 		l.options.OnReply(askedAt, reply)
 	}
 	l.mu.Lock()
