fleet: Forget services that no configuration has had

An entry kept state, and a line of its report, for each service that an upstream has ever named, also after the upstream was gone: memory that grows with what others write.

TestEndedUpstreamsAreForgotten, with upstreams of a service each, failed before: 500 services, want at most 20.

--- a/fleet/fleet__directory.go
+++ b/fleet/fleet__directory.go
@@ -143,4 +143,8 @@
 			break
 		}
 	}
+	if s.config.Name == "" && len(s.upstreams) == 0 && len(s.queue) == 0 {
+		// Upstreams may name any service; no configuration has had this one.
+		delete(f.services, s.name)
+	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -475,24 +475,32 @@
 // TestEndedUpstreamsAreForgotten replaces upstreams for a long day: only those
 // that serve, and those that ended lately, may take memory.
 func TestEndedUpstreamsAreForgotten(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := New(Options{Zone: "a"})
-	now := clock.Instant(time.Minute)
-	const interval = 10 * time.Second
-	for i := range 500 {
-		now += interval
-		m := upstream.Member{Announcement: upstream.Announcement{
-			ID: "u" + strconv.Itoa(i), Incarnation: uint64(i + 1), Sequence: 1, Services: []string{"s"},
-			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)), Slots: 1, Lease: time.Minute,
-		}}
-		f.Merge(now, []upstream.Member{m})
-		m.Ended = true
-		f.Merge(now+time.Second, []upstream.Member{m})
+	for name, serviceOf := range map[string]func(i int) string{
+		"of one service":      func(int) string { return "s" },
+		"of unknown services": func(i int) string { return "s" + strconv.Itoa(i) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := New(Options{Zone: "a"})
+			now := clock.Instant(time.Minute)
+			const interval = 10 * time.Second
+			for i := range 500 {
+				now += interval
+				m := upstream.Member{Announcement: upstream.Announcement{
+					ID: "u" + strconv.Itoa(i), Incarnation: uint64(i + 1), Sequence: 1, Services: []string{serviceOf(i)},
+					Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)), Slots: 1, Lease: time.Minute,
+				}}
+				f.Merge(now, []upstream.Member{m})
+				m.Ended = true
+				f.Merge(now+time.Second, []upstream.Member{m})
+			}
+			kept := int(endedRetention/interval) + 2
+			g.Expect(len(f.upstreams)).To(gomega.BeNumerically("<=", kept))
+			g.Expect(len(f.idByAddress)).To(gomega.BeNumerically("<=", kept))
+			g.Expect(len(f.services)).To(gomega.BeNumerically("<=", kept))
+			g.Expect(len(f.service("s").upstreams)).To(gomega.BeNumerically("<=", kept))
+		})
 	}
-	kept := int(endedRetention/interval) + 2
-	g.Expect(len(f.upstreams)).To(gomega.BeNumerically("<=", kept))
-	g.Expect(len(f.idByAddress)).To(gomega.BeNumerically("<=", kept))
-	g.Expect(len(f.service("s").upstreams)).To(gomega.BeNumerically("<=", kept))
 }
 
 // TestRequestsWithoutAnyUpstreamAreRefused guards against a request that waits for an upstream
