ingress: Forget the quotas of former organisations

An entry kept the quota of each organisation that a configuration has ever had, and named all of them in each report, which holds 10,000 at most.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -234,9 +235,21 @@
 }
 
 func (in *Ingress) applyConfig(t *config.Table) {
+	in.forgetQuotas(t.Revision)
 	in.dispatcher.run(func(now clock.Instant, f *fleet.Fleet) []fleet.Action { return f.SetConfig(now, t.Revision) })
 }
 
+// forgetQuotas forgets the quotas of organisations that the revision doesn't have.
+func (in *Ingress) forgetQuotas(r *config.Revision) {
+	present := make(map[string]bool, len(r.Organisations))
+	for i := range r.Organisations {
+		present[r.Organisations[i].Name] = true
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	maps.DeleteFunc(in.quotas, func(name string, _ *quota.LeasedBucket) bool { return !present[name] })
+}
+
 // reportedWindows is the number of past usage windows in each report, for a
 // new leader that lacks them.
 const reportedWindows = 4
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -56,6 +57,20 @@
 	g.Expect(bucket.Acquire(0, 100)).To(gomega.Equal(100.0), "nothing was added")
 }
 
+// TestQuotasOfFormerOrganisationsAreForgotten guards against memory and reports that grow with each
+// organisation that ever was.
+func TestQuotasOfFormerOrganisationsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	in := &Ingress{quotas: map[string]*quota.LeasedBucket{}}
+	for i := range 100 {
+		name := fmt.Sprint("o", i)
+		in.acquire(0, name, 1)
+		in.forgetQuotas(&config.Revision{Organisations: []config.Organisation{{Name: name}, {Name: "mill"}}})
+		g.Expect(in.quotas).To(gomega.HaveLen(1))
+		g.Expect(in.quotas).To(gomega.HaveKey(name))
+	}
+}
+
 // TestEmptyListOfOrganisationsOpensNoRoute guards against a configuration whose list of
 // organisations is empty, and which asks neither for keys nor for its own confirmation.
 func TestEmptyListOfOrganisationsOpensNoRoute(t *testing.T) {
