--- a/control/usagecounts_test.go
+++ b/control/usagecounts_test.go
@@ -60,6 +60,7 @@
 			c.applyReport(now, entryKey{"e", e}, list, recorded)
 		}
 		if number == 720 {
+			t.Logf("%d bytes while none can be recorded", heapBytes()-before)
 			g.Expect(heapBytes()-before).To(gomega.BeNumerically("<", 28<<20), "a tenth of a keeper's memory")
 			g.Expect(c.sumWindow(number - keptWindows + 1).Counts).To(gomega.HaveKeyWithValue("o0", uint64(5*entries)))
 		}
