fairness: Space the places of the least urgent ranks too

Beyond 256 ranks of a service the least urgent ones got the same place each, as none was taken for them. They share those of the last rank that is told apart.

TestOverflowingRanksKeepTheirOrder failed before: the second of two such callers got the place of the first.

--- a/fairness/ranks_test.go
+++ b/fairness/ranks_test.go
@@ -93,7 +93,9 @@
 		lastTags[rank] = tag
 		returns.Place(0, rank, 1e4, 0, time.Hour, 0)
 	}
-	g.Expect(len(returns.steps)).To(gomega.BeNumerically("<=", maxRanks))
+	g.Expect(returns.steps).To(gomega.HaveLen(maxRanks))
+	first := returns.Place(0, 3*maxRanks, 1e4, 0, time.Hour, 0)
+	g.Expect(returns.Place(0, 5*maxRanks, 1e4, 0, time.Hour, 0)).To(gomega.BeNumerically(">", first), "the least urgent ones are spaced too")
 	g.Expect(slices.IsSortedFunc(returns.steps, func(a, b returnStep) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.free, b.free)) })).To(gomega.BeTrue())
 	for i := 1; i < len(returns.steps); i++ {
 		g.Expect(returns.steps[i].free).To(gomega.BeNumerically(">=", returns.steps[i-1].free))
--- a/fairness/returns.go
+++ b/fairness/returns.go
@@ -42,6 +42,10 @@
 		interval = time.Duration(min(float64(time.Second)/(returnPart*rate), float64(maxWait)))
 	}
 	i, known := slices.BinarySearchFunc(r.steps, rank, func(s returnStep, rank int) int { return cmp.Compare(s.rank, rank) })
+	if i == maxRanks {
+		// The least urgent ranks share their places where there are too many.
+		i, known = i-1, true
+	}
 	at := now + earliest
 	switch {
 	case known:
@@ -61,7 +65,6 @@
 		s := &r.steps[j]
 		s.free = min(max(s.free+interval, at+interval), now+maxWait)
 	}
-	// The least urgent ranks share their places where there are too many.
 	r.steps = r.steps[:min(len(r.steps), maxRanks)]
 	spread := min(time.Duration(random*float64(interval)), max(longest-(at-now), 0))
 	return at - now + spread
