control: Let no unknown service move an upstream

A heartbeat of another writer with a known ID, a service that no configuration has and a higher number replaced the upstream's record: it got no more requests of its service until its own next heartbeat with a higher number. Such an announcement is refused with 400; one for another service of the configuration is taken.

TestUnknownServicesMoveNoUpstream failed before: 200, want 400.

--- a/control/control.go
+++ b/control/control.go
@@ -226,6 +226,11 @@
 		writeError(w, result.New(result.AnnouncementInvalid, result.RanNo, "%v", err))
 		return
 	}
+	if c.movesAway(&a) {
+		klog.InfoS("announcement refused: its upstream serves another service, and no configuration has this one", "upstream", a.ID, "service", a.Services)
+		writeError(w, result.New(result.AnnouncementInvalid, result.RanNo, "unknown service %q", a.Services))
+		return
+	}
 	if a.Leaving {
 		if err := c.recordDeparture(r.Context(), &departure.Notice{ID: a.ID, Incarnation: a.Incarnation, State: &a}); err != nil {
 			writeError(w, result.From(err))
@@ -238,6 +243,26 @@
 	_, _ = w.Write(platform.HeartbeatResponse)
 }
 
+// movesAway reports whether the announcement moves a known upstream from a service of the
+// configuration to one that isn't there: it comes from another writer.
+func (c *Control) movesAway(a *upstream.Announcement) bool {
+	c.mu.Lock()
+	known, ok := c.registry.upstreams[a.ID]
+	moves := ok && !known.Ended && !slices.Equal(known.Services, a.Services)
+	var services []string
+	if moves {
+		services = known.Services
+	}
+	c.mu.Unlock()
+	if !moves {
+		return false
+	}
+	v, _ := c.options.Keeper.View()
+	revision, err := decodePut(v.Config)
+	has := func(service string) bool { return hasService(revision, service) }
+	return err == nil && revision != nil && slices.ContainsFunc(services, has) && !slices.ContainsFunc(a.Services, has)
+}
+
 func (c *Control) serveDeregister(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxHeartbeatBytes))
--- a/control/departure_test.go
+++ b/control/departure_test.go
@@ -172,3 +172,24 @@
 	g.Expect(c.timeOfDay(later, stepped.Add(clockMaxAge))).To(gomega.BeTemporally("==", wall.Add(clockMaxAge+2*time.Millisecond)))
 	g.Expect(c.timeOfDay(later+1, stepped)).To(gomega.BeTemporally("==", stepped), "the entries are gone")
 }
+
+// TestUnknownServicesMoveNoUpstream guards against another writer's heartbeat that takes an
+// upstream away from its service.
+func TestUnknownServicesMoveNoUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := startDepartures(t)
+	g.Eventually(k.status(0, http.MethodPost, "/v1/config/put", `{"version":1,"services":[{"name":"s"},{"name":"other"}]}`), 10*time.Second).Should(gomega.Equal(http.StatusOK))
+	g.Eventually(func() uint64 { return k.view(0).Config.Number }, 10*time.Second).Should(gomega.BeEquivalentTo(1))
+	beat := func(service string, seq int) int {
+		state := strings.Replace(upstreamState("i-1", firstStart, seq, "ready"), `"service":"s"`, fmt.Sprintf(`"service":%q`, service), 1)
+		return k.status(0, http.MethodPost, "/v1/replicas/i-1/heartbeat", state)()
+	}
+	for i, c := range []struct {
+		service, serves string
+		status          int
+	}{{"elsewhere", "s", http.StatusBadRequest}, {"s", "s", http.StatusOK}, {"other", "other", http.StatusOK}} {
+		g.Expect(beat(c.service, 10+i)).To(gomega.Equal(c.status), c.service)
+		k.awaitMarker(fmt.Sprint("after-", c.service), 0)
+		g.Expect(k.nodes[0].Control.registry.upstreams["i-1"].Services).To(gomega.Equal([]string{c.serves}))
+	}
+}
