--- a/control/usagecounts_test.go
+++ b/control/usagecounts_test.go
@@ -40,10 +40,10 @@
 	g := gomega.NewWithT(t)
 	const windows, entries, organisations, length = 24 * 720, 88, 16, 5 * time.Second
 	c := newUsageCounts()
-	report := func(number uint64, count uint64) usage.Window {
+	report := func(number, count uint64) usage.Window {
 		w := usage.Window{Number: number, Counts: make(map[string]uint64, organisations)}
 		for i := range organisations {
-			w.Counts[organisationNames[i]] = count
+			w.Counts["o"+strconv.Itoa(i)] = count
 		}
 		return w
 	}
@@ -70,13 +70,6 @@
 	g.Expect(c.sumWindow(windows-resendWindows).Counts).To(gomega.HaveKeyWithValue("o15", uint64(5*entries)), "may be reported again")
 }
 
-var organisationNames = func() (names [16]string) {
-	for i := range names {
-		names[i] = "o" + strconv.Itoa(i)
-	}
-	return names
-}()
-
 func heapBytes() int64 {
 	runtime.GC()
 	var m runtime.MemStats
