quota: Let no single number keep an organisation out

A request that names 2^40 tokens, or a configuration whose plainTokens is the largest number, overdrew the organisation's pool at the leader by its whole cost: the pool had nothing to give for months, also after the next configuration, until another leader came.

A cost that the quota can't refill within a minute is refused. Quotas and demands that are added up are bounded, so that their sums can be subtracted again, and a demand counts for ten times the quota at most: the parts of the other entries would be small until the average has forgotten it.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -58,8 +58,16 @@
 	Refunded float64
 }
 
-// maxRate bounds reported rates, so that sums of them can be subtracted again.
-const maxRate = 1e15
+const (
+	// maxRate bounds rates, so that a sum of them is exact enough once they are subtracted again.
+	maxRate = 1e12
+	// maxDemand bounds the demand that counts, in parts of the organisation's rate: a caller may name any
+	// cost, and the others' parts would be small until the average has forgotten it.
+	maxDemand = 10
+	// maxOverdraft bounds the time for which one request may overdraw the pool. One that costs more
+	// doesn't fit any quota, and would keep out the organisation's other requests.
+	maxOverdraft = time.Minute
+)
 
 // bound replaces what isn't a rate by the nearest one: what one entry reports mustn't change the
 // parts of the others.
@@ -168,6 +176,7 @@
 		p = &bucket{lastRefill: l.start}
 		l.pools[organisation] = p
 	}
+	limit = min(limit, maxRate)
 	p.refill(now, poolFraction*limit, limit*poolBurstTime.Seconds()+poolSlackFraction*l.slack)
 	return p
 }
@@ -184,6 +193,9 @@
 	}
 	for organisation, d := range demands {
 		d.bound()
+		if limit, limited := limits[organisation]; limited {
+			d.Rate = min(d.Rate, maxDemand*limit)
+		}
 		part, ok := lease.parts[organisation]
 		if !ok {
 			part = &leasePart{}
@@ -201,6 +213,7 @@
 	}
 	rates := make(map[string]float64, len(limits))
 	for organisation, limit := range limits {
+		limit = min(limit, maxRate)
 		part, ok := lease.parts[organisation]
 		if !ok {
 			part = &leasePart{}
@@ -303,6 +316,8 @@
 	switch {
 	case b.rate <= 0:
 		return false, time.Second
+	case cost > max(b.capacity+b.rate*maxOverdraft.Seconds(), 1):
+		return false, maxWait
 	case b.tokens < needed:
 		// At the lowest rates that operators may name, the wait is longer than a time holds.
 		return false, time.Duration(min((needed-b.tokens)/b.rate*float64(time.Second), float64(maxWait)))
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -363,3 +363,35 @@
 		g.Expect(rates["mill"]).To(gomega.BeNumerically("~", entryFraction*100, 1), "%g", odd)
 	}
 }
+
+// TestOddNumbersLeaveNoTrace guards against a cost or a quota after which the organisation's
+// requests are refused, once the number is gone.
+func TestOddNumbersLeaveNoTrace(t *testing.T) {
+	const usual = 335_543.0
+	for name, odd := range map[string]struct{ limit, cost float64 }{
+		"a cost from a header": {usual, 1 << 41}, "a cost from the configuration": {usual, 1 << 63}, "a quota": {math.MaxFloat64, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l := NewLedger(0, 0)
+			now := clock.Instant(0)
+			rates := map[string]map[string]float64{}
+			run := func(limit, cost float64) (admitted int) {
+				for range 30 {
+					now += 300 * time.Millisecond
+					for i, entry := range []string{"a", "b", "c"} {
+						grant := l.Grant(now, entry, 1, map[string]Demand{"mill": {Rate: float64(i*i+1) * cost / 0.3, LeasedRate: rates[entry]["mill"]}}, map[string]float64{"mill": limit})
+						rates[entry] = grant
+						if l.Reserve(now, "mill", limit, cost).OK {
+							admitted++
+						}
+					}
+				}
+				return admitted
+			}
+			run(odd.limit, odd.cost)
+			g.Expect(run(usual, 200)).To(gomega.Equal(90))
+			g.Expect(rates["a"]["mill"] + rates["b"]["mill"] + rates["c"]["mill"]).To(gomega.BeNumerically("~", entryFraction*usual, 0.02*usual))
+		})
+	}
+}
